--- /dev/null
+++ b/adapter/wire.h
@@ -0,0 +1,72 @@
+// The bench wire: JSON lines in, decider events out, and decider actions back as JSON lines. Mechanical on
+// purpose.
+#pragma once
+
+#include <trailcourse/decider.h>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <ostream>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace trailcourse::wire {
+
+// A line that cannot be used; the process ends with its text.
+class WireError : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+// What of an instance's first message the wire needs for reading later ones.
+struct Profile {
+  Settings settings;
+  std::unordered_map<std::string, int> class_index;
+  std::vector<std::string> kinds;
+  std::vector<std::string> report_fields;
+  int parent_kind = -1;
+  int origin_kind = -1;
+};
+
+Profile read_profile(const nlohmann::json& profile);
+LoadReport read_report(const nlohmann::json& values, const std::vector<std::string>& fields);
+std::string write_action(std::int64_t instance, const Action& action);
+
+class Adapter {
+ public:
+  explicit Adapter(std::ostream& out) : out_(out) {}
+
+  // Takes one line; writes the whole reply when the batch is complete.
+  void take_line(std::string_view line);
+
+ private:
+  struct Instance {
+    Profile profile;
+    std::unique_ptr<Decider> decider;
+    bool faulted = false;
+  };
+
+  void begin_instance(const nlohmann::json& message);
+  void store_list(const nlohmann::json& message);
+  void finish_batch();
+  void take_event(const std::string& type, const nlohmann::json& message);
+  void run(std::int64_t number, Instance& instance, const Event& event);
+  Instance* find_instance(const nlohmann::json& message);
+  ListReceived read_list(const nlohmann::json& message, const Profile& profile) const;
+
+  std::ostream& out_;
+  Micros now_{0};
+  std::int64_t serial_ = 0;
+  bool in_batch_ = false;
+  std::string reply_;
+  std::vector<Action> actions_;
+  std::map<std::int64_t, nlohmann::json> lists_;
+  std::map<std::int64_t, Instance> instances_;
+};
+
+}  // namespace trailcourse::wire
--- /dev/null
+++ b/tests/adapter_test.cpp
@@ -0,0 +1,1 @@
+#include <gtest/gtest.h>
--- /dev/null
+++ b/tests/decider_test.cpp
@@ -0,0 +1,2 @@
+#include <gtest/gtest.h>
+#include <trailcourse/decider.h>
