--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -50,8 +50,10 @@
 constexpr double kColdCostMargin = 1.15;           // the true mean sending time may be above the seen one
 
 // Load and patience.
-constexpr double kBusyLoad = 1.0;          // transfers over capacity from which a second cache is looked at
-constexpr std::size_t kSpread = 3;         // caches in hash order among which load may choose
+constexpr double kBusyLoad = 1.0;          // transfers over capacity below which nothing is shed
+constexpr double kSpreadLoad = 3.0;        // from which the second cache is looked at
+constexpr double kSpreadGain = 0.5;        // of the home's load that the second one may have
+constexpr std::size_t kSpread = 2;         // caches in hash order among which load may choose
 constexpr double kShedShare = 0.8;         // of the aim that a predicted answer may take
 constexpr double kAnswerOverhead = 0.04;   // seconds of an answer beside its sending time
 constexpr double kDefaultWork = 0.2;       // seconds of sending where nothing is known yet
@@ -517,10 +519,10 @@
           !may_send(request, node)) {
         continue;
       }
-      if (load(node) < kBusyLoad) {
+      if (best < 0 && load(node) < kSpreadLoad) {
         return index;
       }
-      if (best < 0 || load(node) < load(at(best))) {
+      if (best < 0 || load(node) < kSpreadGain * load(at(best))) {
         best = index;
       }
       if (++looked_at >= kSpread) {
