--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -51,7 +51,7 @@
 
 // Load and patience.
 constexpr double kBusyLoad = 1.0;          // transfers over capacity below which nothing is shed
-constexpr double kSpreadLoad = 3.0;        // from which the second cache is looked at
+constexpr double kSpreadLoad = 2.0;        // from which the second cache is looked at
 constexpr double kSpreadGain = 0.5;        // of the home's load that the second one may have
 constexpr std::size_t kSpread = 2;         // caches in hash order among which load may choose
 constexpr double kShedShare = 0.8;         // of the aim that a predicted answer may take
