--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -63,6 +63,16 @@
 constexpr double kPatienceStretch = 2.0;   // and so many times the expected sending
 constexpr Micros kRefusalWait = milliseconds(400);  // named to a refused client where it heeds that
 
+// The miss window: seconds of sending that may wait on fills at once.
+constexpr double kFillStart = 8.0;
+constexpr double kFillLeast = 0.5;
+constexpr double kFillMost = 64.0;
+constexpr double kFillFixed = 0.05;     // of a fill beside its sending
+constexpr double kFillBadGain = 0.05;   // smoothing of the share of fills that failed or came late
+constexpr double kFillBadLimit = 0.25;  // share from which the window shrinks
+constexpr double kFillCut = 0.8;        // one shrinking
+constexpr Micros kFillCutPause = milliseconds(300);  // between two of them
+
 // Health and further attempts.
 constexpr double kStreakLimit = 3.0;       // consecutive blames that eject
 constexpr double kFailGain = 0.1;          // smoothing of the share of failures
@@ -115,6 +125,8 @@
   Micros halved{0};
   Micros last{0};
   std::vector<std::pair<int, Micros>> holders;
+  int kept_at = -1;  // the cache that answered last, and when
+  Micros kept_since{0};
   std::list<std::uint64_t>::iterator place;
 };
 
@@ -124,7 +136,8 @@
   Micros sent{0};
   double cold_cost = 0.0;  // taken from the source's cold budget, given back if a hit shows it was not asked
   bool done = false;
-  bool proven = false;  // it never ran
+  bool proven = false;     // it never ran
+  double fill_work = 0.0;  // held in the miss window
   bool trial = false;
   bool written_off = false;
 };
@@ -579,7 +592,7 @@
       return;
     }
     const int target = pick_target(request);
-    if (target < 0 || hopeless(request, at(target))) {
+    if (target < 0 || hopeless(request, at(target)) || over_fill_window(request, target)) {
       give_up(request);
       return;
     }
@@ -615,6 +628,8 @@
     attempt.trial = node.ejections > 0 && !node.trial_out;
     node.trial_out = node.trial_out || attempt.trial;
     ++node.in_flight;
+    attempt.fill_work = likely_miss(request, target) ? request.work + kFillFixed : 0.0;
+    fill_out_ += attempt.fill_work;
 
     Send order;
     order.id = request.told.id;
@@ -657,6 +672,41 @@
     return expected(request, node) > kShedShare * left;
   }
 
+  // Whether the target probably lacks the object: another cache answered last, or the copy is void by now.
+  bool likely_miss(const Request& request, int target) const {
+    if (!cacheable(request) || target < 0) {
+      return false;
+    }
+    const auto found = entries_.find(request.key);
+    if (found == entries_.end() || found->second.kept_at != target) {
+      return true;
+    }
+    const Micros age = oldest_copy(request);
+    return age.count() > 0 && now_ - found->second.kept_since > age;
+  }
+
+  // Where fills fail or come late, whatever the cause (origin, parents, link, a mass purge), fewer likely
+  // misses wait at once and the rest is refused at once; small objects still fit when large ones do not.
+  bool over_fill_window(const Request& request, int target) const {
+    return may_refuse(request) && likely_miss(request, target) && fill_out_ > 0.0 &&
+           fill_out_ + request.work + kFillFixed > fill_limit_;
+  }
+
+  void learn_fill(const Request& request, const Attempt& attempt, const AttemptEnded& ended) {
+    fill_out_ = std::max(0.0, fill_out_ - attempt.fill_work);
+    if (attempt.fill_work <= 0.0 || ended.status == Status::kCancelled || ended.note == Note::kHit) {
+      return;
+    }
+    const bool good = ended.status == Status::kOk && to_seconds(now_ - request.arrived) <= aim(request);
+    fill_bad_ += kFillBadGain * ((good ? 0.0 : 1.0) - fill_bad_);
+    if (good) {
+      fill_limit_ = std::min(kFillMost, fill_limit_ + attempt.fill_work / fill_limit_);
+    } else if (fill_bad_ > kFillBadLimit && now_ >= fill_cut_at_ + kFillCutPause) {
+      fill_limit_ = std::max(kFillLeast, kFillCut * std::min(fill_limit_, fill_out_ + attempt.fill_work));
+      fill_cut_at_ = now_;
+    }
+  }
+
   // ---- Final answers ----
 
   void give_up(Request& request) {
@@ -763,6 +813,7 @@
       node.trial_out = false;
     }
     learn_load(node, ended.load);
+    learn_fill(request, attempt, ended);
     if (ended.note == Note::kHit || ended.note == Note::kStale) {
       source.cold_tokens += attempt.cold_cost;
     }
@@ -772,6 +823,7 @@
         credit(source);
       }
       note_holder(request, attempt, ended.note);
+      note_kept(request, attempt);
       return;
     }
     assign_blame(attempt, ended, node, source);
@@ -802,6 +854,14 @@
     holders.emplace_back(attempt.source, now_);
   }
 
+  void note_kept(const Request& request, const Attempt& attempt) {
+    const auto found = entries_.find(request.key);
+    if (found != entries_.end() && at(attempt.node).entry.role == Role::kCache) {
+      found->second.kept_at = attempt.node;
+      found->second.kept_since = now_;
+    }
+  }
+
   // ---- Health: outlier ejection with half-open trials. ----
 
   bool healthy(const Node& node) const {
@@ -947,6 +1007,10 @@
   Micros purge_floor_{-1};
   std::vector<std::pair<double, double>> mean_work_;
   double largest_kb_ = 0.0;
+  double fill_out_ = 0.0;
+  double fill_limit_ = kFillStart;
+  double fill_bad_ = 0.0;
+  Micros fill_cut_at_{0};
   double all_bytes_ = 0.0;
   double top_bytes_ = 0.0;
   double retry_tokens_ = kRetryBurst;
