--- a/adapter/wire.cpp
+++ b/adapter/wire.cpp
@@ -1,9 +1,11 @@
 #include "wire.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <cmath>
 #include <cstdio>
+#include <iterator>
 #include <utility>
 
 namespace trailcourse::wire {
@@ -270,15 +272,18 @@
   settings.siblings = look_up(kSiblingWords, word_at(extra, "Siblings", "none"));
   settings.notes = look_up(kNoteWords, word_at(extra, "NoteLevel", "none"));
   settings.stream_kb_per_s = number_at(extra, "StreamKbPerS", 0.0);
-  for (const json& count : array_at(extra, "CountByZone")) {
-    settings.routers_by_zone.push_back(static_cast<int>(whole(count, "CountByZone")));
-  }
-  for (const json& hub : array_at(extra, "HubByZone")) {
-    settings.hub_by_zone.push_back(static_cast<int>(whole(hub, "HubByZone")));
-  }
-  for (const json& link : array_at(extra, "ZoneLinkKbPerS")) {
-    settings.zone_link_kb_per_s.push_back(link.is_number() ? link.get<double>() : 0.0);
-  }
+}
+
+// The values that stand at this instance's own zone in the lists kept by zone.
+void read_own_zone(const std::vector<std::string>& zones, const json& extra, Settings& settings) {
+  const json& counts = array_at(extra, "CountByZone");
+  const json& links = array_at(extra, "ZoneLinkKbPerS");
+  const auto place = static_cast<std::size_t>(
+      std::distance(zones.begin(), std::find(zones.begin(), zones.end(), settings.zone)));
+  const bool counted = place < zones.size() && place < counts.size() && counts[place].is_number_integer();
+  settings.routers_in_zone = counted ? counts[place].get<int>() : settings.routers;
+  const bool linked = place < zones.size() && place < links.size() && links[place].is_number();
+  settings.zone_link_kb_per_s = linked ? links[place].get<double>() : 0.0;
 }
 
 AttemptEnded read_outcome(const json& message, const Profile& profile) {
@@ -381,7 +386,6 @@
   Settings& settings = profile.settings;
   const json& extra = section(source, "Extra");
   settings.zone = word_at(source, "Az", "");
-  settings.zones = texts_at(source, "Zones");
   settings.self_index = small_at(source, "SelfIndex", 0);
   settings.routers = small_at(source, "Balancers", 1);
   settings.must_ask_for_list = word_at(source, "Discovery", "push") == "ask";
@@ -394,6 +398,7 @@
   read_limits(section(source, "Limits"), settings);
   read_rules(section(source, "Rules"), extra, settings);
   read_extra(extra, settings);
+  read_own_zone(texts_at(source, "Zones"), extra, settings);
   profile.kinds = texts_at(source, "Kinds");
   profile.parent_kind = small_at(extra, "MidKind", -1);
   profile.origin_kind = small_at(extra, "OriginKind", -1);
--- a/include/trailcourse/decider.h
+++ b/include/trailcourse/decider.h
@@ -42,6 +42,16 @@
   kOriginFailed
 };
 
+// Whether the outcome proves that the attempt never had an effect.
+inline bool proves_unrun(Status status) {
+  return status == Status::kFull || status == Status::kConnectFailed || status == Status::kMoot ||
+         status == Status::kMiss;
+}
+inline bool shows_hit(Note note) { return note == Note::kHit || note == Note::kStale; }
+inline bool shows_fill(Note note) {
+  return note == Note::kFilled || note == Note::kFilledFromOrigin || note == Note::kJoined;
+}
+
 struct ClassSettings {
   Effect effect = Effect::kSafe;
   RepeatGroup group = RepeatGroup::kAll;
@@ -62,10 +72,8 @@
   int self_index = 0;
   int routers = 1;
   std::string zone;
-  std::vector<std::string> zones;
-  std::vector<int> routers_by_zone;
-  std::vector<int> hub_by_zone;
-  std::vector<double> zone_link_kb_per_s;  // 0: not told
+  int routers_in_zone = 1;
+  double zone_link_kb_per_s = 0.0;  // 0: not told
   std::vector<ClassSettings> classes;
 
   bool must_ask_for_list = false;
--- /dev/null
+++ b/src/state.h
@@ -0,0 +1,81 @@
+// The records that the decision module keeps; plain types, nothing is decided here.
+#pragma once
+
+#include <trailcourse/decider.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <list>
+#include <utility>
+#include <vector>
+
+namespace trailcourse {
+
+struct Node {
+  NodeEntry entry;
+  std::uint64_t hash = 0;
+  bool local = false;   // a cache of this router's zone
+  bool listed = false;  // ready in the list held now
+  int in_flight = 0;
+  double others = 0.0;  // requests that other routers hold there
+  Micros last_good{-1};
+  double streak = 0.0;
+  double fail_share = 0.0;
+  Micros blamed_at{-1};
+  int ejections = 0;  // that good answers have not worked off yet
+  Micros ejected_until{-1};
+  bool silent = false;  // ejected for silence alone: the next good answer ends that
+  bool trial_out = false;
+  double cold_tokens = 0.0;
+  Micros cold_at{0};
+};
+
+struct Entry {
+  double count = 0.0;
+  Micros halved{0};
+  Micros last{0};
+  std::vector<std::pair<int, Micros>> holders;
+  int kept_at = -1;  // the cache that answered last, and when
+  Micros kept_since{0};
+  std::list<std::uint64_t>::iterator place;
+};
+
+struct Attempt {
+  int node = -1;
+  int source = -1;  // the node itself: no fill
+  Micros sent{0};
+  double cold_cost = 0.0;  // from the source's cold budget, given back if a hit shows it was not asked
+  double fill_work = 0.0;  // held in the miss window
+  bool done = false;
+  bool proven = false;  // it never ran
+  bool trial = false;
+  bool avoid_node = false;  // not again for this request
+  bool avoid_source = false;
+};
+
+struct Request {
+  RequestArrived told;
+  std::uint64_t key = 0;
+  Micros arrived{0};
+  double work = 0.0;  // seconds of sending at full pace
+  double count = 0.0;
+  int rank = 0;
+  bool open = true;
+  bool streaming = false;
+  std::vector<Attempt> attempts;
+
+  bool in_flight() const {
+    return std::any_of(attempts.begin(), attempts.end(), [](const Attempt& one) { return !one.done; });
+  }
+  bool all_proven() const {
+    return std::all_of(attempts.begin(), attempts.end(),
+                       [](const Attempt& one) { return one.done && one.proven; });
+  }
+  bool avoids(int node) const {
+    return std::any_of(attempts.begin(), attempts.end(), [node](const Attempt& one) {
+      return (one.avoid_node && one.node == node) || (one.avoid_source && one.source == node);
+    });
+  }
+};
+
+}  // namespace trailcourse
