--- a/include/trailcourse/decider.h
+++ b/include/trailcourse/decider.h
@@ -205,8 +205,6 @@
  public:
   Decider(Settings settings, std::uint64_t seed);
   ~Decider();
-  Decider(Decider&&) noexcept;
-  Decider& operator=(Decider&&) noexcept;
   Decider(const Decider&) = delete;
   Decider& operator=(const Decider&) = delete;
 
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -8,12 +8,13 @@
 #include <algorithm>
 #include <cmath>
 #include <deque>
-#include <list>
 #include <random>
+#include <tuple>
 #include <unordered_map>
 #include <utility>
 
 #include "hashing.h"
+#include "lru_map.h"
 #include "state.h"
 
 namespace trailcourse {
@@ -35,6 +36,7 @@
 constexpr int kLowestRank = 1;
 constexpr std::size_t kMaxEntries = 50'000;
 constexpr Micros kHalving = seconds(60);     // a request count halves
+constexpr std::int64_t kMaxHalvings = 60;    // in one step; nothing is left of a count then
 constexpr Micros kHolderSpan = seconds(60);  // a holder is forgotten
 constexpr Micros kIdleCap = seconds(30);     // tmax of a class without a fresh time
 constexpr double kByteMemoryKb = 2e6;        // the byte shares look back over about so much
@@ -115,6 +117,7 @@
     for (const NodeEntry& entry : list.entries) {
       take_entry(entry);
     }
+    parents_ = static_cast<int>(hash_order(0, Role::kParent).size());
   }
 
   void take_entry(const NodeEntry& entry) {
@@ -193,6 +196,13 @@
     return node.cold_tokens >= cost;
   }
 
+  // Takes from the budget of a cold node; what was taken.
+  double take_cold_budget(Node& node, double cost) const {
+    const double taken = cold_share(node) < 1.0 ? cost : 0.0;
+    node.cold_tokens -= taken;
+    return taken;
+  }
+
   double cold_cost(const Request& request) const { return kColdCostMargin * class_work(request); }
 
   double class_work(const Request& request) const {
@@ -312,25 +322,24 @@
     }
   }
 
-  // V = alpha/f + beta*s/smax + mu*r/rmax + nu*t/tmax. An entry counts one part, as caches keep each by
-  // itself.
+  // V = alpha/f + beta*s/smax + mu*r/rmax + nu*t/tmax. Counted by part, as kept.
   void score(Request& request) {
-    Entry& entry = entry_of(request.key);
+    Entry& entry = entries_.touch(request.key);
     const Micros fresh = class_of(request).lifetime;
     const double tmax = to_seconds(fresh.count() > 0 ? fresh : kIdleCap);
     const double idle = entry.count > 0.0 ? std::min(1.0, to_seconds(now_ - entry.last) / tmax) : 1.0;
-    age_entry(entry);
+    entry.halved = entry.count > 0.0 ? entry.halved : now_;
+    const std::int64_t halvings = std::min<std::int64_t>(kMaxHalvings, (now_ - entry.halved) / kHalving);
+    entry.count = std::ldexp(entry.count, static_cast<int>(-halvings));
+    entry.halved += halvings * kHalving;
+    std::erase_if(entry.holders, [this](const auto& one) { return now_ - one.second >= kHolderSpan; });
     if (!request.told.is_retry || entry.count == 0.0) {
       entry.count += 1.0;
     }
     entry.last = now_;
     largest_kb_ = std::max(largest_kb_, request.told.size_kb);
     const double size = largest_kb_ > 0.0 ? request.told.size_kb / largest_kb_ : 0.0;
-    const auto parents = std::count_if(nodes_.begin(), nodes_.end(), [](const Node& node) {
-      return node.listed && node.entry.role == Role::kParent;
-    });
-    const double holders =
-        static_cast<double>(entry.holders.size()) / static_cast<double>(std::max(1L, parents));
+    const double holders = static_cast<double>(entry.holders.size()) / std::max(1, parents_);
     const double value =
         kAlpha / std::max(1.0, entry.count) + kBeta * size + kMu * std::min(1.0, holders) + kNu * idle;
     request.count = entry.count;
@@ -352,46 +361,21 @@
     }
   }
 
-  Entry& entry_of(std::uint64_t key) {
-    const auto found = entries_.find(key);
-    if (found != entries_.end()) {
-      recent_.splice(recent_.begin(), recent_, found->second.place);
-      return found->second;
-    }
-    if (entries_.size() >= kMaxEntries) {
-      entries_.erase(recent_.back());
-      recent_.pop_back();
-    }
-    recent_.push_front(key);
-    Entry& entry = entries_[key];
-    entry.halved = now_;
-    entry.place = recent_.begin();
-    return entry;
-  }
-
-  void age_entry(Entry& entry) {
-    const auto spans = static_cast<int>(std::min<std::int64_t>(60, (now_ - entry.halved) / kHalving));
-    entry.count = std::ldexp(entry.count, -spans);
-    entry.halved += spans * kHalving;
-    std::erase_if(entry.holders, [this](const auto& one) { return now_ - one.second >= kHolderSpan; });
-  }
-
   // Listed nodes of one role (caches: of this zone) in the order of weighted rendezvous hashing by address;
   // every router finds the same order, whatever that of its list.
   std::vector<int> hash_order(std::uint64_t key, Role role) const {
-    std::vector<std::pair<double, int>> ranked;
+    std::vector<std::tuple<double, std::uint64_t, int>> ranked;  // ties go by address
     for (int i = 0; i < static_cast<int>(nodes_.size()); ++i) {
       const Node& node = at(i);
       if (node.listed && node.entry.role == role && (role != Role::kCache || node.local)) {
         const double unit = (static_cast<double>(mix(node.hash ^ key) >> 11) + 0.5) * 0x1.0p-53;
-        ranked.emplace_back(-std::log(unit) / transfers(node), i);
+        ranked.emplace_back(-std::log(unit) / transfers(node), node.hash, i);
       }
     }
-    std::sort(ranked.begin(), ranked.end(), [this](const auto& a, const auto& b) {
-      return a.first != b.first ? a.first < b.first : at(a.second).hash < at(b.second).hash;
-    });
+    std::sort(ranked.begin(), ranked.end());
     std::vector<int> order(ranked.size());
-    std::transform(ranked.begin(), ranked.end(), order.begin(), [](const auto& one) { return one.second; });
+    std::transform(ranked.begin(), ranked.end(), order.begin(),
+                   [](const auto& one) { return std::get<2>(one); });
     return order;
   }
 
@@ -462,14 +446,9 @@
 
   // A write goes straight to the origin where that is allowed, else by way of a cache.
   int pick_target(const Request& request) {
-    if (!cacheable(request) && settings_.direct) {
-      for (const int index : hash_order(request.key, Role::kOrigin)) {
-        if (may_send(request, at(index))) {
-          return index;
-        }
-      }
-    }
-    return pick_cache(request);
+    const std::vector<int> origins = hash_order(request.key, Role::kOrigin);
+    const bool straight = !cacheable(request) && settings_.direct && !origins.empty();
+    return straight && may_send(request, at(origins.front())) ? origins.front() : pick_cache(request);
   }
 
   void send(Request& request, int target, bool filled) {
@@ -480,11 +459,8 @@
     attempt.sent = now_;
     Node& node = at(target);
     Node& source = at(attempt.source);
-    node.cold_tokens -= cold_share(node) < 1.0 ? cold_cost(request) : 0.0;
-    if (attempt.source != target && cold_share(source) < 1.0) {
-      attempt.cold_cost = cold_cost(request);
-      source.cold_tokens -= attempt.cold_cost;
-    }
+    take_cold_budget(node, cold_cost(request));
+    attempt.cold_cost = attempt.source == target ? 0.0 : take_cold_budget(source, cold_cost(request));
     attempt.trial = node.ejections > 0 && !node.trial_out;
     node.trial_out = node.trial_out || attempt.trial;
     ++node.in_flight;
@@ -534,17 +510,14 @@
 
   // Whether the target probably lacks the object: another cache answered last, or the copy is void by now.
   bool likely_miss(const Request& request, int target) const {
-    const auto found = entries_.find(request.key);
-    if (!cacheable(request) || (found != entries_.end() && found->second.kept_at == target)) {
-      const Micros age = cacheable(request) ? oldest_copy(request, false) : Micros(0);
-      return age.count() > 0 && now_ - found->second.kept_since > age;
-    }
-    return true;
+    const Entry* entry = entries_.find(request.key);
+    const Micros age = oldest_copy(request, false);
+    return cacheable(request) && (entry == nullptr || entry->kept_at != target ||
+                                  (age.count() > 0 && now_ - entry->kept_since > age));
   }
 
   // Where fills fail or come late, whatever the cause (origin, parents, link, a mass purge), fewer likely
-  // misses wait at once. The rest only asks for what the cache holds; small objects still fit when large ones
-  // do not.
+  // misses wait at once. The rest only asks for what is held.
   bool over_fill_window(const Request& request, int target) const {
     return may_refuse(request) && likely_miss(request, target) && fill_out_ > 0.0 &&
            fill_out_ + request.work + kFillFixed > fill_limit_;
@@ -582,8 +555,7 @@
     close(request);
   }
 
-  // Nothing more is owed; attempts still out are only cancelled, and the record goes when the last has come
-  // back.
+  // Nothing more is owed; attempts still out are only cancelled, and the record goes with the last.
   void close(Request& request) {
     request.open = false;
     for (std::size_t i = 0; settings_.may_cancel && !request.streaming && i < request.attempts.size(); ++i) {
@@ -690,20 +662,19 @@
 
   // Which cache answered, and which parent is shown to hold the object.
   void learn_place(const Request& request, const Attempt& attempt, Note note) {
-    const auto found = entries_.find(request.key);
-    if (found == entries_.end()) {
+    Entry* entry = entries_.find(request.key);
+    if (entry == nullptr) {
       return;
     }
-    Entry& entry = found->second;
     if (at(attempt.node).local) {
-      entry.kept_at = attempt.node;
-      entry.kept_since = now_;
+      entry->kept_at = attempt.node;
+      entry->kept_since = now_;
     }
     const bool by_fill = note == Note::kFilled && settings_.notes == NoteLevel::kAll;
     const bool by_hit = note == Note::kHit && attempt.source == attempt.node;
     if ((by_fill || by_hit) && at(attempt.source).entry.role == Role::kParent) {
-      std::erase_if(entry.holders, [&](const auto& one) { return one.first == attempt.source; });
-      entry.holders.emplace_back(attempt.source, now_);
+      std::erase_if(entry->holders, [&](const auto& one) { return one.first == attempt.source; });
+      entry->holders.emplace_back(attempt.source, now_);
     }
   }
 
@@ -817,11 +788,8 @@
     } else {
       return;
     }
-    if (!settings_.parallel_tries) {
-      if (settings_.may_cancel) {
-        out_->push_back(Cancel{request.told.id, static_cast<int>(request.attempts.size()) - 1});
-      }
-      return;
+    if (!settings_.parallel_tries && settings_.may_cancel) {
+      out_->push_back(Cancel{request.told.id, static_cast<int>(request.attempts.size()) - 1});
     }
     const int target = may_try_more(request) ? pick_cache(request) : -1;
     if (target >= 0 && take_retry_token()) {
@@ -835,10 +803,10 @@
   std::vector<Action>* out_ = nullptr;
   bool subscribed_ = false;
   std::vector<Node> nodes_;
+  int parents_ = 0;  // listed now
   std::unordered_map<std::string, int> index_;
   std::unordered_map<RequestId, Request> requests_;
-  std::unordered_map<std::uint64_t, Entry> entries_;
-  std::list<std::uint64_t> recent_;
+  LruMap<std::uint64_t, Entry> entries_{kMaxEntries};
   std::unordered_map<std::uint64_t, Micros> purges_;
   std::deque<std::pair<Micros, std::uint64_t>> purge_order_;
   Micros purge_floor_{-1};
@@ -856,8 +824,6 @@
 Decider::Decider(Settings settings, std::uint64_t seed)
     : impl_(std::make_unique<Impl>(std::move(settings), seed)) {}
 Decider::~Decider() = default;
-Decider::Decider(Decider&&) noexcept = default;
-Decider& Decider::operator=(Decider&&) noexcept = default;
 
 void Decider::handle(Micros now, const Event& event, std::vector<Action>& out) {
   impl_->handle(now, event, out);
--- a/src/state.h
+++ b/src/state.h
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <cstdint>
-#include <list>
 #include <utility>
 #include <vector>
 
@@ -37,7 +36,6 @@
   std::vector<std::pair<int, Micros>> holders;
   int kept_at = -1;  // the cache that answered last, and when
   Micros kept_since{0};
-  std::list<std::uint64_t>::iterator place;
 };
 
 struct Attempt {
