--- a/adapter/wire.cpp
+++ b/adapter/wire.cpp
@@ -433,11 +433,16 @@
   return std::visit(ActionWriter{instance}, action);
 }
 
+Handler make_decider(const Settings& settings, std::uint64_t seed) {
+  return [decider = std::make_shared<Decider>(settings, seed)](
+             Micros now, const Event& event, std::vector<Action>& out) { decider->handle(now, event, out); };
+}
+
 void Adapter::begin_instance(const json& message) {
   Instance instance;
   instance.profile = read_profile(need(message, "ProfileData"));
   const std::uint64_t seed = id_at(message, "Nonce64");
-  instance.decider = std::make_unique<Decider>(instance.profile.settings, seed);
+  instance.handler = make_(instance.profile.settings, seed);
   instances_.insert_or_assign(whole(need(message, "I"), "I"), std::move(instance));
 }
 
@@ -491,7 +496,7 @@
 void Adapter::run(std::int64_t number, Instance& instance, const Event& event) {
   actions_.clear();
   try {
-    instance.decider->handle(now_, event, actions_);
+    instance.handler(now_, event, actions_);
   } catch (const std::exception& error) {
     instance.faulted = true;
     reply_ += head("Fault", number) + ",\"Text\":" + quoted(error.what()) + "}\n";
--- a/adapter/wire.h
+++ b/adapter/wire.h
@@ -5,6 +5,7 @@
 #include <trailcourse/decider.h>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -13,6 +14,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace trailcourse::wire {
@@ -37,9 +39,14 @@
 LoadReport read_report(const nlohmann::json& values, const std::vector<std::string>& fields);
 std::string write_action(std::int64_t instance, const Action& action);
 
+// Takes one event of an instance and appends its actions.
+using Handler = std::function<void(Micros, const Event&, std::vector<Action>&)>;
+using MakeHandler = std::function<Handler(const Settings&, std::uint64_t seed)>;
+Handler make_decider(const Settings& settings, std::uint64_t seed);
+
 class Adapter {
  public:
-  explicit Adapter(std::ostream& out) : out_(out) {}
+  explicit Adapter(std::ostream& out, MakeHandler make = make_decider) : out_(out), make_(std::move(make)) {}
 
   // Takes one line; writes the whole reply when the batch is complete.
   void take_line(std::string_view line);
@@ -47,7 +54,7 @@
  private:
   struct Instance {
     Profile profile;
-    std::unique_ptr<Decider> decider;
+    Handler handler;
     bool faulted = false;
   };
 
@@ -60,6 +67,7 @@
   ListReceived read_list(const nlohmann::json& message, const Profile& profile) const;
 
   std::ostream& out_;
+  MakeHandler make_;
   Micros now_{0};
   std::int64_t serial_ = 0;
   bool in_batch_ = false;
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -62,6 +62,8 @@
 constexpr double kUnknownTransfers = 8.0;  // capacity of a cache whose weight says nothing
 constexpr double kOthersGain = 0.3;        // smoothing of the load that other routers put on a cache
 
+constexpr double kMostOthers = 1000.0;  // requests; beyond, a report is absurd
+
 // The miss window: seconds of sending that may wait on fills at once.
 constexpr double kFillStart = 8.0;
 constexpr double kFillLeast = 0.5;
@@ -435,13 +437,16 @@
 
   void attempt_or_give_up(Request& request) {
     const int target = may_try_more(request) ? pick_target(request) : -1;
-    const bool filled = target >= 0 && !over_fill_window(request, target);
-    const bool asked_in_vain = !filled && !request.attempts.empty();
-    if (target < 0 || asked_in_vain || hopeless(request, at(target))) {
+    if (target < 0 || hopeless(request, at(target))) {
       give_up(request);
       return;
     }
-    send(request, target, filled);
+    const int source = source_for(request, target);
+    if (source == target && at_cache(target) && !request.attempts.empty()) {
+      give_up(request);  // it was asked for what it holds already
+      return;
+    }
+    send(request, target, source);
   }
 
   // A write goes straight to the origin where that is allowed, else by way of a cache.
@@ -451,11 +456,16 @@
     return straight && may_send(request, at(origins.front())) ? origins.front() : pick_cache(request);
   }
 
-  void send(Request& request, int target, bool filled) {
-    const bool by_cache = at(target).entry.role == Role::kCache;
+  bool at_cache(int target) const { return at(target).entry.role == Role::kCache; }
+
+  int source_for(const Request& request, int target) {
+    return at_cache(target) && !over_fill_window(request, target) ? pick_source(request, target) : target;
+  }
+
+  void send(Request& request, int target, int source_index) {
     Attempt attempt;
     attempt.node = target;
-    attempt.source = by_cache && filled ? pick_source(request, target) : target;
+    attempt.source = source_index;
     attempt.sent = now_;
     Node& node = at(target);
     Node& source = at(attempt.source);
@@ -464,7 +474,8 @@
     attempt.trial = node.ejections > 0 && !node.trial_out;
     node.trial_out = node.trial_out || attempt.trial;
     ++node.in_flight;
-    attempt.fill_work = filled && likely_miss(request, target) ? request.work + kFillFixed : 0.0;
+    attempt.fill_work =
+        source_index != target && likely_miss(request, target) ? request.work + kFillFixed : 0.0;
     fill_out_ += attempt.fill_work;
     out_->push_back(order_for(request, attempt));
     request.attempts.push_back(attempt);
@@ -655,7 +666,7 @@
   void learn_load(Node& node, const LoadReport& report) {
     const bool told = std::isfinite(report.concurrent) && report.concurrent >= 0.0;
     const double seen =
-        told ? std::max(0.0, report.concurrent - node.in_flight)
+        told ? std::clamp(report.concurrent - node.in_flight, 0.0, kMostOthers)
              : static_cast<double>(node.in_flight) * (std::max(1, settings_.routers_in_zone) - 1);
     node.others += node.local ? kOthersGain * (seen - node.others) : 0.0;
   }
@@ -793,7 +804,7 @@
     }
     const int target = may_try_more(request) ? pick_cache(request) : -1;
     if (target >= 0 && take_retry_token()) {
-      send(request, target, !over_fill_window(request, target));
+      send(request, target, source_for(request, target));
     }
   }
 
--- a/tests/decider_test.cpp
+++ b/tests/decider_test.cpp
@@ -1,2 +1,885 @@
+// The decision module alone: events in, actions out, no bench.
 #include <gtest/gtest.h>
 #include <trailcourse/decider.h>
+
+#include <algorithm>
+#include <limits>
+#include <map>
+#include <set>
+#include <sstream>
+#include <string>
+#include <vector>
+
+namespace trailcourse {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr int kVideo = 0;  // good until purged
+constexpr int kImage = 1;  // fresh 20 s, 20 s of grace
+constexpr int kWrite = 2;
+constexpr int kKeyed = 3;
+
+Settings plain_settings() {
+  Settings settings;
+  settings.zone = "here";
+  settings.routers = 4;
+  settings.routers_in_zone = 2;
+  settings.weights = WeightMeaning::kNominal;
+  settings.notes = NoteLevel::kAll;
+  settings.stream_kb_per_s = 1000.0;
+  settings.attempts_cap = 6;
+  settings.may_cancel = true;
+  settings.parallel_tries = true;
+  settings.retry_after = true;
+  settings.max_retry_after = seconds(1);
+  settings.joins = true;
+  settings.drain_grace = milliseconds(500);
+  settings.purge_grace = milliseconds(300);
+  settings.purge_done = seconds(6);
+  settings.cold_from = 0.2;
+  settings.cold_span = seconds(14);
+  settings.overload_factor = 2.5;
+  settings.overload_span = seconds(3);
+  settings.parent_cold_from = 0.1;
+  settings.parent_cold_span = seconds(20);
+  settings.parent_overload_factor = 2.0;
+  ClassSettings video;
+  video.objective = milliseconds(600);
+  video.objective_stretch = 1.6;
+  video.give_up = seconds(6);
+  ClassSettings image = video;
+  image.lifetime = seconds(20);
+  image.grace = seconds(20);
+  ClassSettings write = video;
+  write.effect = Effect::kUnsafe;
+  write.uncached = true;
+  ClassSettings keyed = write;
+  keyed.effect = Effect::kKeyed;
+  keyed.memory_span = seconds(3);
+  settings.classes = {video, image, write, keyed};
+  return settings;
+}
+
+NodeEntry node(const std::string& address, Role role = Role::kCache, double weight = 8.0) {
+  NodeEntry entry;
+  entry.address = address;
+  entry.role = role;
+  entry.zone = role == Role::kCache ? "here" : "hub";
+  entry.weight = weight;
+  return entry;
+}
+
+std::vector<NodeEntry> plain_list() {
+  return {node("c1"),
+          node("c2"),
+          node("c3"),
+          node("c4"),
+          node("p1", Role::kParent),
+          node("p2", Role::kParent),
+          node("o", Role::kOrigin)};
+}
+
+// One instance with a clock of its own.
+class Router {
+ public:
+  explicit Router(Settings settings = plain_settings(), std::uint64_t seed = 1) : decider_(settings, seed) {}
+
+  std::vector<Action> handle(const Event& event) {
+    std::vector<Action> out;
+    decider_.handle(now, event, out);
+    for (const Action& action : out) {
+      if (const auto* send = std::get_if<Send>(&action)) {
+        sends[send->id].push_back(*send);
+      }
+    }
+    return out;
+  }
+  void list(std::vector<NodeEntry> entries, ListKind kind = ListKind::kFull) {
+    handle(ListReceived{kind, std::move(entries)});
+  }
+  std::vector<Action> ask(RequestId id, int type = kVideo, ObjectId object = 7, double size_kb = 100.0) {
+    RequestArrived request;
+    request.id = id;
+    request.request_class = type;
+    request.object = object;
+    request.purge_group = object % 4;
+    request.size_kb = size_kb;
+    request.due = now + seconds(5);
+    request.write = type >= kWrite;
+    return handle(request);
+  }
+  std::vector<Action> end(RequestId id, int attempt, Status status, Note note = Note::kNone) {
+    AttemptEnded ended;
+    ended.id = id;
+    ended.attempt = attempt;
+    ended.status = status;
+    ended.finished = status == Status::kOk;
+    ended.note = note;
+    return handle(ended);
+  }
+  // Asks and has it answered at once; the attempt made.
+  Send serve(RequestId id, int type = kVideo, ObjectId object = 7, double size_kb = 100.0,
+             Note note = Note::kHit) {
+    ask(id, type, object, size_kb);
+    if (sends[id].empty()) {
+      ADD_FAILURE() << "nothing was sent for " << id;
+      return {};
+    }
+    end(id, 0, Status::kOk, note);
+    return sends[id].front();
+  }
+
+  Micros now{seconds(100)};
+  std::map<RequestId, std::vector<Send>> sends;
+
+ private:
+  Decider decider_;
+};
+
+template <typename Kind>
+int count(const std::vector<Action>& actions) {
+  return static_cast<int>(std::count_if(actions.begin(), actions.end(),
+                                        [](const Action& one) { return std::holds_alternative<Kind>(one); }));
+}
+
+int finals(const std::vector<Action>& actions) { return count<Refuse>(actions) + count<Fail>(actions); }
+
+template <typename Kind>
+std::vector<Kind> all(const std::vector<Action>& actions) {
+  std::vector<Kind> found;
+  for (const Action& action : actions) {
+    if (const auto* one = std::get_if<Kind>(&action)) {
+      found.push_back(*one);
+    }
+  }
+  return found;
+}
+
+std::string describe(const std::vector<Action>& actions) {
+  std::ostringstream text;
+  for (const Action& action : actions) {
+    text << action.index();
+    if (const auto* send = std::get_if<Send>(&action)) {
+      text << ' ' << send->id << ' ' << send->cache << ' ' << send->source << ' ' << send->keep << ' '
+           << send->age.count() << ' ' << send->limit.count();
+    } else if (const auto* timer = std::get_if<SetTimer>(&action)) {
+      text << ' ' << timer->token << ' ' << timer->delay.count();
+    }
+    text << '\n';
+  }
+  return text.str();
+}
+
+// ---- Rule 1: one final answer, in time, and nothing after it. ----
+
+TEST(OneAnswer, GuardAnswersBeforeTheClientGivesUp) {
+  Router router;
+  router.list(plain_list());
+  const auto timers = all<SetTimer>(router.ask(1));
+  ASSERT_FALSE(timers.empty());
+  EXPECT_LT(timers.front().delay, Micros(seconds(5)));
+  router.now += timers.front().delay;
+  const auto last = router.handle(TimerFired{timers.front().token});
+  EXPECT_EQ(finals(last), 1);
+  EXPECT_EQ(count<Send>(last), 0);
+  EXPECT_EQ(count<Cancel>(last), 1);
+}
+
+TEST(OneAnswer, NothingFollowsAFinalAnswer) {
+  Router router;
+  router.list(plain_list());
+  const auto timers = all<SetTimer>(router.ask(1));
+  router.handle(ClientLeft{1});
+  for (const SetTimer& timer : timers) {
+    EXPECT_TRUE(router.handle(TimerFired{timer.token}).empty());
+  }
+  EXPECT_TRUE(router.end(1, 0, Status::kTimeout).empty());
+  EXPECT_TRUE(router.end(1, 0, Status::kTimeout).empty());
+  EXPECT_TRUE(router.handle(ClientLeft{1}).empty());
+}
+
+TEST(OneAnswer, EveryRequestIsAnsweredWithNothingToSendTo) {
+  Router router;
+  EXPECT_EQ(finals(router.ask(1)), 1);
+  router.list({});
+  EXPECT_EQ(finals(router.ask(2)), 1);
+  auto draining = plain_list();
+  for (NodeEntry& entry : draining) {
+    entry.state = NodeState::kDraining;
+  }
+  router.list(draining);
+  EXPECT_EQ(finals(router.ask(3)), 1);
+  EXPECT_EQ(finals(router.ask(4, kWrite)), 1);
+  RequestArrived odd;
+  odd.id = 5;
+  odd.request_class = 99;
+  EXPECT_EQ(finals(router.handle(odd)), 1);
+}
+
+TEST(OneAnswer, CachesWithoutParentsOrOriginStillAnswer) {
+  Router router;
+  router.list({node("c1")});
+  ASSERT_EQ(count<Send>(router.ask(1)), 1);
+  EXPECT_EQ(router.sends[1][0].source, "c1");
+  const auto after = router.end(1, 0, Status::kMiss);  // asking once more would find no more
+  EXPECT_EQ(finals(after), 1);
+  EXPECT_EQ(count<Send>(after), 0);
+}
+
+TEST(OneAnswer, OutcomesOfAttemptsNotHeldArePassedOver) {
+  Router router;
+  router.list(plain_list());
+  router.ask(1);
+  EXPECT_TRUE(router.end(9, 0, Status::kOk).empty());
+  EXPECT_TRUE(router.end(1, 5, Status::kError).empty());
+  EXPECT_TRUE(router.end(1, -1, Status::kError).empty());
+  EXPECT_TRUE(router.end(1, 0, Status::kOk).empty());
+}
+
+TEST(OneAnswer, AStreamOnceBegunHasNoDeadline) {
+  Router router;
+  router.list(plain_list());
+  const auto timers = all<SetTimer>(router.ask(1));
+  router.handle(StreamStarted{1, 0});
+  for (const SetTimer& timer : timers) {
+    EXPECT_TRUE(router.handle(TimerFired{timer.token}).empty());
+  }
+}
+
+// ---- Rule 2: no effect twice. ----
+
+TEST(Effects, UnsafeIsNeitherRepeatedNorRefusedUnlessProvenNotRun) {
+  for (const Status status : {Status::kError, Status::kTimeout, Status::kReset, Status::kCancelled}) {
+    Router router;
+    router.list(plain_list());
+    router.ask(1, kWrite);
+    const auto after = router.end(1, 0, status);
+    EXPECT_EQ(count<Send>(after), 0);
+    EXPECT_EQ(count<Refuse>(after), 0);
+    EXPECT_EQ(count<Fail>(after), 1);
+  }
+  for (const Status status : {Status::kFull, Status::kConnectFailed, Status::kMiss}) {
+    Router router;
+    router.list(plain_list());
+    router.ask(1, kWrite);
+    EXPECT_EQ(count<Send>(router.end(1, 0, status)), 1);
+  }
+}
+
+TEST(Effects, UnsafeInFlightIsNotDoubledWhenOverdueAndFailsAtTheEnd) {
+  Router router;
+  router.list(plain_list());
+  const auto timers = all<SetTimer>(router.ask(1, kWrite));
+  router.now += seconds(4);
+  for (const SetTimer& timer : timers) {
+    const auto after = router.handle(TimerFired{timer.token});
+    EXPECT_EQ(count<Send>(after), 0);
+    EXPECT_EQ(count<Refuse>(after), 0);
+  }
+}
+
+TEST(Effects, KeyedIsRepeatedOnlyInsideItsMemorySpan) {
+  Router early;
+  early.list(plain_list());
+  early.ask(1, kKeyed);
+  early.now += seconds(1);
+  EXPECT_EQ(count<Send>(early.end(1, 0, Status::kReset)), 1);
+  Router late;
+  late.list(plain_list());
+  late.ask(1, kKeyed);
+  late.now += seconds(3);
+  const auto after = late.end(1, 0, Status::kReset);
+  EXPECT_EQ(count<Send>(after), 0);
+  EXPECT_EQ(finals(after), 1);
+}
+
+TEST(Effects, KeyedStaysInItsGroup) {
+  Settings settings = plain_settings();
+  settings.classes[kKeyed].group = RepeatGroup::kCell;
+  Router router(settings);
+  auto list = plain_list();
+  for (std::size_t i = 0; i < list.size(); ++i) {
+    list[i].cell = static_cast<int>(i);
+  }
+  router.list(list);
+  router.ask(1, kKeyed);
+  const auto after = router.end(1, 0, Status::kError);
+  EXPECT_EQ(count<Send>(after), 0);
+  EXPECT_EQ(count<Refuse>(after), 0);
+  EXPECT_EQ(count<Fail>(after), 1);
+}
+
+TEST(Effects, NoTwoAttemptsAtOnceWhereForbidden) {
+  Settings settings = plain_settings();
+  settings.parallel_tries = false;
+  Router router(settings);
+  router.list(plain_list());
+  const auto timers = all<SetTimer>(router.ask(1));
+  router.now += seconds(3);
+  const auto overdue = router.handle(TimerFired{timers.back().token});
+  EXPECT_EQ(count<Send>(overdue), 0);
+  EXPECT_EQ(count<Cancel>(overdue), 1);
+  EXPECT_EQ(count<Send>(router.end(1, 0, Status::kCancelled)), 1);
+}
+
+TEST(Effects, WritesAreNeverKeptAndNameTheOrigin) {
+  Settings settings = plain_settings();
+  Router by_cache(settings);
+  by_cache.list(plain_list());
+  by_cache.ask(1, kWrite);
+  EXPECT_EQ(by_cache.sends[1][0].source, "o");
+  EXPECT_EQ(by_cache.sends[1][0].keep, 0);
+  settings.direct = true;
+  Router straight(settings);
+  straight.list(plain_list());
+  straight.ask(1, kWrite);
+  EXPECT_EQ(straight.sends[1][0].cache, "o");
+}
+
+// ---- Rule 3: drains. ----
+
+TEST(Drains, NothingNewToADrainingOrMissingNodeAsTargetOrSource) {
+  Router router;
+  router.list(plain_list());
+  auto changed = node("c2");
+  changed.state = NodeState::kDraining;
+  auto parent = node("p1", Role::kParent);
+  parent.state = NodeState::kGone;
+  router.list({changed, parent}, ListKind::kChanges);
+  for (RequestId id = 1; id <= 200; ++id) {
+    const Send send = router.serve(id, kVideo, id);
+    EXPECT_NE(send.cache, "c2");
+    EXPECT_NE(send.source, "p1");
+  }
+  router.list({node("c1"), node("p2", Role::kParent)});  // a full list without the others: they are gone
+  for (RequestId id = 301; id <= 400; ++id) {
+    const Send send = router.serve(id, kVideo, id);
+    EXPECT_EQ(send.cache, "c1");
+    EXPECT_EQ(send.source, "p2");
+  }
+}
+
+TEST(Drains, FurtherAttemptsHeedThemToo) {
+  Router router;
+  router.list(plain_list());
+  router.ask(1);
+  const std::string first = router.sends[1][0].cache;
+  const std::string source = router.sends[1][0].source;
+  auto cache = node(first);
+  cache.state = NodeState::kDraining;
+  auto parent = node(source, Role::kParent);
+  parent.state = NodeState::kDraining;
+  router.list({cache, parent}, ListKind::kChanges);
+  router.end(1, 0, Status::kReset);
+  ASSERT_EQ(router.sends[1].size(), 2U);
+  EXPECT_NE(router.sends[1][1].cache, first);
+  EXPECT_NE(router.sends[1][1].source, source);
+}
+
+TEST(Drains, FlappingEntriesFollowTheLatestWord) {
+  Router router;
+  router.list(plain_list());
+  auto entry = node("c1");
+  for (int i = 0; i < 20; ++i) {
+    entry.state = i % 2 == 0 ? NodeState::kDraining : NodeState::kReady;
+    router.list({entry}, ListKind::kChanges);
+  }
+  std::set<std::string> caches;
+  for (RequestId id = 1; id <= 100; ++id) {
+    caches.insert(router.serve(id, kVideo, id).cache);
+  }
+  EXPECT_EQ(caches.count("c1"), 1U);
+}
+
+// ---- Rule 4: cold nodes. ----
+
+// Seconds of sending that one router lets reach `name` within any window of the overload span, at the worst.
+double worst_window(Router& router, const std::string& name, bool as_source) {
+  std::vector<Micros> sent;
+  for (RequestId id = 1; id <= 8000; ++id) {
+    router.ask(id, kVideo, id, 100.0);
+    if (!router.sends[id].empty()) {
+      const Send& send = router.sends[id][0];
+      if ((as_source ? send.source : send.cache) == name) {
+        sent.push_back(router.now);
+      }
+      router.end(id, 0, Status::kOk, Note::kFilled);
+    }
+    router.now += milliseconds(2);
+  }
+  double worst = 0.0;
+  for (std::size_t i = 0, j = 0; i < sent.size(); ++i) {
+    while (sent[i] - sent[j] > seconds(3)) {
+      ++j;
+    }
+    worst = std::max(worst, 0.1 * static_cast<double>(i - j + 1));
+  }
+  return worst;
+}
+
+TEST(ColdStart, ACacheGetsThisRoutersPartOfItsBudget) {
+  Router router;
+  auto list = plain_list();
+  list[0].started = router.now;
+  router.list(list);
+  const double used = worst_window(router, "c1", false);
+  EXPECT_GT(used, 0.0);
+  EXPECT_LT(used, 2.5 * 8.0 * 3.0 / 2);  // two routers of the zone; at full capacity, which it has at the end
+  Router fresh;
+  list[0].started = fresh.now;
+  fresh.list(list);
+  double first = 0.0;
+  for (RequestId id = 1; id <= 1000; ++id) {  // 2 s: capacity is under 0.2 + 0.8 * 2 / 14
+    fresh.ask(id, kVideo, id, 100.0);
+    first += !fresh.sends[id].empty() && fresh.sends[id][0].cache == "c1" ? 0.1 : 0.0;
+    fresh.end(id, 0, Status::kOk, Note::kFilled);
+    fresh.now += milliseconds(2);
+  }
+  EXPECT_LT(first, 2.5 * 8.0 * 0.315 * 3.0 / 2);
+}
+
+TEST(ColdStart, AParentsFillsAreCountedAlsoFromTheFirstList) {
+  Router router;
+  auto list = plain_list();
+  list[4].started = router.now - seconds(1);
+  router.list(list, ListKind::kRemembered);
+  double used = 0.0;
+  for (RequestId id = 1; id <= 1000; ++id) {
+    router.ask(id, kVideo, id, 100.0);
+    used += !router.sends[id].empty() && router.sends[id][0].source == "p1" ? 0.1 : 0.0;
+    router.end(id, 0, Status::kOk, Note::kFilled);
+    router.now += milliseconds(2);
+  }
+  EXPECT_LT(used, 2.0 * 8.0 * (0.1 + 0.9 * 3.0 / 20) * 3.0 / 4);
+}
+
+TEST(ColdStart, ARestartIsSeenByItsTime) {
+  Router router;
+  router.list(plain_list());
+  for (RequestId id = 1; id <= 50; ++id) {
+    router.serve(id, kVideo, id);
+  }
+  auto entry = node("c1");
+  entry.started = router.now;
+  router.list({entry}, ListKind::kChanges);
+  int to_fresh = 0;
+  for (RequestId id = 101; id <= 300; ++id) {
+    to_fresh += router.serve(id, kVideo, id).cache == "c1" ? 1 : 0;
+  }
+  EXPECT_EQ(to_fresh, 0);  // all at one instant: no budget has accrued yet
+}
+
+// ---- Rule 5: purges. ----
+
+TEST(Purges, NoCopyOlderThanThePurgeWillDo) {
+  Router router;
+  router.list(plain_list());
+  EXPECT_EQ(router.serve(1, kVideo, 7).age, Micros(0));
+  router.handle(Purged{false, 7, 3, milliseconds(200)});
+  router.now += seconds(1);
+  const Micros age = router.serve(2, kVideo, 7).age;
+  EXPECT_GT(age, Micros(0));
+  EXPECT_LE(age, Micros(milliseconds(1200)));
+  EXPECT_EQ(router.serve(3, kVideo, 8).age, Micros(0));
+  router.now += seconds(8);
+  EXPECT_EQ(router.serve(4, kVideo, 7).age, Micros(0));
+}
+
+TEST(Purges, AGroupBindsAllItsObjectsAndFreshTimesStay) {
+  Router router;
+  router.list(plain_list());
+  router.handle(Purged{true, 0, 3, Micros(0)});
+  const Micros at_once = router.serve(1, kImage, 7).age;
+  EXPECT_GT(at_once, Micros(0));
+  EXPECT_LT(at_once, Micros(milliseconds(1)));
+  EXPECT_EQ(router.serve(2, kImage, 8).age, Micros(seconds(20)));
+}
+
+TEST(Purges, AFloodBeyondMemoryForgetsNoneThatBinds) {
+  Router router;
+  router.list(plain_list());
+  router.handle(Purged{false, 7, 3, Micros(0)});
+  for (ObjectId object = 1000; object < 51'000; ++object) {
+    router.handle(Purged{false, object, 1, Micros(0)});
+  }
+  router.now += seconds(2);
+  const Micros age = router.serve(1, kVideo, 7).age;
+  EXPECT_GT(age, Micros(0));
+  EXPECT_LE(age, Micros(seconds(2)));
+}
+
+TEST(Purges, AnOlderPurgeToldLaterDoesNotLoosenANewerOne) {
+  Router router;
+  router.list(plain_list());
+  router.handle(Purged{false, 7, 3, Micros(0)});
+  router.handle(Purged{false, 7, 3, seconds(3)});
+  router.now += seconds(5);
+  const Micros age = router.serve(1, kVideo, 7).age;
+  EXPECT_GT(age, Micros(0));
+  EXPECT_LE(age, Micros(seconds(5)));
+}
+
+// ---- The ordinary path. ----
+
+// Bytes of large first requests, so that the top share has room.
+void make_room(Router& router, double size_kb = 300.0) {
+  for (RequestId id = 9000; id < 9040; ++id) {
+    router.serve(id, kVideo, id, size_kb);
+  }
+}
+
+TEST(Score, RanksFollowCountSizeAndIdleTime) {
+  Router router;
+  router.list(plain_list());
+  make_room(router);
+  EXPECT_EQ(router.serve(1, kVideo, 1, 300.0).keep, 1);  // 1 + 0.9 + 0.6
+  EXPECT_EQ(router.serve(2, kVideo, 2, 30.0).keep, 2);   // 1 + 0.09 + 0.6
+  EXPECT_EQ(router.serve(3, kVideo, 2, 30.0).keep, 3);   // 0.5 + 0.09 + 0
+  EXPECT_EQ(router.serve(4, kVideo, 1, 300.0).keep, 2);  // 0.5 + 0.9 + 0
+  router.now += seconds(40);
+  EXPECT_EQ(router.serve(5, kVideo, 2, 30.0).keep, 3);   // 0.33 + 0.09 + 0.6
+  EXPECT_EQ(router.serve(6, kVideo, 1, 300.0).keep, 2);  // 0.33 + 0.9 + 0.6
+}
+
+TEST(Score, TheTopRankHoldsASmallShareOfTheBytes) {
+  Router router;
+  router.list(plain_list());
+  double top = 0.0;
+  for (RequestId id = 1; id <= 2000; ++id) {
+    top += router.serve(id, kVideo, id % 5, 100.0).keep == 3 ? 1.0 : 0.0;
+  }
+  EXPECT_GT(top, 0.0);
+  EXPECT_LE(top / 2000.0, 0.3);
+}
+
+TEST(Score, CountsHalveEachMinute) {
+  Router router;
+  router.list(plain_list());
+  make_room(router);
+  router.serve(1, kVideo, 1, 240.0);
+  router.serve(2, kVideo, 1, 240.0);
+  router.now += seconds(185);
+  EXPECT_EQ(router.serve(3, kVideo, 1, 240.0).keep, 1);  // 1 / 1.25 + 0.72 + 0.6; unhalved it would be middle
+}
+
+TEST(Score, PartsOfOneObjectAreCountedApart) {
+  Router router;
+  router.list(plain_list());
+  make_room(router);
+  std::set<std::string> caches;
+  for (std::uint32_t part = 0; part < 40; ++part) {
+    RequestArrived request;
+    request.id = part + 1;
+    request.object = 5;
+    request.part = part;
+    request.size_kb = 300.0;
+    request.due = router.now + seconds(5);
+    router.handle(request);
+    EXPECT_EQ(router.sends[request.id].at(0).keep, 1);
+    caches.insert(router.sends[request.id].at(0).cache);
+    router.end(request.id, 0, Status::kOk, Note::kHit);
+  }
+  EXPECT_GT(caches.size(), 2U);
+}
+
+TEST(Score, TheTableForgetsWhatWasUsedLongestAgo) {
+  Router router;
+  router.list(plain_list());
+  make_room(router, 200.0);
+  EXPECT_EQ(router.serve(1, kVideo, 1, 100.0).keep, 1);  // 1 + 0.45 + 0.6
+  EXPECT_EQ(router.serve(2, kVideo, 1, 100.0).keep, 3);  // 0.5 + 0.45 + 0
+  for (ObjectId object = 100'000; object < 150'000; ++object) {
+    router.serve(object, kVideo, object, 100.0);
+    router.sends.erase(object);
+  }
+  EXPECT_EQ(router.serve(3, kVideo, 1, 100.0).keep, 1);
+}
+
+// The rank of a second request after the first was answered with `note`: top without a holder, middle with
+// one.
+int rank_after(NoteLevel level, Note note, Micros pause = Micros(0)) {
+  Settings settings = plain_settings();
+  settings.notes = level;
+  Router router(settings);
+  router.list(plain_list());
+  make_room(router);
+  router.serve(1, kVideo, 1, 200.0, note);
+  router.now += pause;
+  return router.serve(2, kVideo, 1, 200.0).keep;  // 0.5 + 0.6, and 0.15 for one holder of two parents
+}
+
+TEST(Score, HoldersCountOnlyWhereAnswersShowThem) {
+  EXPECT_EQ(rank_after(NoteLevel::kAll, Note::kFilled), 2);
+  EXPECT_EQ(rank_after(NoteLevel::kAll, Note::kFilledFromOrigin), 3);
+  EXPECT_EQ(rank_after(NoteLevel::kAll, Note::kHit), 3);
+  EXPECT_EQ(rank_after(NoteLevel::kHit, Note::kFilled), 3);
+  EXPECT_EQ(rank_after(NoteLevel::kNone, Note::kNone), 3);
+}
+
+TEST(Hash, TwoRoutersAgreeWhateverTheOrderOfTheirLists) {
+  Router one;
+  Router other(plain_settings(), 99);
+  one.list(plain_list());
+  auto turned = plain_list();
+  std::reverse(turned.begin(), turned.end());
+  other.list(turned);
+  std::set<std::string> parents;
+  for (RequestId id = 1; id <= 300; ++id) {
+    const Send a = one.serve(id, kVideo, id);
+    const Send b = other.serve(id, kVideo, id);
+    EXPECT_EQ(a.cache, b.cache);
+    EXPECT_EQ(a.source, b.source);
+    parents.insert(a.source);
+  }
+  EXPECT_EQ(parents.size(), 2U);
+}
+
+TEST(Hash, OnlyCachesOfTheOwnZoneAreAsked) {
+  Router router;
+  auto list = plain_list();
+  list[1].zone = "elsewhere";
+  router.list(list);
+  for (RequestId id = 1; id <= 100; ++id) {
+    EXPECT_NE(router.serve(id, kVideo, id).cache, "c2");
+  }
+}
+
+TEST(Replay, TheSameEventsGiveTheSameActions) {
+  const auto play = [] {
+    Router router(plain_settings(), 5);
+    router.list(plain_list());
+    std::string text;
+    for (RequestId id = 1; id <= 400; ++id) {
+      text += describe(router.ask(id, static_cast<int>(id % 4), id % 60, 40.0 + static_cast<double>(id % 7)));
+      const Status status = id % 5 == 0 ? Status::kError : id % 7 == 0 ? Status::kReset : Status::kOk;
+      text += describe(router.end(id, 0, status));
+      router.now += milliseconds(7);
+    }
+    return text;
+  };
+  EXPECT_EQ(play(), play());
+}
+
+// ---- Failures. ----
+
+TEST(Failures, ASilentCacheIsLeftAndItsRequestTriedElsewhere) {
+  Router router;
+  router.list(plain_list());
+  const auto timers = all<SetTimer>(router.ask(1));
+  const std::string silent = router.sends[1][0].cache;
+  router.now += timers.back().delay;
+  ASSERT_EQ(count<Send>(router.handle(TimerFired{timers.back().token})), 1);
+  EXPECT_NE(router.sends[1][1].cache, silent);
+  EXPECT_NE(router.serve(2).cache, silent);
+  EXPECT_EQ(count<Cancel>(router.end(1, 1, Status::kOk)), 1);  // the first is called off
+  EXPECT_TRUE(router.end(1, 0, Status::kTimeout).empty());
+}
+
+TEST(Failures, ACacheThatAnswersAgainAfterSilenceIsBackAtOnce) {
+  Router router;
+  router.list(plain_list());
+  const auto timers = all<SetTimer>(router.ask(1));
+  const std::string slow = router.sends[1][0].cache;
+  router.now += timers.back().delay;
+  router.handle(TimerFired{timers.back().token});
+  router.end(1, 0, Status::kOk);
+  EXPECT_EQ(router.serve(2).cache, slow);
+}
+
+TEST(Failures, AnOverdueFillBlamesTheSourceWhereTheCacheAnswersOthers) {
+  Router router;
+  router.list(plain_list());
+  ObjectId other = 8;
+  const auto timers = all<SetTimer>(router.ask(1, kVideo, 7));
+  router.now += milliseconds(100);
+  for (RequestId id = 100; id < 140; ++id, ++other) {
+    router.serve(id, kVideo, other);
+  }
+  router.now += timers.back().delay;
+  ASSERT_EQ(count<Send>(router.handle(TimerFired{timers.back().token})), 1);
+  EXPECT_EQ(router.sends[1][1].cache, router.sends[1][0].cache);
+  EXPECT_NE(router.sends[1][1].source, router.sends[1][0].source);
+}
+
+TEST(Failures, ABrokenConnectionCountsOnceAndTheSameCacheIsAskedAgain) {
+  Router router;
+  router.list(plain_list());
+  std::vector<RequestId> on_it;
+  router.ask(1, kVideo, 7);
+  const std::string home = router.sends[1][0].cache;
+  for (RequestId id = 2; id <= 6; ++id) {
+    router.ask(id, kVideo, 7);
+  }
+  for (RequestId id = 1; id <= 6; ++id) {
+    router.end(id, 0, Status::kReset);
+    ASSERT_EQ(router.sends[id].size(), 2U);
+    EXPECT_EQ(router.sends[id][1].cache, home);
+  }
+}
+
+TEST(Failures, ACacheThatFailsOftenIsEjectedAndOthersStay) {
+  Router router;
+  router.list(plain_list());
+  const std::string home = router.serve(1).cache;
+  for (RequestId id = 10; id < 13; ++id) {
+    router.ask(id);
+    router.end(id, 0, Status::kError);
+    router.end(id, 1, Status::kOk);
+    router.now += milliseconds(20);
+  }
+  EXPECT_NE(router.serve(20).cache, home);
+}
+
+TEST(Failures, AGeneralSymptomEjectsNobody) {
+  Router router;
+  router.list(plain_list());
+  for (RequestId id = 1; id <= 200; ++id) {
+    router.ask(id, kVideo, id);
+    for (int attempt = 0; attempt < static_cast<int>(router.sends[id].size()); ++attempt) {
+      router.end(id, attempt, Status::kError);
+    }
+    router.now += milliseconds(20);
+  }
+  std::set<std::string> caches;
+  for (RequestId id = 1001; id <= 1100; ++id) {
+    router.ask(id, kVideo, id);
+    if (!router.sends[id].empty()) {
+      caches.insert(router.sends[id][0].cache);
+    }
+    router.end(id, 0, Status::kOk);
+  }
+  EXPECT_GE(caches.size(), 3U);
+}
+
+TEST(Failures, FurtherAttemptsLiveWithinABudget) {
+  Router router;
+  router.list(plain_list());
+  std::size_t attempts = 0;
+  for (RequestId id = 1; id <= 1000; ++id) {
+    router.ask(id, kVideo, id);
+    for (std::size_t i = 0; i < router.sends[id].size(); ++i) {
+      router.end(id, static_cast<int>(i), Status::kError);
+    }
+    attempts += router.sends[id].size();
+    router.now += milliseconds(20);
+  }
+  EXPECT_LE(attempts, 1000U + 250U + 30U);
+}
+
+TEST(Failures, ASourceThatRefusesIsReplacedAtTheSameCache) {
+  Router router;
+  router.list(plain_list());
+  router.ask(1);
+  router.end(1, 0, Status::kFull, Note::kSourceUnreachable);
+  ASSERT_EQ(router.sends[1].size(), 2U);
+  EXPECT_EQ(router.sends[1][1].cache, router.sends[1][0].cache);
+  EXPECT_NE(router.sends[1][1].source, router.sends[1][0].source);
+}
+
+TEST(Failures, WhileFillsFailUnknownObjectsOnlyAskForWhatIsHeld) {
+  Router router;
+  router.list(plain_list());
+  for (RequestId id = 1; id <= 300; ++id) {
+    router.ask(id, kVideo, id, 400.0);
+    for (int i = 0; i < static_cast<int>(router.sends[id].size()); ++i) {
+      router.end(id, i, Status::kFull, Note::kSourceRefused);
+    }
+    router.now += milliseconds(50);
+  }
+  int held_only = 0;
+  for (RequestId id = 1001; id <= 1010; ++id) {
+    router.ask(id, kVideo, id, 400.0);
+    held_only += !router.sends[id].empty() && router.sends[id][0].source == router.sends[id][0].cache ? 1 : 0;
+  }
+  EXPECT_GT(held_only, 0);
+  EXPECT_LT(held_only, 10);  // some still try, so that recovery shows
+}
+
+TEST(Failures, WhileFillsFailACopyPastItsFreshTimeWillDoButNeverAPurgedOne) {
+  Router router;
+  router.list(plain_list());
+  EXPECT_EQ(router.serve(1, kImage, 500).age, Micros(seconds(20)));
+  for (RequestId id = 2; id <= 100; ++id) {
+    router.ask(id, kVideo, id);
+    for (int i = 0; i < static_cast<int>(router.sends[id].size()); ++i) {
+      router.end(id, i, Status::kFull, Note::kSourceRefused);
+    }
+    router.now += milliseconds(50);
+  }
+  EXPECT_EQ(router.serve(2001, kImage, 500).age, Micros(seconds(40)));
+  router.handle(Purged{false, 500, 0, Micros(0)});
+  router.now += seconds(1);
+  EXPECT_LE(router.serve(2002, kImage, 500).age, Micros(seconds(1)));
+}
+
+TEST(Load, OverCapacityTheLargeAreRefusedFirst) {
+  Router router;
+  router.list({node("c1", Role::kCache, 4.0), node("p1", Role::kParent), node("o", Role::kOrigin)});
+  for (RequestId id = 1; id <= 6; ++id) {
+    router.ask(id, kVideo, id, 300.0);
+  }
+  EXPECT_EQ(count<Refuse>(router.ask(100, kVideo, 100, 3000.0)), 1);
+  EXPECT_EQ(count<Send>(router.ask(101, kVideo, 101, 20.0)), 1);
+}
+
+TEST(Load, ARefusalNamesATimeToComeBackOnlyWhereClientsHeedIt) {
+  Router heeded;
+  const auto refusals = all<Refuse>(heeded.ask(1));
+  ASSERT_EQ(refusals.size(), 1U);
+  EXPECT_GT(refusals[0].retry_after, Micros(0));
+  EXPECT_LE(refusals[0].retry_after, Micros(seconds(1)));
+  Settings settings = plain_settings();
+  settings.retry_after = false;
+  Router unheeded(settings);
+  EXPECT_EQ(all<Refuse>(unheeded.ask(1)).at(0).retry_after, Micros(0));
+}
+
+TEST(Load, AbsurdReportsDoNoHarm) {
+  Router router;
+  router.list(plain_list());
+  const double absurd[] = {-5.0, 1e300, std::numeric_limits<double>::infinity(),
+                           std::numeric_limits<double>::quiet_NaN(), 0.0};
+  RequestId id = 1;
+  const auto report = [&](double value) {
+    router.ask(id, kVideo, id);
+    AttemptEnded ended;
+    ended.id = id++;
+    ended.finished = true;
+    ended.load.concurrent = value;
+    ended.load.utilisation = value;
+    router.handle(ended);
+  };
+  for (const double value : absurd) {
+    report(value);
+  }
+  for (int i = 0; i < 200; ++i) {
+    report(0.0);
+  }
+  for (RequestId later = 1001; later <= 1020; ++later) {
+    EXPECT_EQ(finals(router.ask(later, kVideo, later)), 0);
+    router.end(later, 0, Status::kOk);
+  }
+}
+
+TEST(Clock, AJumpAheadKeepsEveryAnswer) {
+  Router router;
+  router.list(plain_list());
+  const auto timers = all<SetTimer>(router.ask(1));
+  router.now += seconds(100'000);
+  EXPECT_EQ(finals(router.handle(TimerFired{timers.front().token})), 1);
+  EXPECT_EQ(count<Send>(router.ask(2)), 1);
+}
+
+TEST(Lists, AskedForWhereTheyDoNotComeByThemselves) {
+  Settings settings = plain_settings();
+  settings.must_ask_for_list = true;
+  Router router(settings);
+  EXPECT_EQ(count<Subscribe>(router.handle(ListReceived{ListKind::kRemembered, plain_list()})), 1);
+  EXPECT_EQ(count<Subscribe>(router.handle(ListReceived{ListKind::kFull, plain_list()})), 0);
+  EXPECT_EQ(count<Send>(router.ask(1)), 1);
+}
+
+}  // namespace
+}  // namespace trailcourse
