--- a/include/trailcourse/decider.h
+++ b/include/trailcourse/decider.h
@@ -47,6 +47,10 @@
   return status == Status::kFull || status == Status::kConnectFailed || status == Status::kMoot ||
          status == Status::kMiss;
 }
+inline bool tells_of_source(Note note) {
+  return note == Note::kSourceRefused || note == Note::kSourceUnreachable || note == Note::kSourceLacks ||
+         note == Note::kOriginFailed;
+}
 inline bool shows_hit(Note note) { return note == Note::kHit || note == Note::kStale; }
 inline bool shows_fill(Note note) {
   return note == Note::kFilled || note == Note::kFilledFromOrigin || note == Note::kJoined;
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -31,15 +31,13 @@
 constexpr double kTopCut = 1.2;     // below: top rank
 constexpr double kMiddleCut = 2.0;  // below: middle rank
 constexpr double kTopShare = 0.25;  // of the bytes asked for that may hold the top rank
-constexpr int kTopRank = 3;
-constexpr int kMiddleRank = 2;
-constexpr int kLowestRank = 1;
+enum Rank { kLowestRank = 1, kMiddleRank = 2, kTopRank = 3 };
 constexpr std::size_t kMaxEntries = 50'000;
 constexpr Micros kHalving = seconds(60);     // a request count halves
 constexpr std::int64_t kMaxHalvings = 60;    // in one step; nothing is left of a count then
 constexpr Micros kHolderSpan = seconds(60);  // a holder is forgotten
 constexpr Micros kIdleCap = seconds(30);     // tmax of a class without a fresh time
-constexpr double kByteMemoryKb = 2e6;        // the byte shares look back over about so much
+constexpr double kByteDecay = 0.9995;        // a request; the byte shares look back over some thousands
 
 // The rules.
 constexpr std::size_t kMaxNodes = 4096;         // slots for addresses; beyond, those gone and idle are reused
@@ -135,6 +133,10 @@
     node.entry = entry;
     node.local = entry.role == Role::kCache && entry.zone == settings_.zone;
     node.listed = entry.state == NodeState::kReady;
+    const bool told =
+        settings_.weights == WeightMeaning::kNominal || settings_.weights == WeightMeaning::kRough;
+    const bool usable = told && std::isfinite(entry.weight) && entry.weight > 0.0;
+    node.transfers = usable ? entry.weight : kUnknownTransfers;
   }
 
   int free_slot() {
@@ -150,11 +152,7 @@
   }
 
   void start_afresh(Node& node) {
-    Node fresh;
-    fresh.hash = node.hash;
-    fresh.in_flight = node.in_flight;
-    fresh.cold_at = now_;
-    node = fresh;
+    node = Node{.entry = {}, .hash = node.hash, .in_flight = node.in_flight, .cold_at = now_};
   }
 
   Node& at(int index) { return nodes_[static_cast<std::size_t>(index)]; }
@@ -174,13 +172,6 @@
     return std::min(1.0, std::max(from, 0.01) + (1.0 - from) * age / span);
   }
 
-  double transfers(const Node& node) const {
-    const bool told =
-        settings_.weights == WeightMeaning::kNominal || settings_.weights == WeightMeaning::kRough;
-    const bool usable = told && std::isfinite(node.entry.weight) && node.entry.weight > 0.0;
-    return usable ? node.entry.weight : kUnknownTransfers;
-  }
-
   // Whether `cost` seconds of sending fit this router's part of the node's budget now.
   bool cold_budget_allows(Node& node, double cost) {
     const double share = cold_share(node);
@@ -190,7 +181,7 @@
     const bool parent = node.entry.role == Role::kParent;
     const double factor = parent ? settings_.parent_overload_factor : settings_.overload_factor;
     const int routers = parent ? std::max(1, settings_.routers) : std::max(1, settings_.routers_in_zone);
-    const double budget = factor * share * transfers(node) / routers;
+    const double budget = factor * share * node.transfers / routers;
     const double burst = kColdBurst * budget * to_seconds(settings_.overload_span);
     node.cold_tokens =
         std::min(burst, node.cold_tokens + kColdRate * budget * to_seconds(now_ - node.cold_at));
@@ -327,8 +318,8 @@
   // V = alpha/f + beta*s/smax + mu*r/rmax + nu*t/tmax. Counted by part, as kept.
   void score(Request& request) {
     Entry& entry = entries_.touch(request.key);
-    const Micros fresh = class_of(request).lifetime;
-    const double tmax = to_seconds(fresh.count() > 0 ? fresh : kIdleCap);
+    const double fresh = to_seconds(class_of(request).lifetime);
+    const double tmax = fresh > 0.0 ? fresh : to_seconds(kIdleCap);
     const double idle = entry.count > 0.0 ? std::min(1.0, to_seconds(now_ - entry.last) / tmax) : 1.0;
     entry.halved = entry.count > 0.0 ? entry.halved : now_;
     const std::int64_t halvings = std::min<std::int64_t>(kMaxHalvings, (now_ - entry.halved) / kHalving);
@@ -352,15 +343,12 @@
   // The top rank holds a small share of the bytes asked for; beyond it, the middle rank.
   void limit_top_share(Request& request) {
     const double bytes = std::max(1.0, request.told.size_kb);
-    all_bytes_ += bytes;
+    all_bytes_ = kByteDecay * all_bytes_ + bytes;
+    top_bytes_ *= kByteDecay;
     if (request.rank == kTopRank && top_bytes_ + bytes > kTopShare * all_bytes_) {
       request.rank = kMiddleRank;
     }
     top_bytes_ += request.rank == kTopRank ? bytes : 0.0;
-    if (all_bytes_ > kByteMemoryKb) {
-      all_bytes_ *= 0.5;
-      top_bytes_ *= 0.5;
-    }
   }
 
   // Listed nodes of one role (caches: of this zone) in the order of weighted rendezvous hashing by address;
@@ -371,7 +359,7 @@
       const Node& node = at(i);
       if (node.listed && node.entry.role == role && (role != Role::kCache || node.local)) {
         const double unit = (static_cast<double>(mix(node.hash ^ key) >> 11) + 0.5) * 0x1.0p-53;
-        ranked.emplace_back(-std::log(unit) / transfers(node), node.hash, i);
+        ranked.emplace_back(-std::log(unit) / node.transfers, node.hash, i);
       }
     }
     std::sort(ranked.begin(), ranked.end());
@@ -383,7 +371,7 @@
 
   // Transfers over what the node can send at full pace now.
   double load(const Node& node) const {
-    return (node.in_flight + node.others) / (transfers(node) * cold_share(node));
+    return (node.in_flight + node.others) / (node.transfers * cold_share(node));
   }
 
   // The first cache in hash order; another only where that one is failing, cold or far busier.
@@ -413,8 +401,12 @@
   // cold or has just failed this request; the cache itself where nothing is left.
   int pick_source(const Request& request, int cache) {
     const double cost = cold_cost(request);
-    for (const int index : cacheable(request) ? hash_order(request.key, Role::kParent) : std::vector<int>{}) {
-      if (!request.avoids(index) && healthy(at(index)) && cold_budget_allows(at(index), cost)) {
+    const std::vector<int> parents =
+        cacheable(request) ? hash_order(request.key, Role::kParent) : std::vector<int>{};
+    const bool heed_health = !mostly_ejected(parents);
+    for (const int index : parents) {
+      if (!request.avoids(index) && (!heed_health || healthy(at(index))) &&
+          cold_budget_allows(at(index), cost)) {
         return index;
       }
     }
@@ -470,18 +462,18 @@
     Node& node = at(target);
     Node& source = at(attempt.source);
     take_cold_budget(node, cold_cost(request));
-    attempt.cold_cost = attempt.source == target ? 0.0 : take_cold_budget(source, cold_cost(request));
-    attempt.trial = node.ejections > 0 && !node.trial_out;
-    node.trial_out = node.trial_out || attempt.trial;
+    attempt.cold_cost = attempt.fills() ? take_cold_budget(source, cold_cost(request)) : 0.0;
+    attempt.trial = start_trial(node);
+    attempt.source_trial = attempt.fills() && start_trial(source);
     ++node.in_flight;
-    attempt.fill_work =
-        source_index != target && likely_miss(request, target) ? request.work + kFillFixed : 0.0;
+    attempt.fill_work = attempt.fills() && likely_miss(request, target) ? request.work + kFillFixed : 0.0;
     fill_out_ += attempt.fill_work;
+    const Micros patience = from_seconds(kPatienceBase + kPatienceStretch * expected(request, node));
+    attempt.overdue_at = now_ + patience;
     out_->push_back(order_for(request, attempt));
     request.attempts.push_back(attempt);
     if (class_of(request).effect == Effect::kSafe) {
-      const double patience = kPatienceBase + kPatienceStretch * expected(request, node);
-      set_timer(request, kPatience, from_seconds(patience));
+      set_timer(request, kPatience, patience);
     }
   }
 
@@ -512,6 +504,8 @@
     return to_seconds(type.objective) + type.objective_stretch * request.work;
   }
 
+  bool on_time(const Request& request) const { return to_seconds(now_ - request.arrived) <= aim(request); }
+
   // A predicted answer that misses its aim is better refused early. Large objects go first, since a crowded
   // link stretches them most; an idle cache refuses nothing.
   bool hopeless(const Request& request, const Node& node) const {
@@ -543,7 +537,7 @@
     if (attempt.fill_work <= 0.0 || not_the_fill || shows_hit(ended.note)) {
       return;
     }
-    const bool good = ended.status == Status::kOk && to_seconds(now_ - request.arrived) <= aim(request);
+    const bool good = ended.status == Status::kOk && on_time(request);
     fill_bad_ += kFillBadGain * ((good ? 0.0 : 1.0) - fill_bad_);
     if (good) {
       fill_limit_ = std::min(kFillMost, fill_limit_ + attempt.fill_work / fill_limit_);
@@ -622,14 +616,18 @@
     } else if (ended.finished || ended.status == Status::kOk) {
       close(request);
     } else if (!request.in_flight()) {
-      try_again(request);
+      try_again(request, attempt, ended.status);
     }
   }
 
-  // Further attempts live within a retry budget, so that a general failure does not multiply the load.
-  void try_again(Request& request) {
+  // Further attempts live within a retry budget, so that a general failure does not multiply the load; where
+  // fills fail in general, a refused one is not tried at the next source, which only pushes the origin
+  // further. Having asked only for what is held is no failure and costs nothing.
+  void try_again(Request& request, const Attempt& last, Status status) {
     const bool closed_to_retry = class_of(request).effect == Effect::kUnsafe && !request.all_proven();
-    if (closed_to_retry || !take_retry_token()) {
+    const bool not_held = !last.fills() && status == Status::kMiss;
+    const bool refused_fill = last.fills() && status == Status::kFull && cacheable(request);
+    if (closed_to_retry || (refused_fill && fills_fail()) || (!not_held && !take_retry_token())) {
       give_up(request);
     } else {
       attempt_or_give_up(request);
@@ -649,6 +647,7 @@
     Node& source = at(attempt.source);
     node.in_flight = std::max(0, node.in_flight - 1);
     node.trial_out = node.trial_out && !attempt.trial;
+    source.trial_out = source.trial_out && !attempt.source_trial;
     source.cold_tokens += shows_hit(ended.note) ? attempt.cold_cost : 0.0;
     learn_load(node, ended.load);
     learn_fill(request, attempt, ended);
@@ -657,12 +656,22 @@
       return;
     }
     credit(node);
-    if (shows_fill(ended.note) && attempt.source != attempt.node) {
-      credit(source);
+    if (shows_fill(ended.note) && attempt.fills()) {
+      judge_fill(request, ended.note, node, source);
     }
     learn_place(request, attempt, ended.note);
   }
 
+  // What a parent held but sent late through a cache that is not crowded counts against the parent: one whose
+  // link runs slow answers at once and then trickles. By way of the origin, that one may be to blame.
+  void judge_fill(const Request& request, Note note, const Node& node, Node& source) {
+    if (on_time(request)) {
+      credit(source);
+    } else if (load(node) < kSpreadLoad && note == Note::kFilled && settings_.notes == NoteLevel::kAll) {
+      blame(source, 0.0);
+    }
+  }
+
   void learn_load(Node& node, const LoadReport& report) {
     const bool told = std::isfinite(report.concurrent) && report.concurrent >= 0.0;
     const double seen =
@@ -682,7 +691,7 @@
       entry->kept_since = now_;
     }
     const bool by_fill = note == Note::kFilled && settings_.notes == NoteLevel::kAll;
-    const bool by_hit = note == Note::kHit && attempt.source == attempt.node;
+    const bool by_hit = note == Note::kHit && !attempt.fills();
     if ((by_fill || by_hit) && at(attempt.source).entry.role == Role::kParent) {
       std::erase_if(entry->holders, [&](const auto& one) { return one.first == attempt.source; });
       entry->holders.emplace_back(attempt.source, now_);
@@ -695,7 +704,13 @@
     return node.ejected_until < now_ && !(node.ejections > 0 && node.trial_out);
   }
 
-  // A general symptom points elsewhere: with most caches ejected, none is avoided.
+  static bool start_trial(Node& node) {
+    const bool trial = node.ejections > 0 && !node.trial_out;
+    node.trial_out = node.trial_out || trial;
+    return trial;
+  }
+
+  // A general symptom points elsewhere: with most of the nodes ejected, none is avoided.
   bool mostly_ejected(const std::vector<int>& order) const {
     const auto out =
         std::count_if(order.begin(), order.end(), [this](int index) { return !healthy(at(index)); });
@@ -745,19 +760,17 @@
   // The note tells a failing source from a failing cache. Without it a refusal is both's for this request,
   // and a broken connection says little of the cache: the same one, which holds the object, is asked again.
   void assign_blame(Attempt& attempt, const AttemptEnded& ended, Node& node, Node& source) {
-    const bool apart = attempt.source != attempt.node;
-    if (ended.note == Note::kSourceRefused || ended.note == Note::kSourceUnreachable ||
-        ended.note == Note::kSourceLacks || ended.note == Note::kOriginFailed) {
-      attempt.avoid_source = apart;
-      if (apart && ended.note == Note::kSourceUnreachable) {
+    if (tells_of_source(ended.note)) {
+      attempt.avoid_source = attempt.fills();
+      if (attempt.fills() && ended.note == Note::kSourceUnreachable) {
         blame(source, 1.0);
       }
       return;
     }
     const bool refused = ended.status == Status::kFull || ended.status == Status::kMiss;
     const bool broke = ended.status == Status::kReset || ended.status == Status::kConnectFailed;
-    attempt.avoid_source = apart && refused && ended.note != Note::kNoFillPlace;
-    attempt.avoid_node = ended.status != Status::kReset && !(refused && !apart);
+    attempt.avoid_source = attempt.fills() && refused && ended.note != Note::kNoFillPlace;
+    attempt.avoid_node = ended.status != Status::kReset && (attempt.fills() || !refused);
     if (broke) {
       blame(node, kBreakBlame);
     } else if (ended.status == Status::kError || ended.status == Status::kTimeout) {
@@ -780,18 +793,16 @@
   }
 
   // An attempt is overdue. Nothing good came from its cache since the send: the machine is silent, whatever
-  // the cause. The cache answered but no fill from the source came: the source is. Else it is slow; waiting
-  // is best.
+  // the cause. The cache answered but no fill came: the source is silent. Else it is slow; waiting is best.
   void check_silence(Request& request) {
-    if (request.attempts.empty() || request.attempts.back().done) {
+    Attempt& attempt = request.attempts.back();
+    if (attempt.done || now_ < attempt.overdue_at) {
       return;
     }
-    Attempt& attempt = request.attempts.back();
     Node& node = at(attempt.node);
     Node& source = at(attempt.source);
     attempt.avoid_node = node.last_good < attempt.sent;
-    attempt.avoid_source =
-        !attempt.avoid_node && attempt.source != attempt.node && source.last_good < attempt.sent;
+    attempt.avoid_source = !attempt.avoid_node && attempt.fills() && source.last_good < attempt.sent;
     if (attempt.avoid_node) {
       eject(node, true);
     } else if (attempt.avoid_source) {
--- a/src/state.h
+++ b/src/state.h
@@ -13,8 +13,9 @@
 struct Node {
   NodeEntry entry;
   std::uint64_t hash = 0;
-  bool local = false;   // a cache of this router's zone
-  bool listed = false;  // ready in the list held now
+  bool local = false;      // a cache of this router's zone
+  bool listed = false;     // ready in the list held now
+  double transfers = 1.0;  // what it can send at full pace at once
   int in_flight = 0;
   double others = 0.0;  // requests that other routers hold there
   Micros last_good{-1};
@@ -42,13 +43,17 @@
   int node = -1;
   int source = -1;  // the node itself: no fill
   Micros sent{0};
+  Micros overdue_at{0};
   double cold_cost = 0.0;  // from the source's cold budget, given back if a hit shows it was not asked
   double fill_work = 0.0;  // held in the miss window
   bool done = false;
   bool proven = false;  // it never ran
-  bool trial = false;
+  bool trial = false;   // a half-open trial of the node, of the source
+  bool source_trial = false;
   bool avoid_node = false;  // not again for this request
   bool avoid_source = false;
+
+  bool fills() const { return source != node; }
 };
 
 struct Request {
