With no sound parent left, fill from the origin before going home

Purge memory folds in one step on overflow; tests for late parents, patience timers and refused fills.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -7,7 +7,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <deque>
 #include <random>
 #include <tuple>
 #include <unordered_map>
@@ -41,7 +40,7 @@
 
 // The rules.
 constexpr std::size_t kMaxNodes = 4096;         // slots for addresses; beyond, those gone and idle are reused
-constexpr std::size_t kMaxPurges = 20'000;      // beyond, the oldest fold into one floor for all objects
+constexpr std::size_t kMaxPurges = 20'000;      // beyond, they fold into one floor for all objects
 constexpr Micros kPurgeMargin = seconds(1);     // past the stated end of dropping, against late clocks
 constexpr Micros kGuardLead = milliseconds(3);  // final answers leave this long before the client's own end
 constexpr Micros kSpanMargin = milliseconds(100);  // a keyed repeat must arrive inside the memory span
@@ -66,7 +65,6 @@
 constexpr double kFillStart = 8.0;
 constexpr double kFillLeast = 0.5;
 constexpr double kFillMost = 64.0;
-constexpr double kFillFixed = 0.05;     // of a fill beside its sending
 constexpr double kFillBadGain = 0.05;   // smoothing of the share of fills that failed or came late
 constexpr double kFillBadLimit = 0.25;  // share from which the window shrinks
 constexpr double kFillCut = 0.8;        // one shrinking
@@ -213,25 +211,24 @@
     const std::uint64_t name = purged.whole_group ? group_name(purged.group) : object_name(purged.object);
     Micros& last = purges_.try_emplace(name, made).first->second;
     last = std::max(last, made);
-    purge_order_.emplace_back(made, name);
-    while (!purge_order_.empty() &&
-           (purge_order_.size() > kMaxPurges || !binds(purge_order_.front().first))) {
-      drop_oldest_purge();
+    if (purges_.size() > kMaxPurges) {
+      fold_purges();
     }
   }
 
-  bool binds(Micros made) const { return now_ < made + settings_.purge_done + kPurgeMargin; }
-
-  void drop_oldest_purge() {
-    const auto [made, name] = purge_order_.front();
-    purge_order_.pop_front();
-    const auto found = purges_.find(name);
-    if (found != purges_.end() && found->second == made) {  // else it was purged again since
-      purge_floor_ = binds(made) ? std::max(purge_floor_, made) : purge_floor_;
-      purges_.erase(found);
+  // Drops what binds no more; if that is not half, the newest purge binds every object for its span.
+  void fold_purges() {
+    std::erase_if(purges_, [this](const auto& one) { return !binds(one.second); });
+    if (purges_.size() > kMaxPurges / 2) {
+      for (const auto& [name, made] : purges_) {
+        purge_floor_ = std::max(purge_floor_, made);
+      }
+      purges_.clear();
     }
   }
 
+  bool binds(Micros made) const { return now_ < made + settings_.purge_done + kPurgeMargin; }
+
   // The oldest copy that will do, up to `stale` past its fresh time; zero where any age is good.
   Micros oldest_copy(const Request& request, bool stale) const {
     const ClassSettings& type = class_of(request);
@@ -345,9 +342,8 @@
     const double bytes = std::max(1.0, request.told.size_kb);
     all_bytes_ = kByteDecay * all_bytes_ + bytes;
     top_bytes_ *= kByteDecay;
-    if (request.rank == kTopRank && top_bytes_ + bytes > kTopShare * all_bytes_) {
-      request.rank = kMiddleRank;
-    }
+    const bool room = top_bytes_ + bytes <= kTopShare * all_bytes_;
+    request.rank = room ? request.rank : std::min<int>(request.rank, kMiddleRank);
     top_bytes_ += request.rank == kTopRank ? bytes : 0.0;
   }
 
@@ -397,21 +393,25 @@
     return best;
   }
 
-  // The home parent of the object over all listed ones; the next, then the origin, where that one is failing,
-  // cold or has just failed this request; the cache itself where nothing is left.
+  // The home parent over all listed ones; the next, then the origin, where that one is failing, cold or has
+  // just failed this request. With none sound the fault is elsewhere: the home again.
   int pick_source(const Request& request, int cache) {
-    const double cost = cold_cost(request);
-    const std::vector<int> parents =
-        cacheable(request) ? hash_order(request.key, Role::kParent) : std::vector<int>{};
-    const bool heed_health = !mostly_ejected(parents);
-    for (const int index : parents) {
-      if (!request.avoids(index) && (!heed_health || healthy(at(index))) &&
-          cold_budget_allows(at(index), cost)) {
+    std::vector<int> order = hash_order(request.key, Role::kOrigin);
+    if (cacheable(request)) {
+      const std::vector<int> parents = hash_order(request.key, Role::kParent);
+      order.insert(order.begin(), parents.begin(), parents.end());
+    }
+    int home = -1;
+    for (const int index : order) {
+      if (request.avoids(index) || !cold_budget_allows(at(index), cold_cost(request))) {
+        continue;
+      }
+      if (healthy(at(index))) {
         return index;
       }
+      home = home < 0 ? index : home;
     }
-    const std::vector<int> origins = hash_order(request.key, Role::kOrigin);
-    return origins.empty() ? cache : origins.front();
+    return home >= 0 ? home : order.empty() ? cache : order.back();
   }
 
   // ---- Sending ----
@@ -466,7 +466,8 @@
     attempt.trial = start_trial(node);
     attempt.source_trial = attempt.fills() && start_trial(source);
     ++node.in_flight;
-    attempt.fill_work = attempt.fills() && likely_miss(request, target) ? request.work + kFillFixed : 0.0;
+    attempt.fill_work =
+        attempt.fills() && likely_miss(request, target) ? request.work + kAnswerOverhead : 0.0;
     fill_out_ += attempt.fill_work;
     const Micros patience = from_seconds(kPatienceBase + kPatienceStretch * expected(request, node));
     attempt.overdue_at = now_ + patience;
@@ -525,7 +526,7 @@
   // misses wait at once. The rest only asks for what is held.
   bool over_fill_window(const Request& request, int target) const {
     return may_refuse(request) && likely_miss(request, target) && fill_out_ > 0.0 &&
-           fill_out_ + request.work + kFillFixed > fill_limit_;
+           fill_out_ + request.work + kAnswerOverhead > fill_limit_;
   }
 
   bool fills_fail() const { return fill_bad_ > kFillBadLimit; }
@@ -667,7 +668,7 @@
   void judge_fill(const Request& request, Note note, const Node& node, Node& source) {
     if (on_time(request)) {
       credit(source);
-    } else if (load(node) < kSpreadLoad && note == Note::kFilled && settings_.notes == NoteLevel::kAll) {
+    } else if (load(node) < kSpreadLoad && (source.entry.role == Role::kOrigin || shows_holder(note))) {
       blame(source, 0.0);
     }
   }
@@ -680,6 +681,9 @@
     node.others += node.local ? kOthersGain * (seen - node.others) : 0.0;
   }
 
+  // Where answers do not tell a fill by way of the origin apart, they do not show a holder.
+  bool shows_holder(Note note) const { return note == Note::kFilled && settings_.notes == NoteLevel::kAll; }
+
   // Which cache answered, and which parent is shown to hold the object.
   void learn_place(const Request& request, const Attempt& attempt, Note note) {
     Entry* entry = entries_.find(request.key);
@@ -690,9 +694,8 @@
       entry->kept_at = attempt.node;
       entry->kept_since = now_;
     }
-    const bool by_fill = note == Note::kFilled && settings_.notes == NoteLevel::kAll;
     const bool by_hit = note == Note::kHit && !attempt.fills();
-    if ((by_fill || by_hit) && at(attempt.source).entry.role == Role::kParent) {
+    if ((by_hit || shows_holder(note)) && at(attempt.source).entry.role == Role::kParent) {
       std::erase_if(entry->holders, [&](const auto& one) { return one.first == attempt.source; });
       entry->holders.emplace_back(attempt.source, now_);
     }
@@ -830,7 +833,6 @@
   std::unordered_map<RequestId, Request> requests_;
   LruMap<std::uint64_t, Entry> entries_{kMaxEntries};
   std::unordered_map<std::uint64_t, Micros> purges_;
-  std::deque<std::pair<Micros, std::uint64_t>> purge_order_;
   Micros purge_floor_{-1};
   std::vector<std::pair<double, double>> mean_work_;  // seconds of sending asked for and requests, by class
   double largest_kb_ = 0.0;
--- a/tests/decider_test.cpp
+++ b/tests/decider_test.cpp
@@ -768,6 +768,70 @@
   EXPECT_LE(attempts, 1000U + 250U + 30U);
 }
 
+// Fills of many objects, of which those from `slow` come late; how many of the last hundred still name it.
+int fills_named(const std::string& slow, Note note) {
+  Router router;
+  router.list(plain_list());
+  int named = 0;
+  for (RequestId id = 1; id <= 300; ++id) {
+    router.ask(id, kVideo, id, 50.0);
+    const Micros began = router.now;
+    const bool from_slow = !router.sends[id].empty() && router.sends[id][0].source == slow;
+    named += from_slow && id > 200 ? 1 : 0;
+    router.now = began + (from_slow ? milliseconds(1500) : milliseconds(60));
+    router.end(id, 0, Status::kOk, note);
+  }
+  return named;
+}
+
+TEST(Failures, AParentThatSendsLateWhatItHoldsIsLeft) { EXPECT_LT(fills_named("p1", Note::kFilled), 25); }
+
+TEST(Failures, AParentIsNotLeftForASlowOrigin) { EXPECT_GT(fills_named("p1", Note::kFilledFromOrigin), 35); }
+
+TEST(Failures, WithNoSoundParentTheOriginFills) {
+  Router router;
+  router.list(plain_list());
+  for (RequestId id = 1; id <= 60; ++id) {
+    router.ask(id, kVideo, id, 50.0);
+    const bool by_parent = !router.sends[id].empty() && router.sends[id][0].source != "o";
+    router.now += by_parent ? milliseconds(1500) : milliseconds(60);
+    router.end(id, 0, Status::kOk, Note::kFilled);
+  }
+  int by_origin = 0;
+  for (RequestId id = 101; id <= 120; ++id) {
+    router.ask(id, kVideo, id, 50.0);
+    by_origin += router.sends[id].at(0).source == "o" ? 1 : 0;
+    router.end(id, 0, Status::kOk, Note::kFilled);
+  }
+  EXPECT_GT(by_origin, 0);
+}
+
+TEST(Failures, APatienceTimerSpeaksOnlyOfItsOwnAttempt) {
+  Router router;
+  router.list(plain_list());
+  const auto timers = all<SetTimer>(router.ask(1));
+  router.now += milliseconds(400);
+  router.end(1, 0, Status::kError);
+  ASSERT_EQ(router.sends[1].size(), 2U);
+  router.now += milliseconds(200);  // the first attempt's patience ends; the second is young
+  EXPECT_TRUE(router.handle(TimerFired{timers.back().token}).empty());
+}
+
+TEST(Failures, ARefusedFillIsNotTriedElsewhereWhileFillsFailInGeneral) {
+  Router router;
+  router.list(plain_list());
+  std::size_t attempts = 0;
+  for (RequestId id = 1; id <= 200; ++id) {
+    router.ask(id, kVideo, id, 20.0);
+    for (int i = 0; i < static_cast<int>(router.sends[id].size()); ++i) {
+      router.end(id, i, Status::kFull);
+    }
+    attempts += id > 100 ? router.sends[id].size() : 0;
+    router.now += milliseconds(100);
+  }
+  EXPECT_LE(attempts, 100U);
+}
+
 TEST(Failures, ASourceThatRefusesIsReplacedAtTheSameCache) {
   Router router;
   router.list(plain_list());
