Eject a parent whose refusals stand out where answers carry no note

Refusals by a slow origin look alike but show at all parents. The second cache is now sought among all of the zone; probes leave the interface as none is asked for.

--- a/adapter/wire.cpp
+++ b/adapter/wire.cpp
@@ -246,10 +246,8 @@
 void read_limits(const json& limits, Settings& settings) {
   settings.attempts_cap = small_at(limits, "AttemptsCap", 1);
   settings.may_cancel = flag_at(limits, "Cancel");
-  settings.may_probe = flag_at(limits, "MayProbe");
   settings.parallel_tries = flag_at(limits, "ParallelTries");
-  settings.retry_after = flag_at(limits, "RetryAfter");
-  settings.max_retry_after = seconds_at(limits, "MaxRetryAfterS");
+  settings.max_retry_after = flag_at(limits, "RetryAfter") ? seconds_at(limits, "MaxRetryAfterS") : Micros(0);
 }
 
 void read_rules(const json& rules, const json& extra, Settings& settings) {
@@ -523,10 +521,8 @@
       {"Recalled", [](const Adapter&, const json& m, const Profile&) -> Event { return read_purge(m); }},
       {"Left",
        [](const Adapter&, const json& m, const Profile&) -> Event { return ClientLeft{id_at(m, "Ref")}; }},
-      {"Bell",
-       [](const Adapter&, const json& m, const Profile&) -> Event { return TimerFired{id_at(m, "Handle")}; }},
-      {"Probed", [](const Adapter&, const json& m, const Profile& p) -> Event {
-         return ProbeEnded{text_at(m, "Cache"), look_up(kStatusWords, text_at(m, "Status")), report_of(m, p)};
+      {"Bell", [](const Adapter&, const json& m, const Profile&) -> Event {
+         return TimerFired{id_at(m, "Handle")};
        }}};
   const auto reader = kReaders.find(type);
   if (reader == kReaders.end()) {
--- a/include/trailcourse/decider.h
+++ b/include/trailcourse/decider.h
@@ -90,10 +90,8 @@
 
   int attempts_cap = 1;
   bool may_cancel = false;
-  bool may_probe = false;
   bool parallel_tries = false;
-  bool retry_after = false;
-  Micros max_retry_after{0};
+  Micros max_retry_after{0};  // the longest wait that clients heed; 0: none is told them
   Micros answer_slack{0};
 
   Micros drain_grace{0};
@@ -167,13 +165,8 @@
 struct TimerFired {
   TimerToken token = 0;
 };
-struct ProbeEnded {
-  std::string address;
-  Status status = Status::kOk;
-  LoadReport load;
-};
-using Event = std::variant<ListReceived, RequestArrived, ClientLeft, AttemptEnded, StreamStarted, Purged,
-                           TimerFired, ProbeEnded>;
+using Event =
+    std::variant<ListReceived, RequestArrived, ClientLeft, AttemptEnded, StreamStarted, Purged, TimerFired>;
 
 // An attempt. `source` names where a miss is filled from: a parent, the origin, a sibling, or the cache
 // itself.
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -33,7 +33,6 @@
 enum Rank { kLowestRank = 1, kMiddleRank = 2, kTopRank = 3 };
 constexpr std::size_t kMaxEntries = 50'000;
 constexpr Micros kHalving = seconds(60);     // a request count halves
-constexpr std::int64_t kMaxHalvings = 60;    // in one step; nothing is left of a count then
 constexpr Micros kHolderSpan = seconds(60);  // a holder is forgotten
 constexpr Micros kIdleCap = seconds(30);     // tmax of a class without a fresh time
 constexpr double kByteDecay = 0.9995;        // a request; the byte shares look back over some thousands
@@ -52,7 +51,6 @@
 constexpr double kBusyLoad = 1.0;    // transfers over capacity below which nothing is shed
 constexpr double kSpreadLoad = 2.0;  // from which the second cache is looked at: a departure costs a fill
 constexpr double kSpreadGain = 0.5;  // of the home's load that the second one may have
-constexpr std::size_t kSpread = 2;   // caches in hash order among which load may choose
 constexpr double kShedShare = 0.8;   // of the aim that a predicted answer may take
 constexpr double kAnswerOverhead = 0.04;   // seconds of an answer beside its sending time
 constexpr double kDefaultWork = 0.2;       // seconds of sending where nothing is known yet
@@ -77,6 +75,8 @@
 constexpr double kBreakBlame = 1.5;       // of a connection that broke or was not to be had
 constexpr double kFailGain = 0.1;         // smoothing of the share of failures
 constexpr double kFailLimit = 0.4;        // share of failures that ejects
+constexpr double kDeadShare = 0.75;       // of refusals that only a dead parent shows: one that runs has hits
+constexpr double kOutlier = 3.0;          // times the share of the soundest parent that stands out
 constexpr double kEjectBase = 1.0;        // seconds of the first ejection; doubles
 constexpr int kEjectDoublings = 3;
 constexpr double kEjectSpread = 0.25;  // of its length, drawn, so that routers do not come back together
@@ -103,14 +103,12 @@
   // ---- The list: drains and removals bind at once, as target and as source. ----
 
   void on(const ListReceived& list) {
-    if (settings_.must_ask_for_list && !subscribed_) {
+    const bool unasked = list.kind == ListKind::kRemembered || list.kind == ListKind::kLost;
+    if (settings_.must_ask_for_list && unasked) {
       out_->push_back(Subscribe{});
     }
-    subscribed_ = list.kind != ListKind::kLost;
-    if (list.kind == ListKind::kFull || list.kind == ListKind::kRemembered) {
-      for (Node& node : nodes_) {
-        node.listed = false;
-      }
+    for (Node& node : nodes_) {  // a full list names all there are
+      node.listed = node.listed && (list.kind == ListKind::kChanges || list.kind == ListKind::kLost);
     }
     for (const NodeEntry& entry : list.entries) {
       take_entry(entry);
@@ -212,18 +210,11 @@
     Micros& last = purges_.try_emplace(name, made).first->second;
     last = std::max(last, made);
     if (purges_.size() > kMaxPurges) {
-      fold_purges();
-    }
-  }
-
-  // Drops what binds no more; if that is not half, the newest purge binds every object for its span.
-  void fold_purges() {
-    std::erase_if(purges_, [this](const auto& one) { return !binds(one.second); });
-    if (purges_.size() > kMaxPurges / 2) {
-      for (const auto& [name, made] : purges_) {
-        purge_floor_ = std::max(purge_floor_, made);
+      std::erase_if(purges_, [this](const auto& one) { return !binds(one.second); });
+      if (purges_.size() > kMaxPurges / 2) {
+        purge_floor_ = now_;
+        purges_.clear();
       }
-      purges_.clear();
     }
   }
 
@@ -246,6 +237,8 @@
     return age;
   }
 
+  bool cacheable(const Request& request) const { return !class_of(request).uncached && !request.told.write; }
+
   const ClassSettings& class_of(const Request& request) const {
     return settings_.classes[static_cast<std::size_t>(request.told.request_class)];
   }
@@ -297,8 +290,6 @@
     attempt_or_give_up(request);
   }
 
-  bool cacheable(const Request& request) const { return !class_of(request).uncached && !request.told.write; }
-
   void note_work(Request& request) {
     auto& [sum, count] = mean_work_[static_cast<std::size_t>(request.told.request_class)];
     const double size = request.told.size_kb;
@@ -319,8 +310,8 @@
     const double tmax = fresh > 0.0 ? fresh : to_seconds(kIdleCap);
     const double idle = entry.count > 0.0 ? std::min(1.0, to_seconds(now_ - entry.last) / tmax) : 1.0;
     entry.halved = entry.count > 0.0 ? entry.halved : now_;
-    const std::int64_t halvings = std::min<std::int64_t>(kMaxHalvings, (now_ - entry.halved) / kHalving);
-    entry.count = std::ldexp(entry.count, static_cast<int>(-halvings));
+    const std::int64_t halvings = (now_ - entry.halved) / kHalving;
+    entry.count *= std::exp2(-static_cast<double>(halvings));
     entry.halved += halvings * kHalving;
     std::erase_if(entry.holders, [this](const auto& one) { return now_ - one.second >= kHolderSpan; });
     if (!request.told.is_retry || entry.count == 0.0) {
@@ -334,11 +325,6 @@
         kAlpha / std::max(1.0, entry.count) + kBeta * size + kMu * std::min(1.0, holders) + kNu * idle;
     request.count = entry.count;
     request.rank = value < kTopCut ? kTopRank : value < kMiddleCut ? kMiddleRank : kLowestRank;
-    limit_top_share(request);
-  }
-
-  // The top rank holds a small share of the bytes asked for; beyond it, the middle rank.
-  void limit_top_share(Request& request) {
     const double bytes = std::max(1.0, request.told.size_kb);
     all_bytes_ = kByteDecay * all_bytes_ + bytes;
     top_bytes_ *= kByteDecay;
@@ -376,7 +362,6 @@
     const bool heed_health = !mostly_ejected(order);
     const double cost = cold_cost(request);
     int best = -1;
-    std::size_t looked_at = 0;
     for (const int index : order) {
       Node& node = at(index);
       if (request.avoids(index) || (heed_health && !healthy(node)) || !cold_budget_allows(node, cost) ||
@@ -386,7 +371,7 @@
       if (best < 0 || load(node) < kSpreadGain * load(at(best))) {
         best = index;
       }
-      if (load(at(best)) < kSpreadLoad || ++looked_at >= kSpread) {
+      if (load(at(best)) < kSpreadLoad) {
         break;
       }
     }
@@ -510,8 +495,9 @@
   // A predicted answer that misses its aim is better refused early. Large objects go first, since a crowded
   // link stretches them most; an idle cache refuses nothing.
   bool hopeless(const Request& request, const Node& node) const {
-    const double left = aim(request) - to_seconds(now_ - request.arrived);
-    return may_refuse(request) && load(node) >= kBusyLoad && expected(request, node) > kShedShare * left;
+    const double spent = to_seconds(now_ - request.arrived);
+    return may_refuse(request) && load(node) >= kBusyLoad &&
+           expected(request, node) > kShedShare * (aim(request) - spent);
   }
 
   // Whether the target probably lacks the object: another cache answered last, or the copy is void by now.
@@ -552,9 +538,7 @@
 
   void give_up(Request& request) {
     if (may_refuse(request)) {
-      const Micros wait =
-          settings_.retry_after ? std::min(kRefusalWait, settings_.max_retry_after) : Micros(0);
-      out_->push_back(Refuse{request.told.id, wait});
+      out_->push_back(Refuse{request.told.id, std::min(kRefusalWait, settings_.max_retry_after)});
     } else {
       out_->push_back(Fail{request.told.id});
     }
@@ -596,8 +580,6 @@
     }
   }
 
-  void on(const ProbeEnded&) {}  // none is asked for
-
   // ---- Outcomes ----
 
   void on(const AttemptEnded& ended) {
@@ -694,8 +676,7 @@
       entry->kept_at = attempt.node;
       entry->kept_since = now_;
     }
-    const bool by_hit = note == Note::kHit && !attempt.fills();
-    if ((by_hit || shows_holder(note)) && at(attempt.source).entry.role == Role::kParent) {
+    if (shows_holder(note) && at(attempt.source).entry.role == Role::kParent) {
       std::erase_if(entry->holders, [&](const auto& one) { return one.first == attempt.source; });
       entry->holders.emplace_back(attempt.source, now_);
     }
@@ -747,6 +728,20 @@
     }
   }
 
+  // A refusal that may be the source's, the origin's behind it or the cache's own ejects a parent only
+  // where it stands out from the soundest other: a dead one does; a refusing origin or full caches do not.
+  void suspect(Node& source) {
+    double soundest = 1.0;
+    for (const Node& node : nodes_) {
+      const bool peer = node.listed && node.entry.role == Role::kParent && &node != &source;
+      soundest = peer ? std::min(soundest, node.fail_share) : soundest;
+    }
+    source.fail_share += kFailGain * (1.0 - source.fail_share);
+    if (source.ejections > 0 || (source.fail_share > kDeadShare && source.fail_share > kOutlier * soundest)) {
+      eject(source, false);
+    }
+  }
+
   void eject(Node& node, bool silent) {
     if (node.ejected_until >= now_) {
       return;
@@ -774,6 +769,9 @@
     const bool broke = ended.status == Status::kReset || ended.status == Status::kConnectFailed;
     attempt.avoid_source = attempt.fills() && refused && ended.note != Note::kNoFillPlace;
     attempt.avoid_node = ended.status != Status::kReset && (attempt.fills() || !refused);
+    if (attempt.avoid_source && ended.note == Note::kNone) {
+      suspect(source);
+    }
     if (broke) {
       blame(node, kBreakBlame);
     } else if (ended.status == Status::kError || ended.status == Status::kTimeout) {
@@ -826,7 +824,6 @@
   std::mt19937_64 random_;
   Micros now_{0};
   std::vector<Action>* out_ = nullptr;
-  bool subscribed_ = false;
   std::vector<Node> nodes_;
   int parents_ = 0;  // listed now
   std::unordered_map<std::string, int> index_;
--- a/tests/decider_test.cpp
+++ b/tests/decider_test.cpp
@@ -32,7 +32,6 @@
   settings.attempts_cap = 6;
   settings.may_cancel = true;
   settings.parallel_tries = true;
-  settings.retry_after = true;
   settings.max_retry_after = seconds(1);
   settings.joins = true;
   settings.drain_grace = milliseconds(500);
@@ -788,6 +787,32 @@
 
 TEST(Failures, AParentIsNotLeftForASlowOrigin) { EXPECT_GT(fills_named("p1", Note::kFilledFromOrigin), 35); }
 
+// Fills from p1, and from p2 too if `both`, are refused without a note; how many of the last hundred still
+// name p1.
+int refused_fills_named(bool both) {
+  Settings settings = plain_settings();
+  settings.notes = NoteLevel::kHit;
+  Router router(settings);
+  router.list(plain_list());
+  int named = 0;
+  for (RequestId id = 1; id <= 600; ++id) {
+    router.ask(id, kVideo, id, 5.0);
+    for (std::size_t i = 0; i < router.sends[id].size(); ++i) {
+      const std::string source = router.sends[id][i].source;
+      const bool refused = source == "p1" || (both && source == "p2");
+      router.end(id, static_cast<int>(i), refused ? Status::kFull : Status::kOk, Note::kNone);
+      named += source == "p1" && id > 500 ? 1 : 0;
+    }
+    router.now += milliseconds(20);
+  }
+  return named;
+}
+
+TEST(Failures, ADeadParentStandsOutAndARefusingOriginDoesNot) {
+  EXPECT_LT(refused_fills_named(false), 20);
+  EXPECT_GT(refused_fills_named(true), 20);
+}
+
 TEST(Failures, WithNoSoundParentTheOriginFills) {
   Router router;
   router.list(plain_list());
@@ -895,7 +920,7 @@
   EXPECT_GT(refusals[0].retry_after, Micros(0));
   EXPECT_LE(refusals[0].retry_after, Micros(seconds(1)));
   Settings settings = plain_settings();
-  settings.retry_after = false;
+  settings.max_retry_after = Micros(0);
   Router unheeded(settings);
   EXPECT_EQ(all<Refuse>(unheeded.ask(1)).at(0).retry_after, Micros(0));
 }
