--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -51,7 +51,8 @@
 constexpr double kBusyLoad = 1.0;    // transfers over capacity below which nothing is shed
 constexpr double kSpreadLoad = 2.0;  // from which the second cache is looked at: a departure costs a fill
 constexpr double kSpreadGain = 0.5;  // of the home's load that the second one may have
-constexpr double kShedShare = 0.8;   // of the aim that a predicted answer may take
+constexpr int kSpread = 2;           // caches in hash order among which load may choose
+constexpr double kShedShare = 0.9;   // of the aim that a predicted answer may take
 constexpr double kAnswerOverhead = 0.04;   // seconds of an answer beside its sending time
 constexpr double kDefaultWork = 0.2;       // seconds of sending where nothing is known yet
 constexpr double kUnknownTransfers = 8.0;  // capacity of a cache whose weight says nothing
@@ -362,6 +363,7 @@
     const bool heed_health = !mostly_ejected(order);
     const double cost = cold_cost(request);
     int best = -1;
+    int looked_at = 0;
     for (const int index : order) {
       Node& node = at(index);
       if (request.avoids(index) || (heed_health && !healthy(node)) || !cold_budget_allows(node, cost) ||
@@ -371,7 +373,7 @@
       if (best < 0 || load(node) < kSpreadGain * load(at(best))) {
         best = index;
       }
-      if (load(at(best)) < kSpreadLoad) {
+      if (load(at(best)) < kSpreadLoad || ++looked_at >= kSpread) {
         break;
       }
     }
