--- a/adapter/wire.cpp
+++ b/adapter/wire.cpp
@@ -190,11 +190,8 @@
     {{"none", SiblingSources::kNone},
      {"location", SiblingSources::kLocation},
      {"any", SiblingSources::kAny}}};
-constexpr std::array<std::pair<const char*, WeightMeaning>, 4> kWeightWords{
-    {{"none", WeightMeaning::kNone},
-     {"nominal", WeightMeaning::kNominal},
-     {"rough", WeightMeaning::kRough},
-     {"live", WeightMeaning::kLive}}};
+constexpr std::array<std::pair<const char*, bool>, 4> kSizedWeightWords{
+    {{"none", false}, {"nominal", true}, {"rough", true}, {"live", false}}};
 constexpr std::array<std::pair<const char*, NodeState>, 3> kStateWords{
     {{"ready", NodeState::kReady}, {"draining", NodeState::kDraining}, {"gone", NodeState::kGone}}};
 constexpr std::array<std::pair<const char*, ListKind>, 4> kListWords{{{"incr", ListKind::kChanges},
@@ -341,7 +338,7 @@
   std::int64_t instance;
 
   std::string operator()(const Send& send) const {
-    const int options = (send.join ? 1 : 0) | (send.renew ? 8 : 0);
+    const int options = (send.join ? 1 : 0) | (send.held_only ? 2 : 0) | (send.renew ? 8 : 0);
     std::string line = head("Obtain", instance) + ",\"Ref\":" + std::to_string(send.id);
     line += ",\"Cache\":" + quoted(send.cache) + ",\"TryForS\":" + seconds_text(send.limit);
     line += ",\"MissFrom\":" + quoted(send.source) + ",\"Keep\":" + std::to_string(send.keep);
@@ -387,7 +384,7 @@
   settings.self_index = small_at(source, "SelfIndex", 0);
   settings.routers = small_at(source, "Balancers", 1);
   settings.must_ask_for_list = word_at(source, "Discovery", "push") == "ask";
-  settings.weights = look_up(kWeightWords, word_at(source, "Weights", "none"));
+  settings.weights_are_sizes = look_up(kSizedWeightWords, word_at(source, "Weights", "none"));
   const json& classes = array_at(source, "Classes");
   for (std::size_t i = 0; i < classes.size(); ++i) {
     profile.class_index[text_at(classes[i], "Name")] = static_cast<int>(i);
--- a/include/trailcourse/decider.h
+++ b/include/trailcourse/decider.h
@@ -21,7 +21,6 @@
 enum class RepeatGroup { kAll, kZone, kCell };
 enum class NoteLevel { kNone, kHit, kAll };
 enum class SiblingSources { kNone, kLocation, kAny };
-enum class WeightMeaning { kNone, kNominal, kRough, kLive };
 enum class Role { kCache, kParent, kOrigin };
 enum class NodeState { kReady, kDraining, kGone };
 enum class ListKind { kChanges, kFull, kRemembered, kLost };
@@ -85,8 +84,8 @@
   bool joins = false;
   SiblingSources siblings = SiblingSources::kNone;
   NoteLevel notes = NoteLevel::kNone;
-  WeightMeaning weights = WeightMeaning::kNone;
-  double stream_kb_per_s = 0.0;  // one transfer to a client
+  bool weights_are_sizes = false;  // weights count the transfers that a node sends at full pace
+  double stream_kb_per_s = 0.0;    // one transfer to a client
 
   int attempts_cap = 1;
   bool may_cancel = false;
@@ -178,6 +177,7 @@
   int keep = 0;   // 0: pass through; 1 lowest to 3 top
   Micros age{0};  // oldest copy that will do; 0: the class's fresh time
   bool join = false;
+  bool held_only = false;  // the source gives only what it holds
   bool renew = false;
 };
 struct Cancel {
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -130,10 +130,8 @@
     node.entry = entry;
     node.local = entry.role == Role::kCache && entry.zone == settings_.zone;
     node.listed = entry.state == NodeState::kReady;
-    const bool told =
-        settings_.weights == WeightMeaning::kNominal || settings_.weights == WeightMeaning::kRough;
-    const bool usable = told && std::isfinite(entry.weight) && entry.weight > 0.0;
-    node.transfers = usable ? entry.weight : kUnknownTransfers;
+    const bool sized = settings_.weights_are_sizes && std::isfinite(entry.weight) && entry.weight > 0.0;
+    node.transfers = sized ? entry.weight : kUnknownTransfers;
   }
 
   int free_slot() {
@@ -157,7 +155,6 @@
 
   // ---- Cold budgets: this router's part of what all may send to a node that started lately. ----
 
-  // The share of its capacity that the node can give by now, at least.
   double cold_share(const Node& node) const {
     const bool parent = node.entry.role == Role::kParent;
     const double from = parent ? settings_.parent_cold_from : settings_.cold_from;
@@ -186,7 +183,6 @@
     return node.cold_tokens >= cost;
   }
 
-  // Takes from the budget of a cold node; what was taken.
   double take_cold_budget(Node& node, double cost) const {
     const double taken = cold_share(node) < 1.0 ? cost : 0.0;
     node.cold_tokens -= taken;
@@ -252,7 +248,6 @@
     return type.effect == Effect::kSafe || keyed_everywhere || request.all_proven();
   }
 
-  // Whether another attempt may go out now to this node.
   bool may_send(const Request& request, const Node& node) const {
     const ClassSettings& type = class_of(request);
     if (!settings_.parallel_tries && request.in_flight()) {
@@ -390,13 +385,11 @@
     }
     int home = -1;
     for (const int index : order) {
-      if (request.avoids(index) || !cold_budget_allows(at(index), cold_cost(request))) {
-        continue;
-      }
-      if (healthy(at(index))) {
+      const bool usable = !request.avoids(index) && cold_budget_allows(at(index), cold_cost(request));
+      if (usable && healthy(at(index))) {
         return index;
       }
-      home = home < 0 ? index : home;
+      home = usable && home < 0 ? index : home;
     }
     return home >= 0 ? home : order.empty() ? cache : order.back();
   }
@@ -420,12 +413,12 @@
       give_up(request);
       return;
     }
-    const int source = source_for(request, target);
-    if (source == target && at_cache(target) && !request.attempts.empty()) {
-      give_up(request);  // it was asked for what it holds already
+    const Attempt attempt = plan(request, target);
+    if (attempt.held_only && !request.attempts.empty()) {
+      give_up(request);  // what is held was asked for already
       return;
     }
-    send(request, target, source);
+    send(request, attempt);
   }
 
   // A write goes straight to the origin where that is allowed, else by way of a cache.
@@ -435,26 +428,34 @@
     return straight && may_send(request, at(origins.front())) ? origins.front() : pick_cache(request);
   }
 
-  bool at_cache(int target) const { return at(target).entry.role == Role::kCache; }
-
-  int source_for(const Request& request, int target) {
-    return at_cache(target) && !over_fill_window(request, target) ? pick_source(request, target) : target;
-  }
-
-  void send(Request& request, int target, int source_index) {
+  // Over the miss window only what the cache or a sound home parent holds is asked for; that spares the
+  // origin.
+  Attempt plan(const Request& request, int target) {
+    const bool by_cache = at(target).entry.role == Role::kCache;
+    const bool over = by_cache && over_fill_window(request, target);
     Attempt attempt;
     attempt.node = target;
-    attempt.source = source_index;
+    attempt.source = by_cache ? pick_source(request, target) : target;
+    const Node& source = at(attempt.source);
+    attempt.held_only = over || (by_cache && !attempt.fills());
+    const bool spare = load(at(target)) < kBusyLoad && source.entry.role == Role::kParent && healthy(source);
+    if (over && !spare) {
+      attempt.source = target;
+    }
+    return attempt;
+  }
+
+  void send(Request& request, Attempt attempt) {
     attempt.sent = now_;
-    Node& node = at(target);
+    Node& node = at(attempt.node);
     Node& source = at(attempt.source);
     take_cold_budget(node, cold_cost(request));
     attempt.cold_cost = attempt.fills() ? take_cold_budget(source, cold_cost(request)) : 0.0;
     attempt.trial = start_trial(node);
     attempt.source_trial = attempt.fills() && start_trial(source);
     ++node.in_flight;
-    attempt.fill_work =
-        attempt.fills() && likely_miss(request, target) ? request.work + kAnswerOverhead : 0.0;
+    const bool waits = !attempt.held_only && likely_miss(request, attempt.node);
+    attempt.fill_work = waits ? request.work + kAnswerOverhead : 0.0;
     fill_out_ += attempt.fill_work;
     const Micros patience = from_seconds(kPatienceBase + kPatienceStretch * expected(request, node));
     attempt.overdue_at = now_ + patience;
@@ -476,6 +477,7 @@
       order.keep = request.rank;
       order.age = oldest_copy(request, fills_fail() || !first);
       order.join = settings_.joins && first;
+      order.held_only = attempt.held_only && attempt.fills();
       order.renew = class_of(request).lifetime.count() > 0 && request.count >= 2.0;
     }
     return order;
@@ -539,11 +541,8 @@
   // ---- Final answers ----
 
   void give_up(Request& request) {
-    if (may_refuse(request)) {
-      out_->push_back(Refuse{request.told.id, std::min(kRefusalWait, settings_.max_retry_after)});
-    } else {
-      out_->push_back(Fail{request.told.id});
-    }
+    const Action refusal = Refuse{request.told.id, std::min(kRefusalWait, settings_.max_retry_after)};
+    out_->push_back(may_refuse(request) ? refusal : Fail{request.told.id});
     close(request);
   }
 
@@ -560,8 +559,7 @@
 
   void forget_if_over(const Request& request) {
     if (!request.open && !request.in_flight()) {
-      const RequestId id = request.told.id;
-      requests_.erase(id);
+      requests_.erase(RequestId(request.told.id));
     }
   }
 
@@ -610,7 +608,7 @@
   // further. Having asked only for what is held is no failure and costs nothing.
   void try_again(Request& request, const Attempt& last, Status status) {
     const bool closed_to_retry = class_of(request).effect == Effect::kUnsafe && !request.all_proven();
-    const bool not_held = !last.fills() && status == Status::kMiss;
+    const bool not_held = last.held_only && (status == Status::kMiss || status == Status::kFull);
     const bool refused_fill = last.fills() && status == Status::kFull && cacheable(request);
     if (closed_to_retry || (refused_fill && fills_fail()) || (!not_held && !take_retry_token())) {
       give_up(request);
@@ -636,23 +634,26 @@
     source.cold_tokens += shows_hit(ended.note) ? attempt.cold_cost : 0.0;
     learn_load(node, ended.load);
     learn_fill(request, attempt, ended);
-    if (ended.status != Status::kOk) {
+    if (ended.status == Status::kOk) {
+      credit(node);
+      judge_fill(request, attempt, ended.note);
+      learn_place(request, attempt, ended.note);
+    } else {
       assign_blame(attempt, ended, node, source);
-      return;
     }
-    credit(node);
-    if (shows_fill(ended.note) && attempt.fills()) {
-      judge_fill(request, ended.note, node, source);
-    }
-    learn_place(request, attempt, ended.note);
   }
 
   // What a parent held but sent late through a cache that is not crowded counts against the parent: one whose
   // link runs slow answers at once and then trickles. By way of the origin, that one may be to blame.
-  void judge_fill(const Request& request, Note note, const Node& node, Node& source) {
+  void judge_fill(const Request& request, const Attempt& attempt, Note note) {
+    Node& source = at(attempt.source);
+    if (!attempt.fills() || !shows_fill(note)) {
+      return;
+    }
     if (on_time(request)) {
       credit(source);
-    } else if (load(node) < kSpreadLoad && (source.entry.role == Role::kOrigin || shows_holder(note))) {
+    } else if (load(at(attempt.node)) < kSpreadLoad &&
+               (source.entry.role == Role::kOrigin || shows_holder(note))) {
       blame(source, 0.0);
     }
   }
@@ -671,14 +672,11 @@
   // Which cache answered, and which parent is shown to hold the object.
   void learn_place(const Request& request, const Attempt& attempt, Note note) {
     Entry* entry = entries_.find(request.key);
-    if (entry == nullptr) {
-      return;
-    }
-    if (at(attempt.node).local) {
+    if (entry != nullptr && at(attempt.node).local) {
       entry->kept_at = attempt.node;
       entry->kept_since = now_;
     }
-    if (shows_holder(note) && at(attempt.source).entry.role == Role::kParent) {
+    if (entry != nullptr && shows_holder(note) && at(attempt.source).entry.role == Role::kParent) {
       std::erase_if(entry->holders, [&](const auto& one) { return one.first == attempt.source; });
       entry->holders.emplace_back(attempt.source, now_);
     }
@@ -818,7 +816,7 @@
     }
     const int target = may_try_more(request) ? pick_cache(request) : -1;
     if (target >= 0 && take_retry_token()) {
-      send(request, target, source_for(request, target));
+      send(request, plan(request, target));
     }
   }
 
--- a/src/state.h
+++ b/src/state.h
@@ -46,6 +46,7 @@
   Micros overdue_at{0};
   double cold_cost = 0.0;  // from the source's cold budget, given back if a hit shows it was not asked
   double fill_work = 0.0;  // held in the miss window
+  bool held_only = false;  // no fill beyond what the source holds
   bool done = false;
   bool proven = false;  // it never ran
   bool trial = false;   // a half-open trial of the node, of the source
