--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -84,6 +84,7 @@
 constexpr double kRetryShare = 0.25;   // further attempts for each request
 constexpr double kRetryBurst = 30.0;
 constexpr int kMaxTries = 4;
+constexpr Micros kWritePause = milliseconds(40);    // before a refused write is tried again; grows with each
 constexpr Micros kRefusalWait = milliseconds(400);  // named to a refused client where it heeds that
 
 }  // namespace
@@ -272,8 +273,7 @@
       out_->push_back(Fail{told.id});
       return;
     }
-    Request& request = requests_[told.id];
-    request = Request{};
+    Request& request = requests_.insert_or_assign(told.id, Request{}).first->second;
     request.told = told;
     request.key = mix(told.object ^ mix(told.part));
     request.arrived = now_;
@@ -289,14 +289,11 @@
   void note_work(Request& request) {
     auto& [sum, count] = mean_work_[static_cast<std::size_t>(request.told.request_class)];
     const double size = request.told.size_kb;
-    if (std::isfinite(size) && size > 0.0 && settings_.stream_kb_per_s > 0.0) {
-      request.work = size / settings_.stream_kb_per_s;
-      sum += request.work;
-      count += 1.0;
-    } else {
-      request.told.size_kb = 0.0;
-      request.work = class_work(request);
-    }
+    const bool told = std::isfinite(size) && size > 0.0 && settings_.stream_kb_per_s > 0.0;
+    request.work = told ? size / settings_.stream_kb_per_s : class_work(request);
+    request.told.size_kb = told ? size : 0.0;
+    sum += told ? request.work : 0.0;
+    count += told ? 1.0 : 0.0;
   }
 
   // V = alpha/f + beta*s/smax + mu*r/rmax + nu*t/tmax. Counted by part, as kept.
@@ -310,9 +307,7 @@
     entry.count *= std::exp2(-static_cast<double>(halvings));
     entry.halved += halvings * kHalving;
     std::erase_if(entry.holders, [this](const auto& one) { return now_ - one.second >= kHolderSpan; });
-    if (!request.told.is_retry || entry.count == 0.0) {
-      entry.count += 1.0;
-    }
+    entry.count += request.told.is_retry && entry.count > 0.0 ? 0.0 : 1.0;
     entry.last = now_;
     largest_kb_ = std::max(largest_kb_, request.told.size_kb);
     const double size = largest_kb_ > 0.0 ? request.told.size_kb / largest_kb_ : 0.0;
@@ -396,14 +391,15 @@
 
   // ---- Sending ----
 
-  enum TimerKind : std::uint64_t { kGuard = 0, kPatience = 1 };
+  enum TimerKind : std::uint64_t { kGuard, kPatience, kBackoff, kTimerKinds };
 
   void set_timer(const Request& request, TimerKind kind, Micros delay) {
-    out_->push_back(SetTimer{request.told.id * 2 + kind, std::max(Micros(0), delay)});
+    out_->push_back(SetTimer{request.told.id * kTimerKinds + kind, std::max(Micros(0), delay)});
   }
 
   bool may_try_more(const Request& request) const {
-    return static_cast<int>(request.attempts.size()) < std::min(kMaxTries, settings_.attempts_cap) &&
+    return static_cast<int>(request.attempts.size()) <
+               std::min(cacheable(request) ? kMaxTries : settings_.attempts_cap, settings_.attempts_cap) &&
            now_ + kGuardLead < request.told.due;
   }
 
@@ -610,7 +606,13 @@
     const bool closed_to_retry = class_of(request).effect == Effect::kUnsafe && !request.all_proven();
     const bool not_held = last.held_only && (status == Status::kMiss || status == Status::kFull);
     const bool refused_fill = last.fills() && status == Status::kFull && cacheable(request);
-    if (closed_to_retry || (refused_fill && fills_fail()) || (!not_held && !take_retry_token())) {
+    const Micros pause = static_cast<std::int64_t>(request.attempts.size()) * kWritePause;
+    if (!cacheable(request) && request.all_proven() &&
+        to_seconds(now_ + pause - request.arrived) < aim(request)) {
+      request.attempts.back().avoid_node = false;
+      set_timer(request, kBackoff,
+                pause);  // the origin refuses: worth the most, it is asked again a little later
+    } else if (closed_to_retry || (refused_fill && fills_fail()) || (!not_held && !take_retry_token())) {
       give_up(request);
     } else {
       attempt_or_give_up(request);
@@ -618,11 +620,9 @@
   }
 
   bool take_retry_token() {
-    if (retry_tokens_ < 1.0) {
-      return false;
-    }
-    retry_tokens_ -= 1.0;
-    return true;
+    const bool granted = retry_tokens_ >= 1.0;
+    retry_tokens_ -= granted ? 1.0 : 0.0;
+    return granted;
   }
 
   void learn(const Request& request, Attempt& attempt, const AttemptEnded& ended) {
@@ -782,13 +782,15 @@
   // ---- Time ----
 
   void on(const TimerFired& timer) {
-    Request* request = open_request(timer.token / 2);
+    Request* request = open_request(timer.token / kTimerKinds);
     if (request == nullptr || request->streaming) {
       return;
     }
-    if (timer.token % 2 == kGuard) {
+    if (timer.token % kTimerKinds == kGuard) {
       give_up(*request);
-    } else {
+    } else if (timer.token % kTimerKinds == kBackoff && !request->in_flight()) {
+      attempt_or_give_up(*request);
+    } else if (timer.token % kTimerKinds == kPatience) {
       check_silence(*request);
     }
   }
