--- a/adapter/wire.cpp
+++ b/adapter/wire.cpp
@@ -338,7 +338,7 @@
   std::int64_t instance;
 
   std::string operator()(const Send& send) const {
-    const int options = (send.join ? 1 : 0) | (send.held_only ? 2 : 0) | (send.renew ? 8 : 0);
+    const int options = (send.join ? 1 : 0) | (send.held_only ? 2 : 0);
     std::string line = head("Obtain", instance) + ",\"Ref\":" + std::to_string(send.id);
     line += ",\"Cache\":" + quoted(send.cache) + ",\"TryForS\":" + seconds_text(send.limit);
     line += ",\"MissFrom\":" + quoted(send.source) + ",\"Keep\":" + std::to_string(send.keep);
--- a/include/trailcourse/decider.h
+++ b/include/trailcourse/decider.h
@@ -178,7 +178,6 @@
   Micros age{0};  // oldest copy that will do; 0: the class's fresh time
   bool join = false;
   bool held_only = false;  // the source gives only what it holds
-  bool renew = false;
 };
 struct Cancel {
   RequestId id = 0;
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -64,9 +64,9 @@
 constexpr double kFillStart = 8.0;
 constexpr double kFillLeast = 0.5;
 constexpr double kFillMost = 64.0;
-constexpr double kFillBadGain = 0.05;   // smoothing of the share of fills that failed or came late
-constexpr double kFillBadLimit = 0.25;  // share from which the window shrinks
-constexpr double kFillCut = 0.8;        // one shrinking
+constexpr double kFillBadGain = 0.05;  // smoothing of the share of fills that failed or came late
+constexpr double kFillBadLimit = 0.2;  // share from which the window shrinks
+constexpr double kFillCut = 0.8;       // one shrinking
 constexpr Micros kFillCutPause = milliseconds(300);  // between two of them
 
 // Health and further attempts.
@@ -313,7 +313,6 @@
     const double holders = static_cast<double>(entry.holders.size()) / std::max(1, parents_);
     const double value =
         kAlpha / std::max(1.0, entry.count) + kBeta * size + kMu * std::min(1.0, holders) + kNu * idle;
-    request.count = entry.count;
     request.rank = value < kTopCut ? kTopRank : value < kMiddleCut ? kMiddleRank : kLowestRank;
     const double bytes = std::max(1.0, request.told.size_kb);
     all_bytes_ = kByteDecay * all_bytes_ + bytes;
@@ -472,7 +471,6 @@
       order.age = oldest_copy(request, fills_fail() || !first);
       order.join = settings_.joins && first;
       order.held_only = attempt.held_only && attempt.fills();
-      order.renew = class_of(request).lifetime.count() > 0 && request.count >= 2.0;
     }
     return order;
   }
--- a/src/state.h
+++ b/src/state.h
@@ -62,7 +62,6 @@
   std::uint64_t key = 0;
   Micros arrived{0};
   double work = 0.0;  // seconds of sending at full pace
-  double count = 0.0;
   int rank = 0;
   bool open = true;
   bool streaming = false;
