Give cold nodes 0.55 of their budget over a span

It could do harm where listed sizes are far above the true ones. The cold test now measures only while the node is cold.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -43,7 +43,7 @@
 constexpr Micros kPurgeMargin = seconds(1);     // past the stated end of dropping, against late clocks
 constexpr Micros kGuardLead = milliseconds(3);  // final answers leave this long before the client's own end
 constexpr Micros kSpanMargin = milliseconds(100);  // a keyed repeat must arrive inside the memory span
-constexpr double kColdRate = 0.4;                  // of the overload budget, spread evenly over its span
+constexpr double kColdRate = 0.55;                 // of the overload budget, spread evenly over its span
 constexpr double kColdBurst = 0.2;                 // of the overload budget, at once
 constexpr double kColdCostMargin = 1.15;           // the true mean sending time may be above the seen one
 
--- a/tests/decider_test.cpp
+++ b/tests/decider_test.cpp
@@ -397,7 +397,7 @@
 // Seconds of sending that one router lets reach `name` within any window of the overload span, at the worst.
 double worst_window(Router& router, const std::string& name, bool as_source) {
   std::vector<Micros> sent;
-  for (RequestId id = 1; id <= 8000; ++id) {
+  for (RequestId id = 1; id <= 6000; ++id) {  // 12 s, while the node is still cold
     router.ask(id, kVideo, id, 100.0);
     if (!router.sends[id].empty()) {
       const Send& send = router.sends[id][0];
@@ -425,7 +425,7 @@
   router.list(list);
   const double used = worst_window(router, "c1", false);
   EXPECT_GT(used, 0.0);
-  EXPECT_LT(used, 2.5 * 8.0 * 3.0 / 2);  // two routers of the zone; at full capacity, which it has at the end
+  EXPECT_LT(used, 2.5 * 8.0 * 0.89 * 3.0 / 2);  // two routers of the zone; capacity after 12 of 14 s
   Router fresh;
   list[0].started = fresh.now;
   fresh.list(list);
