--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -62,7 +62,7 @@
 
 // The miss window: seconds of sending that may wait on fills at once.
 constexpr double kFillStart = 8.0;
-constexpr double kFillLeast = 1.5;
+constexpr double kFillLeast = 0.2;
 constexpr double kFillMost = 64.0;
 constexpr double kFillBadGain = 0.05;  // smoothing of the share of fills that failed or came late
 constexpr double kFillBadLimit = 0.2;  // share from which the window shrinks
