One rise of the failure share; no origin hash for cacheable requests

Two places raised a node's share of failures by the same formula; the origin was hashed for every request though only writes use it; the bounded map had a size nobody asked.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -416,9 +416,12 @@
 
   // A write goes straight to the origin where that is allowed, else by way of a cache.
   int pick_target(const Request& request) {
+    if (cacheable(request) || !settings_.direct) {
+      return pick_cache(request);
+    }
     const std::vector<int> origins = hash_order(request.key, Role::kOrigin);
-    const bool straight = !cacheable(request) && settings_.direct && !origins.empty();
-    return straight && may_send(request, at(origins.front())) ? origins.front() : pick_cache(request);
+    const bool straight = !origins.empty() && may_send(request, at(origins.front()));
+    return straight ? origins.front() : pick_cache(request);
   }
 
   // Over the miss window only what the cache or a sound home parent holds is asked for; that spares the
@@ -705,6 +708,8 @@
     }
   }
 
+  static void raise_fail_share(Node& node) { node.fail_share += kFailGain * (1.0 - node.fail_share); }
+
   // Requests that end together count once: one broken connection takes all that it carries.
   void blame(Node& node, double amount) {
     if (node.blamed_at == now_) {
@@ -712,7 +717,7 @@
     }
     node.blamed_at = now_;
     node.streak += amount;
-    node.fail_share += kFailGain * (1.0 - node.fail_share);
+    raise_fail_share(node);
     if (node.streak >= kStreakLimit || node.fail_share > kFailLimit) {
       eject(node, false);
     }
@@ -726,7 +731,7 @@
       const bool peer = node.listed && node.entry.role == Role::kParent && &node != &source;
       soundest = peer ? std::min(soundest, node.fail_share) : soundest;
     }
-    source.fail_share += kFailGain * (1.0 - source.fail_share);
+    raise_fail_share(source);
     if (source.ejections > 0 || (source.fail_share > kDeadShare && source.fail_share > kOutlier * soundest)) {
       eject(source, false);
     }
--- a/src/lru_map.h
+++ b/src/lru_map.h
@@ -39,8 +39,6 @@
     return found == places_.end() ? nullptr : &found->second->second;
   }
 
-  std::size_t size() const { return order_.size(); }
-
  private:
   std::size_t capacity_;
   std::list<std::pair<Key, Value>> order_;
