--- a/tests/decider_test.cpp
+++ b/tests/decider_test.cpp
@@ -867,16 +867,21 @@
   EXPECT_NE(router.sends[1][1].source, router.sends[1][0].source);
 }
 
-TEST(Failures, WhileFillsFailUnknownObjectsOnlyAskForWhatIsHeld) {
-  Router router;
-  router.list(plain_list());
-  for (RequestId id = 1; id <= 300; ++id) {
-    router.ask(id, kVideo, id, 400.0);
+// Requests `first` to `last`, each for an object of its own, all attempts of which are refused.
+void refuse_fills(Router& router, RequestId first, RequestId last, double size_kb, Note note) {
+  for (RequestId id = first; id <= last; ++id) {
+    router.ask(id, kVideo, id, size_kb);
     for (int i = 0; i < static_cast<int>(router.sends[id].size()); ++i) {
-      router.end(id, i, Status::kFull, Note::kSourceRefused);
+      router.end(id, i, Status::kFull, note);
     }
     router.now += milliseconds(50);
   }
+}
+
+TEST(Failures, WhileFillsFailUnknownObjectsOnlyAskForWhatIsHeld) {
+  Router router;
+  router.list(plain_list());
+  refuse_fills(router, 1, 300, 400.0, Note::kSourceRefused);
   int held_only = 0;
   for (RequestId id = 1001; id <= 1010; ++id) {
     router.ask(id, kVideo, id, 400.0);
@@ -893,13 +898,7 @@
   Router router;
   router.list(plain_list());
   EXPECT_EQ(router.serve(1, kImage, 500).age, Micros(seconds(20)));
-  for (RequestId id = 2; id <= 100; ++id) {
-    router.ask(id, kVideo, id);
-    for (int i = 0; i < static_cast<int>(router.sends[id].size()); ++i) {
-      router.end(id, i, Status::kFull, Note::kSourceRefused);
-    }
-    router.now += milliseconds(50);
-  }
+  refuse_fills(router, 2, 100, 100.0, Note::kSourceRefused);
   EXPECT_EQ(router.serve(2001, kImage, 500).age, Micros(seconds(40)));
   router.handle(Purged{false, 500, 0, Micros(0)});
   router.now += seconds(1);
@@ -909,13 +908,7 @@
 TEST(Failures, OverTheMissWindowASoundParentIsAskedForWhatItHolds) {
   Router router;
   router.list(plain_list());
-  for (RequestId id = 1; id <= 200; ++id) {
-    router.ask(id, kVideo, id, 400.0);
-    for (int i = 0; i < static_cast<int>(router.sends[id].size()); ++i) {
-      router.end(id, i, Status::kFull, Note::kOriginFailed);
-    }
-    router.now += milliseconds(50);
-  }
+  refuse_fills(router, 1, 200, 400.0, Note::kOriginFailed);
   RequestId asked = 0;
   for (RequestId id = 1001; id <= 1010 && asked == 0; ++id) {
     router.ask(id, kVideo, id, 400.0);
