Share a cold budget by turns where a router's part is below one request

Cause: a cold budget divided by 200 routers left each a burst below one request, so a restarted parent or a cache behind 18 routers idled for most of its cold span. Turns from a drawn start now hand the budget round; members of a role are listed once a list.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -6,6 +6,7 @@
 #include <trailcourse/decider.h>
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <random>
 #include <tuple>
@@ -45,6 +46,7 @@
 constexpr Micros kSpanMargin = milliseconds(100);  // a keyed repeat must arrive inside the memory span
 constexpr double kColdRate = 0.55;                 // of the overload budget, spread evenly over its span
 constexpr double kColdBurst = 0.2;                 // of the overload budget, at once
+constexpr double kColdTurn = 0.8;                  // of the span that a turn stays open
 constexpr double kColdCostMargin = 1.15;           // the true mean sending time may be above the seen one
 
 // Load.
@@ -114,9 +116,19 @@
     for (const NodeEntry& entry : list.entries) {
       take_entry(entry);
     }
-    parents_ = static_cast<int>(hash_order(0, Role::kParent).size());
+    for (std::vector<int>& members : by_role_) {
+      members.clear();
+    }
+    for (int i = 0; i < static_cast<int>(nodes_.size()); ++i) {
+      if (at(i).listed && (at(i).local || at(i).entry.role != Role::kCache)) {
+        by_role_[static_cast<std::size_t>(at(i).entry.role)].push_back(i);
+      }
+    }
   }
 
+  // Listed nodes of one role; caches: of this zone.
+  const std::vector<int>& members(Role role) const { return by_role_[static_cast<std::size_t>(role)]; }
+
   void take_entry(const NodeEntry& entry) {
     const auto [found, added] = index_.try_emplace(entry.address, 0);
     if (added) {
@@ -142,12 +154,13 @@
         return static_cast<int>(i);
       }
     }
-    nodes_.emplace_back().cold_at = now_;
+    start_afresh(nodes_.emplace_back());
     return static_cast<int>(nodes_.size()) - 1;
   }
 
   void start_afresh(Node& node) {
     node = Node{.entry = {}, .hash = node.hash, .in_flight = node.in_flight, .cold_at = now_};
+    node.cold_tokens = -std::uniform_real_distribution<double>(0.0, 1.0)(random_);
   }
 
   Node& at(int index) { return nodes_[static_cast<std::size_t>(index)]; }
@@ -166,7 +179,10 @@
     return std::min(1.0, std::max(from, 0.01) + (1.0 - from) * age / span);
   }
 
-  // Whether `cost` seconds of sending fit this router's part of the node's budget now.
+  // Whether `cost` seconds of sending fit this router's part of the node's budget now. Where many routers
+  // make that part's burst smaller than one request, they take turns: each from a drawn start, a turn open
+  // for a part of the span and then lost. So the node is used, and even all turns open at once fit its
+  // budget. Lost turns leave some of it unused.
   bool cold_budget_allows(Node& node, double cost) {
     const double share = cold_share(node);
     if (share >= 1.0) {
@@ -176,9 +192,13 @@
     const double factor = parent ? settings_.parent_overload_factor : settings_.overload_factor;
     const int routers = parent ? std::max(1, settings_.routers) : std::max(1, settings_.routers_in_zone);
     const double budget = factor * share * node.transfers / routers;
-    const double burst = kColdBurst * budget * to_seconds(settings_.overload_span);
-    node.cold_tokens =
-        std::min(burst, node.cold_tokens + kColdRate * budget * to_seconds(now_ - node.cold_at));
+    const double span = to_seconds(settings_.overload_span);
+    const double burst = kColdBurst * budget * span;
+    const double turn = kColdCostMargin * dearest_work();
+    const double start = node.cold_tokens < 0.0 ? -node.cold_tokens * turn : node.cold_tokens;
+    const double raised = start + kColdRate * budget * to_seconds(now_ - node.cold_at);
+    node.cold_tokens = burst < turn ? std::fmod(raised, turn + kColdTurn * kColdRate * budget * span)
+                                    : std::min(burst, raised);
     node.cold_at = now_;
     return node.cold_tokens >= cost;
   }
@@ -191,9 +211,18 @@
 
   double cold_cost(const Request& request) const { return kColdCostMargin * class_work(request); }
 
+  static double mean_of(const std::pair<double, double>& work) {
+    return work.second > 0.0 ? work.first / work.second : kDefaultWork;
+  }
   double class_work(const Request& request) const {
-    const auto& [sum, count] = mean_work_[static_cast<std::size_t>(request.told.request_class)];
-    return count > 0.0 ? sum / count : kDefaultWork;
+    return mean_of(mean_work_[static_cast<std::size_t>(request.told.request_class)]);
+  }
+  double dearest_work() const {
+    double most = 0.0;
+    for (const auto& work : mean_work_) {
+      most = std::max(most, mean_of(work));
+    }
+    return most;
   }
 
   // ---- Purges: the latest one that still binds an object sets the oldest copy that will do. ----
@@ -310,7 +339,8 @@
     entry.last = now_;
     largest_kb_ = std::max(largest_kb_, request.told.size_kb);
     const double size = largest_kb_ > 0.0 ? request.told.size_kb / largest_kb_ : 0.0;
-    const double holders = static_cast<double>(entry.holders.size()) / std::max(1, parents_);
+    const double holders = static_cast<double>(entry.holders.size()) /
+                           static_cast<double>(std::max<std::size_t>(1, members(Role::kParent).size()));
     const double value =
         kAlpha / std::max(1.0, entry.count) + kBeta * size + kMu * std::min(1.0, holders) + kNu * idle;
     request.rank = value < kTopCut ? kTopRank : value < kMiddleCut ? kMiddleRank : kLowestRank;
@@ -322,16 +352,13 @@
     top_bytes_ += request.rank == kTopRank ? bytes : 0.0;
   }
 
-  // Listed nodes of one role (caches: of this zone) in the order of weighted rendezvous hashing by address;
-  // every router finds the same order, whatever that of its list.
+  // The members of a role in the order of weighted rendezvous hashing by address; every router finds the same
+  // order, whatever that of its list.
   std::vector<int> hash_order(std::uint64_t key, Role role) const {
     std::vector<std::tuple<double, std::uint64_t, int>> ranked;  // ties go by address
-    for (int i = 0; i < static_cast<int>(nodes_.size()); ++i) {
-      const Node& node = at(i);
-      if (node.listed && node.entry.role == role && (role != Role::kCache || node.local)) {
-        const double unit = (static_cast<double>(mix(node.hash ^ key) >> 11) + 0.5) * 0x1.0p-53;
-        ranked.emplace_back(-std::log(unit) / node.transfers, node.hash, i);
-      }
+    for (const int i : members(role)) {
+      const double unit = (static_cast<double>(mix(at(i).hash ^ key) >> 11) + 0.5) * 0x1.0p-53;
+      ranked.emplace_back(-std::log(unit) / at(i).transfers, at(i).hash, i);
     }
     std::sort(ranked.begin(), ranked.end());
     std::vector<int> order(ranked.size());
@@ -419,7 +446,7 @@
     if (cacheable(request) || !settings_.direct) {
       return pick_cache(request);
     }
-    const std::vector<int> origins = hash_order(request.key, Role::kOrigin);
+    const std::vector<int>& origins = members(Role::kOrigin);
     const bool straight = !origins.empty() && may_send(request, at(origins.front()));
     return straight ? origins.front() : pick_cache(request);
   }
@@ -727,9 +754,8 @@
   // where it stands out from the soundest other: a dead one does; a refusing origin or full caches do not.
   void suspect(Node& source) {
     double soundest = 1.0;
-    for (const Node& node : nodes_) {
-      const bool peer = node.listed && node.entry.role == Role::kParent && &node != &source;
-      soundest = peer ? std::min(soundest, node.fail_share) : soundest;
+    for (const int index : members(Role::kParent)) {
+      soundest = &at(index) != &source ? std::min(soundest, at(index).fail_share) : soundest;
     }
     raise_fail_share(source);
     if (source.ejections > 0 || (source.fail_share > kDeadShare && source.fail_share > kOutlier * soundest)) {
@@ -820,7 +846,7 @@
   Micros now_{0};
   std::vector<Action>* out_ = nullptr;
   std::vector<Node> nodes_;
-  int parents_ = 0;  // listed now
+  std::array<std::vector<int>, 3> by_role_;
   std::unordered_map<std::string, int> index_;
   std::unordered_map<RequestId, Request> requests_;
   LruMap<std::uint64_t, Entry> entries_{kMaxEntries};
