Tell a cache's load from its reported use where many routers share it

Cause: with no count of held requests told, each router took its own for that of all 18 in the zone; with three requests a second of its own that was noise, and objects wandered to second caches. Now the reported use of the cores weighs in by the router count; two routers stay as they were. Harm: a report that is stuck high spreads objects.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -61,6 +61,7 @@
 constexpr double kOthersGain = 0.3;        // smoothing of the load that other routers put on a cache
 
 constexpr double kMostOthers = 1000.0;  // requests; beyond, a report is absurd
+constexpr double kMostUse = 0.9;        // of a cache's cores; nearer to 1 its queue cannot be told
 
 // The miss window: seconds of sending that may wait on fills at once.
 constexpr double kFillStart = 8.0;
@@ -678,12 +679,20 @@
     }
   }
 
+  // What others hold there: as reported; else, from the use of its cores, what runs and what then waits; else
+  // as much as this router for each of them, which says little where they are many.
   void learn_load(Node& node, const LoadReport& report) {
-    const bool told = std::isfinite(report.concurrent) && report.concurrent >= 0.0;
-    const double seen =
-        told ? std::clamp(report.concurrent - node.in_flight, 0.0, kMostOthers)
-             : static_cast<double>(node.in_flight) * (std::max(1, settings_.routers_in_zone) - 1);
-    node.others += node.local ? kOthersGain * (seen - node.others) : 0.0;
+    const double routers = std::max(1, settings_.routers_in_zone);
+    double seen = node.in_flight * routers;
+    if (std::isfinite(report.concurrent) && report.concurrent >= 0.0) {
+      seen = report.concurrent;
+    } else if (std::isfinite(report.utilisation) && report.utilisation >= 0.0) {
+      const double use = std::min(report.utilisation, kMostUse);
+      const double held = node.transfers * use + use * use * use / (1.0 - use);
+      seen = held + (seen - held) / std::max(1.0, routers - 1.0);
+    }
+    const double others = std::clamp(seen - node.in_flight, 0.0, kMostOthers);
+    node.others += node.local ? kOthersGain * (others - node.others) : 0.0;
   }
 
   // Where answers do not tell a fill by way of the origin apart, they do not show a holder.
