Measure the miss window in the router's own offered sending

Cause: a window of 8 s of sending a router is 1600 s over 200 routers that see three requests a second each, so it never bound. It now counts in seconds of what clients ask of this router; below one fill a probable miss is let in by chance.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -63,10 +63,13 @@
 constexpr double kMostOthers = 1000.0;  // requests; beyond, a report is absurd
 constexpr double kMostUse = 0.9;        // of a cache's cores; nearer to 1 its queue cannot be told
 
-// The miss window: seconds of sending that may wait on fills at once.
-constexpr double kFillStart = 8.0;
-constexpr double kFillLeast = 0.2;
-constexpr double kFillMost = 64.0;
+// The miss window: seconds of this router's offered sending that may wait on fills at once.
+constexpr double kFillStart = 2;
+constexpr double kFillLeast = 0.01;
+constexpr double kFillMost = 5.0;
+constexpr double kFillGrow = 0.04;     // for a window's worth of good fills
+constexpr double kOfferLeast = 1.0;    // seconds over which a first few requests are spread
+constexpr double kOfferDecay = 0.998;  // a request; the offered rate looks back over some hundreds
 constexpr double kFillBadGain = 0.05;  // smoothing of the share of fills that failed or came late
 constexpr double kFillBadLimit = 0.2;  // share from which the window shrinks
 constexpr double kFillCut = 0.8;       // one shrinking
@@ -98,6 +101,7 @@
   }
 
   void handle(Micros now, const Event& event, std::vector<Action>& out) {
+    begun_ = out_ == nullptr ? now : begun_;
     now_ = std::max(now_, now);
     out_ = &out;
     std::visit([this](const auto& one) { on(one); }, event);
@@ -161,7 +165,7 @@
 
   void start_afresh(Node& node) {
     node = Node{.entry = {}, .hash = node.hash, .in_flight = node.in_flight, .cold_at = now_};
-    node.cold_tokens = -std::uniform_real_distribution<double>(0.0, 1.0)(random_);
+    node.cold_tokens = -drawn(0.0, 1.0);
   }
 
   Node& at(int index) { return nodes_[static_cast<std::size_t>(index)]; }
@@ -308,6 +312,7 @@
     request.arrived = now_;
     retry_tokens_ = std::min(kRetryBurst, retry_tokens_ + kRetryShare);
     note_work(request);
+    note_offer(request);
     if (cacheable(request)) {
       score(request);
     }
@@ -325,6 +330,15 @@
     count += told ? 1.0 : 0.0;
   }
 
+  // Seconds of sending that clients ask of this router in a second, lately.
+  double offered() const { return offered_work_ / std::max(kOfferLeast, offered_span_); }
+
+  void note_offer(const Request& request) {
+    offered_work_ = kOfferDecay * offered_work_ + request.work;
+    offered_span_ = kOfferDecay * offered_span_ + to_seconds(now_ - std::max(last_offer_, begun_));
+    last_offer_ = now_;
+  }
+
   // V = alpha/f + beta*s/smax + mu*r/rmax + nu*t/tmax. Counted by part, as kept.
   void score(Request& request) {
     Entry& entry = entries_.touch(request.key);
@@ -537,11 +551,15 @@
 
   // Where fills fail or come late, whatever the cause (origin, parents, link, a mass purge), fewer likely
   // misses wait at once. The rest only asks for what is held.
-  bool over_fill_window(const Request& request, int target) const {
-    return may_refuse(request) && likely_miss(request, target) && fill_out_ > 0.0 &&
-           fill_out_ + request.work + kAnswerOverhead > fill_limit_;
+  bool over_fill_window(const Request& request, int target) {
+    const double cost = request.work + kAnswerOverhead;
+    const double room = fill_limit_ * offered() - fill_out_;
+    return may_refuse(request) && likely_miss(request, target) && room < cost &&
+           (fill_out_ > 0.0 || room < cost * drawn(0.0, 1.0));
   }
 
+  double drawn(double from, double to) { return std::uniform_real_distribution<double>(from, to)(random_); }
+
   bool fills_fail() const { return fill_bad_ > kFillBadLimit; }
 
   void learn_fill(const Request& request, const Attempt& attempt, const AttemptEnded& ended) {
@@ -554,9 +572,11 @@
     const bool good = ended.status == Status::kOk && on_time(request);
     fill_bad_ += kFillBadGain * ((good ? 0.0 : 1.0) - fill_bad_);
     if (good) {
-      fill_limit_ = std::min(kFillMost, fill_limit_ + attempt.fill_work / fill_limit_);
+      const double window = std::max(attempt.fill_work, fill_limit_ * offered());
+      fill_limit_ = std::min(kFillMost, fill_limit_ + kFillGrow * attempt.fill_work / window);
     } else if (fills_fail() && now_ >= fill_cut_at_ + kFillCutPause) {
-      fill_limit_ = std::max(kFillLeast, kFillCut * std::min(fill_limit_, fill_out_ + attempt.fill_work));
+      const double used = (fill_out_ + attempt.fill_work) / std::max(attempt.fill_work, offered());
+      fill_limit_ = std::max(kFillLeast, kFillCut * std::min(fill_limit_, used));
       fill_cut_at_ = now_;
     }
   }
@@ -776,9 +796,9 @@
     if (node.ejected_until >= now_) {
       return;
     }
-    const double drawn = std::uniform_real_distribution<double>(-kEjectSpread, kEjectSpread)(random_);
     const int doublings = std::min(node.ejections, kEjectDoublings);
-    node.ejected_until = now_ + from_seconds(kEjectBase * (1.0 + drawn) * (1 << doublings));
+    node.ejected_until =
+        now_ + from_seconds(kEjectBase * drawn(1.0 - kEjectSpread, 1.0 + kEjectSpread) * (1 << doublings));
     node.silent = silent;
     node.ejections = doublings + 1;
     node.streak = 0.0;
@@ -865,6 +885,10 @@
   double largest_kb_ = 0.0;
   double all_bytes_ = 0.0;
   double top_bytes_ = 0.0;
+  double offered_work_ = 0.0;
+  double offered_span_ = 0.0;
+  Micros begun_{0};
+  Micros last_offer_{0};
   double fill_out_ = 0.0;
   double fill_limit_ = kFillStart;
   double fill_bad_ = 0.0;
