Over the miss window ask parents for what they hold while link and cache have room

It now acts below twice the cache's capacity and 0.7 of the zone's link where that is told. Harm: a link that is told as free and is not.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -60,6 +60,8 @@
 constexpr double kUnknownTransfers = 8.0;  // capacity of a cache whose weight says nothing
 constexpr double kOthersGain = 0.3;        // smoothing of the load that other routers put on a cache
 
+constexpr double kBusyLink = 0.7;  // of the zone's link, from which nothing is fetched on the chance of a hit
+constexpr double kMostLink = 4.0;
 constexpr double kMostOthers = 1000.0;  // requests; beyond, a report is absurd
 constexpr double kMostUse = 0.9;        // of a cache's cores; nearer to 1 its queue cannot be told
 
@@ -476,7 +478,8 @@
     attempt.source = by_cache ? pick_source(request, target) : target;
     const Node& source = at(attempt.source);
     attempt.held_only = over || (by_cache && !attempt.fills());
-    const bool spare = load(at(target)) < kBusyLoad && source.entry.role == Role::kParent && healthy(source);
+    const bool spare = load(at(target)) < kSpreadLoad && link_use_ < kBusyLink &&
+                       source.entry.role == Role::kParent && healthy(source);
     if (over && !spare) {
       attempt.source = target;
     }
@@ -711,6 +714,8 @@
       const double held = node.transfers * use + use * use * use / (1.0 - use);
       seen = held + (seen - held) / std::max(1.0, routers - 1.0);
     }
+    const bool linked = node.local && std::isfinite(report.link_or_fetches) && report.link_or_fetches >= 0.0;
+    link_use_ += linked ? kOthersGain * (std::min(report.link_or_fetches, kMostLink) - link_use_) : 0.0;
     const double others = std::clamp(seen - node.in_flight, 0.0, kMostOthers);
     node.others += node.local ? kOthersGain * (others - node.others) : 0.0;
   }
@@ -889,6 +894,7 @@
   double offered_span_ = 0.0;
   Micros begun_{0};
   Micros last_offer_{0};
+  double link_use_ = 0.0;
   double fill_out_ = 0.0;
   double fill_limit_ = kFillStart;
   double fill_bad_ = 0.0;
