--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -573,9 +573,6 @@
       return;
     }
     const bool good = ended.status == Status::kOk && on_time(request);
-    if (good && shows_holder(ended.note)) {
-      return;  // a parent held it: that says nothing of the origin
-    }
     fill_bad_ += kFillBadGain * ((good ? 0.0 : 1.0) - fill_bad_);
     if (good) {
       const double window = std::max(attempt.fill_work, fill_limit_ * offered());
