Let a source with bad fills take a share of the objects; the rest go on, last to the origin

Each source now has a share of the objects that it takes, cut by a refused, late or missing fill and grown by one in time; by hash, so routers let the same ones go on. A late fill that began soon is its source's own, else the origin's. Harm: with all sources slow alike the origin gets more; its own share and the miss window bound that.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -86,7 +86,10 @@
 constexpr double kFailLimit = 0.4;        // share of failures that ejects
 constexpr double kDeadShare = 0.75;       // of refusals that only a dead parent shows: one that runs has hits
 constexpr double kOutlier = 3.0;          // times the share of the soundest parent that stands out
-constexpr double kEjectBase = 1.0;        // seconds of the first ejection; doubles
+constexpr double kShareCut = 0.6;         // of the objects that a source takes, by one bad fill
+constexpr double kShareGrow = 0.05;       // by one good fill
+constexpr double kShareLeast = 0.1;
+constexpr double kEjectBase = 1.0;  // seconds of the first ejection; doubles
 constexpr int kEjectDoublings = 3;
 constexpr double kEjectSpread = 0.25;  // of its length, drawn, so that routers do not come back together
 constexpr double kRetryShare = 0.25;   // further attempts for each request
@@ -369,13 +372,14 @@
     top_bytes_ += request.rank == kTopRank ? bytes : 0.0;
   }
 
+  static double unit(std::uint64_t name) { return (static_cast<double>(mix(name) >> 11) + 0.5) * 0x1.0p-53; }
+
   // The members of a role in the order of weighted rendezvous hashing by address; every router finds the same
   // order, whatever that of its list.
   std::vector<int> hash_order(std::uint64_t key, Role role) const {
     std::vector<std::tuple<double, std::uint64_t, int>> ranked;  // ties go by address
     for (const int i : members(role)) {
-      const double unit = (static_cast<double>(mix(at(i).hash ^ key) >> 11) + 0.5) * 0x1.0p-53;
-      ranked.emplace_back(-std::log(unit) / at(i).transfers, at(i).hash, i);
+      ranked.emplace_back(-std::log(unit(at(i).hash ^ key)) / at(i).transfers, at(i).hash, i);
     }
     std::sort(ranked.begin(), ranked.end());
     std::vector<int> order(ranked.size());
@@ -423,7 +427,7 @@
     int home = -1;
     for (const int index : order) {
       const bool usable = !request.avoids(index) && cold_budget_allows(at(index), cold_cost(request));
-      if (usable && healthy(at(index))) {
+      if (usable && healthy(at(index)) && takes(at(index), request)) {
         return index;
       }
       home = usable && home < 0 ? index : home;
@@ -431,6 +435,19 @@
     return home >= 0 ? home : order.empty() ? cache : order.back();
   }
 
+  // A source whose fills are refused, late or missing takes only a share of the objects; every router lets
+  // the same ones go on to the next. So a slow or crowded one keeps what it can carry.
+  bool takes(const Node& source, const Request& request) const {
+    return !cacheable(request) || unit(mix(source.hash) ^ request.key) < source.share;
+  }
+
+  // What went by way of the origin, or may have, speaks of the origin.
+  void judge_source(Node& source, bool good, bool held) {
+    const std::vector<int>& origins = members(Role::kOrigin);
+    double& share = held || origins.empty() ? source.share : at(origins.front()).share;
+    share = good ? std::min(1.0, share + kShareGrow) : std::max(kShareLeast, share * kShareCut);
+  }
+
   // ---- Sending ----
 
   enum TimerKind : std::uint64_t { kGuard, kPatience, kTimerKinds };
@@ -680,25 +697,31 @@
     learn_fill(request, attempt, ended);
     if (ended.status == Status::kOk) {
       credit(node);
-      judge_fill(request, attempt, ended.note);
+      judge_fill(request, attempt, ended);
       learn_place(request, attempt, ended.note);
     } else {
       assign_blame(attempt, ended, node, source);
     }
   }
 
-  // What a parent held but sent late through a cache that is not crowded counts against the parent: one whose
-  // link runs slow answers at once and then trickles. By way of the origin, that one may be to blame.
-  void judge_fill(const Request& request, const Attempt& attempt, Note note) {
+  // A late fill through a cache that is not crowded counts against its source where that held the object, or
+  // where it began soon and then trickled, as over a slow link; else against the origin.
+  void judge_fill(const Request& request, const Attempt& attempt, const AttemptEnded& ended) {
     Node& source = at(attempt.source);
-    if (!attempt.fills() || !shows_fill(note)) {
+    if (!attempt.fills() || !shows_fill(ended.note)) {
       return;
     }
+    const bool trickled = settings_.notes == NoteLevel::kAll && 2 * ended.waited < ended.latency;
+    const bool own = source.entry.role == Role::kOrigin || shows_holder(ended.note) || trickled;
     if (on_time(request)) {
       credit(source);
-    } else if (load(at(attempt.node)) < kSpreadLoad &&
-               (source.entry.role == Role::kOrigin || shows_holder(note))) {
-      blame(source, 0.0);
+      judge_source(source, true, true);
+      judge_source(source, true, shows_holder(ended.note));
+    } else if (load(at(attempt.node)) < kSpreadLoad) {
+      judge_source(source, false, own);
+      if (own) {
+        blame(source, 0.0);
+      }
     }
   }
 
@@ -818,6 +841,9 @@
       if (attempt.fills() && ended.note == Note::kSourceUnreachable) {
         blame(source, 1.0);
       }
+      if (attempt.fills() && ended.note != Note::kSourceLacks) {
+        judge_source(source, false, ended.note != Note::kOriginFailed);
+      }
       return;
     }
     const bool refused = ended.status == Status::kFull || ended.status == Status::kMiss;
@@ -862,6 +888,7 @@
     if (attempt.avoid_node) {
       eject(node, true);
     } else if (attempt.avoid_source) {
+      judge_source(source, false, true);
       blame(source, 1.0);
     } else {
       return;
--- a/src/state.h
+++ b/src/state.h
@@ -22,6 +22,7 @@
   double streak = 0.0;
   double fail_share = 0.0;
   Micros blamed_at{-1};
+  double share = 1.0;  // of the objects that it takes as a source
   int ejections = 0;  // that good answers have not worked off yet
   Micros ejected_until{-1};
   bool silent = false;  // ejected for silence alone: the next good answer ends that
