--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -67,7 +67,7 @@
 
 // The miss window: seconds of this router's offered sending that may wait on fills at once.
 constexpr double kFillStart = 2;
-constexpr double kFillLeast = 0.01;
+constexpr double kFillLeast = 0.03;
 constexpr double kFillMost = 5.0;
 constexpr double kFillGrow = 0.04;     // for a window's worth of good fills
 constexpr double kOfferLeast = 1.0;    // seconds over which a first few requests are spread
