--- a/src/hashing.h
+++ b/src/hashing.h
@@ -21,6 +21,9 @@
   return x ^ (x >> 31);
 }
 
+// A name spread evenly over (0, 1).
+inline double unit(std::uint64_t name) { return (static_cast<double>(mix(name) >> 11) + 0.5) * 0x1.0p-53; }
+
 inline std::uint64_t hash_text(const std::string& text) {
   std::uint64_t hash = 0xcbf29ce484222325ULL;
   for (const char c : text) {
--- a/src/state.h
+++ b/src/state.h
@@ -4,6 +4,7 @@
 #include <trailcourse/decider.h>
 
 #include <algorithm>
+#include <cmath>
 #include <cstdint>
 #include <utility>
 #include <vector>
@@ -23,7 +24,7 @@
   double fail_share = 0.0;
   Micros blamed_at{-1};
   double share = 1.0;  // of the objects that it takes as a source
-  int ejections = 0;  // that good answers have not worked off yet
+  int ejections = 0;   // that good answers have not worked off yet
   Micros ejected_until{-1};
   bool silent = false;  // ejected for silence alone: the next good answer ends that
   bool trial_out = false;
@@ -38,6 +39,20 @@
   std::vector<std::pair<int, Micros>> holders;
   int kept_at = -1;  // the cache that answered last, and when
   Micros kept_since{0};
+
+  void halve(Micros now, Micros span) {
+    halved = count > 0.0 ? halved : now;
+    const std::int64_t times = (now - halved) / span;
+    count *= std::exp2(-static_cast<double>(times));
+    halved += times * span;
+  }
+  void add_holder(int node, Micros now) {
+    std::erase_if(holders, [node](const auto& one) { return one.first == node; });
+    holders.emplace_back(node, now);
+  }
+  void forget_holders(Micros before) {
+    std::erase_if(holders, [before](const auto& one) { return one.second <= before; });
+  }
 };
 
 struct Attempt {
