--- a/tests/decider_test.cpp
+++ b/tests/decider_test.cpp
@@ -3,6 +3,7 @@
 #include <trailcourse/decider.h>
 
 #include <algorithm>
+#include <deque>
 #include <limits>
 #include <map>
 #include <set>
@@ -470,6 +471,100 @@
   EXPECT_EQ(to_fresh, 0);  // all at one instant: no budget has accrued yet
 }
 
+// Many routers that share one cold parent, each with a clock and requests of its own. What they send it by
+// way of fills, as times and seconds of sending.
+struct ManyRouters {
+  static constexpr int kRouters = 200;
+  static constexpr double kWork = 0.3;
+  static constexpr double kParentTransfers = 40.0;
+
+  ManyRouters() {
+    Settings settings = plain_settings();
+    settings.routers = kRouters;
+    settings.routers_in_zone = 10;
+    auto list = plain_list();
+    list[4].weight = list[5].weight = kParentTransfers;
+    list[4].started = Micros(seconds(100));
+    for (int i = 0; i < kRouters; ++i) {
+      routers.emplace_back(settings, static_cast<std::uint64_t>(i) + 1);
+      routers.back().list(list);
+    }
+  }
+
+  // Each router asks `count` times, evenly over `span`, every one at its own offset.
+  void ask(int count, Micros span) {
+    const Micros begin = now;
+    for (int i = 0; i < kRouters; ++i) {
+      Router& router = routers[static_cast<std::size_t>(i)];
+      for (int n = 0; n < count; ++n) {
+        router.now = begin + span * (n * kRouters + (i * 73) % kRouters) / (count * kRouters);
+        const RequestId id = next_id++;
+        router.ask(id, kVideo, id, kWork * 1000.0);
+        if (!router.sends[id].empty()) {
+          if (router.sends[id][0].source == "p1") {
+            sent.push_back(router.now);
+          }
+          router.end(id, 0, Status::kOk, Note::kFilled);
+        }
+      }
+    }
+    now = begin + span;
+    std::sort(sent.begin(), sent.end());
+  }
+
+  // The most that any span of three seconds was sent, over twice what the parent could do at its start.
+  double worst_part_of_budget() const {
+    double worst = 0.0;
+    for (std::size_t i = 0, j = 0; i < sent.size(); ++i) {
+      while (sent[i] - sent[j] > seconds(3)) {
+        ++j;
+      }
+      const double age = std::chrono::duration<double>(sent[j] - Micros(seconds(100))).count();
+      const double budget = 2.0 * (0.1 + 0.9 * age / 20.0) * kParentTransfers * 3.0;
+      worst = std::max(worst, kWork * static_cast<double>(i - j + 1) / budget);
+    }
+    return worst;
+  }
+
+  Micros now{seconds(100)};
+  std::deque<Router> routers;
+  std::vector<Micros> sent;
+  RequestId next_id = 1;
+};
+
+TEST(ColdStart, TwoHundredRoutersTogetherKeepAParentsBudgetAndUseIt) {
+  ManyRouters many;
+  many.ask(60, seconds(15));
+  EXPECT_LT(many.worst_part_of_budget(), 1.0);
+  EXPECT_GT(many.worst_part_of_budget(), 0.2);
+  const auto early =
+      std::count_if(many.sent.begin(), many.sent.end(), [](Micros at) { return at < seconds(103); });
+  EXPECT_GT(early, 5);  // the parent is not left idle while its budget is below one request a router
+}
+
+TEST(ColdStart, TurnsSavedUpWhileIdleAreNotSpentTogether) {
+  ManyRouters many;
+  many.ask(1, seconds(5));
+  many.ask(100, seconds(1));
+  EXPECT_LT(many.worst_part_of_budget(), 1.0);
+}
+
+TEST(ColdStart, AbsurdRouterCountsKeepEveryAnswer) {
+  for (const int routers : {-7, 0, 1, 1'000'000'000}) {
+    Settings settings = plain_settings();
+    settings.routers = routers;
+    settings.routers_in_zone = routers;
+    Router router(settings);
+    auto list = plain_list();
+    list[0].started = list[4].started = router.now;
+    router.list(list);
+    for (RequestId id = 1; id <= 200; ++id) {
+      EXPECT_EQ(router.serve(id, kVideo, id).id, id);
+      router.now += milliseconds(20);
+    }
+  }
+}
+
 // ---- Rule 5: purges. ----
 
 TEST(Purges, NoCopyOlderThanThePurgeWillDo) {
@@ -813,6 +908,62 @@
   EXPECT_GT(refused_fills_named(true), 20);
 }
 
+// All fills through parents end late: begun soon and then slow, or begun late. How many of the last 100
+// requests name the origin.
+int origin_named(Micros waited) {
+  Router router;
+  router.list(plain_list());
+  int named = 0;
+  for (RequestId id = 1; id <= 400; ++id) {
+    router.ask(id, kVideo, id, 100.0);
+    const std::vector<Send>& sends = router.sends[id];
+    const bool by_origin = !sends.empty() && sends[0].source == "o";
+    named += by_origin && id > 300 ? 1 : 0;
+    const bool slow = !by_origin && id % 3 == 0;  // a third of them, so that the window stays open
+    router.now += slow ? seconds(1) : milliseconds(50);
+    if (!sends.empty()) {
+      AttemptEnded ended;
+      ended.id = id;
+      ended.attempt = static_cast<int>(sends.size()) - 1;
+      ended.finished = true;
+      ended.note = Note::kFilledFromOrigin;
+      ended.latency = slow ? Micros(seconds(1)) : Micros(milliseconds(50));
+      ended.waited = slow ? waited : Micros(milliseconds(10));
+      router.handle(ended);
+    }
+  }
+  return named;
+}
+
+TEST(Failures, ParentsThatTrickleLetObjectsGoOnToTheOriginButNotForASlowOrigin) {
+  const int trickling = origin_named(milliseconds(10));
+  const int begun_late = origin_named(milliseconds(950));
+  EXPECT_GT(trickling, 5);
+  EXPECT_LT(begun_late, trickling / 2);
+}
+
+TEST(Lists, AListThatReplacesHalfTheFleetAndAFleetBeyondTheTableAreAnswered) {
+  Router router;
+  std::vector<NodeEntry> list;
+  for (int i = 0; i < 6000; ++i) {
+    list.push_back(node(std::string("c").append(std::to_string(i))));
+  }
+  list.push_back(node("p1", Role::kParent));
+  list.push_back(node("o", Role::kOrigin));
+  router.list(list);
+  EXPECT_FALSE(router.serve(1).cache.empty());
+  std::set<std::string> gone;
+  for (int i = 0; i < 3000; ++i) {
+    gone.insert(list[static_cast<std::size_t>(i)].address);
+    list[static_cast<std::size_t>(i)] = node(std::string("new").append(std::to_string(i)));
+    list[static_cast<std::size_t>(i)].started = router.now;
+  }
+  router.list(list);
+  for (RequestId id = 2; id <= 300; ++id) {
+    EXPECT_EQ(gone.count(router.serve(id, kVideo, id).cache), 0U);
+  }
+}
+
 TEST(Failures, WithNoSoundParentTheOriginFills) {
   Router router;
   router.list(plain_list());
@@ -945,6 +1096,35 @@
   EXPECT_EQ(all<Refuse>(unheeded.ask(1)).at(0).retry_after, Micros(0));
 }
 
+// One object, served many times by a router that shares its zone with 17 others, while two more requests for
+// it are out; the caches report only the use of their cores. How many caches it was sent to.
+std::size_t caches_asked(double use) {
+  Settings settings = plain_settings();
+  settings.routers_in_zone = 18;
+  Router router(settings);
+  router.list({node("c1", Role::kCache, 3.0), node("c2", Role::kCache, 3.0), node("c3", Role::kCache, 3.0),
+               node("p1", Role::kParent), node("o", Role::kOrigin)});
+  router.ask(1);
+  router.ask(2);
+  std::set<std::string> asked;
+  for (RequestId id = 3; id <= 40; ++id) {
+    router.ask(id);
+    asked.insert(router.sends[id].at(0).cache);
+    AttemptEnded ended;
+    ended.id = id;
+    ended.finished = true;
+    ended.note = Note::kHit;
+    ended.load.utilisation = use;
+    router.handle(ended);
+  }
+  return asked.size();
+}
+
+TEST(Load, ReportedUseTellsOfOthersWhereRequestsHeldAreNotTold) {
+  EXPECT_EQ(caches_asked(0.2), 1U);  // two of its own say nothing of 17 others
+  EXPECT_GT(caches_asked(1.0), 1U);
+}
+
 TEST(Load, AbsurdReportsDoNoHarm) {
   Router router;
   router.list(plain_list());
