--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -489,12 +489,13 @@
 
   bool on_time(const Request& request) const { return to_seconds(now_ - request.arrived) <= aim(request); }
 
-  // A predicted answer that misses its aim is better refused early. Large objects go first, since a crowded
-  // link stretches them most; an idle cache refuses nothing.
+  // A predicted answer that misses its aim is better refused early. Large objects go first, and from a
+  // smaller part of their aim: each takes the place of several small ones of the same worth. An idle cache
+  // refuses nothing.
   bool hopeless(const Request& request, const Node& node) const {
-    const double spent = to_seconds(now_ - request.arrived);
-    return may_refuse(request) && load(node) >= kBusyLoad &&
-           expected(request, node) > kShedShare * (aim(request) - spent);
+    const double left = aim(request) - to_seconds(now_ - request.arrived);
+    const double part = kShedShare * std::min(1.0, std::sqrt(class_work(request) / request.work));
+    return may_refuse(request) && load(node) >= kBusyLoad && expected(request, node) > part * left;
   }
 
   // Whether the target probably lacks the object: another cache answered last, or the copy is void by now.
