--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -69,6 +69,7 @@
 // The miss window: seconds of this router's offered sending that may wait on fills at once.
 constexpr double kFillStart = 2;
 constexpr double kFillLeast = 0.03;
+constexpr double kFillRefused = 0.005;  // the least where fills are refused, which a crowded origin does
 constexpr double kFillMost = 5.0;
 constexpr double kFillGrow = 0.04;     // for a window's worth of good fills
 constexpr double kOfferLeast = 1.0;    // seconds over which a first few requests are spread
@@ -527,14 +528,19 @@
       return;
     }
     const bool good = ended.status == Status::kOk && on_time(request);
+    if (good && shows_holder(ended.note)) {
+      return;  // a parent held it: that says nothing of the origin
+    }
     fill_bad_ += kFillBadGain * ((good ? 0.0 : 1.0) - fill_bad_);
     if (good) {
       const double window = std::max(attempt.fill_work, fill_limit_ * offered_.per_second(kOfferLeast));
-      fill_limit_ = std::min(kFillMost, fill_limit_ + kFillGrow * attempt.fill_work / window);
+      fill_limit_ =
+          std::min({kFillMost, 2.0 * fill_limit_, fill_limit_ + kFillGrow * attempt.fill_work / window});
     } else if (fills_fail() && now_ >= fill_cut_at_ + kFillCutPause) {
       const double used =
           (fill_out_ + attempt.fill_work) / std::max(attempt.fill_work, offered_.per_second(kOfferLeast));
-      fill_limit_ = std::max(kFillLeast, kFillCut * std::min(fill_limit_, used));
+      const double least = std::min(fill_limit_, ended.status == Status::kFull ? kFillRefused : kFillLeast);
+      fill_limit_ = std::max(least, kFillCut * std::min(fill_limit_, used));
       fill_cut_at_ = now_;
     }
   }
