--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -522,8 +522,10 @@
 
   void learn_fill(const Request& request, const Attempt& attempt, const AttemptEnded& ended) {
     fill_out_ = std::max(0.0, fill_out_ - attempt.fill_work);
-    const bool not_the_fill = ended.status == Status::kCancelled || ended.status == Status::kReset ||
-                              ended.status == Status::kConnectFailed || ended.note == Note::kNoFillPlace;
+    const bool left = attempt.avoid_node || attempt.avoid_source;  // called off for another: blamed by itself
+    const bool not_the_fill = (ended.status == Status::kCancelled && (left || on_time(request))) ||
+                              ended.status == Status::kReset || ended.status == Status::kConnectFailed ||
+                              ended.note == Note::kNoFillPlace;
     if (attempt.fill_work <= 0.0 || not_the_fill || shows_hit(ended.note)) {
       return;
     }
