--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <cmath>
 #include <random>
+#include <ranges>
 #include <tuple>
 #include <utility>
 
@@ -69,7 +70,6 @@
 // The miss window: seconds of this router's offered sending that may wait on fills at once.
 constexpr double kFillStart = 2;
 constexpr double kFillLeast = 0.03;
-constexpr double kFillRefused = 0.005;  // the least where fills are refused, which a crowded origin does
 constexpr double kFillMost = 5.0;
 constexpr double kFillGrow = 0.04;     // for a window's worth of good fills
 constexpr double kOfferLeast = 1.0;    // seconds over which a first few requests are spread
@@ -168,9 +168,8 @@
   }
 
   // Whether `cost` seconds of sending fit this router's part of the node's budget now. Where many routers
-  // make that part's burst smaller than one request, they take turns: each from a drawn start, a turn open
-  // for a part of the span and then lost. So the node is used, and even all turns open at once fit its
-  // budget. Lost turns leave some of it unused.
+  // make that part's burst smaller than one request, they take turns, each from a drawn start; a turn unused
+  // for a part of the span is lost. So the node is used, and even all turns open at once fit its budget.
   bool cold_budget_allows(Node& node, double cost) {
     const double share = cold_share(node);
     if (share >= 1.0) {
@@ -203,11 +202,8 @@
     return mean_work_[static_cast<std::size_t>(request.told.request_class)].value(kDefaultWork);
   }
   double dearest_work() const {
-    double most = 0.0;
-    for (const Mean& work : mean_work_) {
-      most = std::max(most, work.value(kDefaultWork));
-    }
-    return most;
+    const auto work = [](const Mean& mean) { return mean.value(kDefaultWork); };
+    return mean_work_.empty() ? kDefaultWork : std::ranges::max(mean_work_ | std::views::transform(work));
   }
 
   // ---- Purges: the latest one that still binds an object sets the oldest copy that will do. ----
@@ -425,8 +421,7 @@
     return straight ? origins.front() : pick_cache(request);
   }
 
-  // Over the miss window only what the cache or a sound home parent holds is asked for; that spares the
-  // origin.
+  // Over the miss window only what the cache or a sound home parent holds is asked for, to spare the origin.
   Attempt plan(const Request& request, int target) {
     const bool by_cache = at(target).entry.role == Role::kCache;
     const bool over = by_cache && over_fill_window(request, target);
@@ -437,9 +432,7 @@
     attempt.held_only = over || (by_cache && !attempt.fills());
     const bool spare = load(at(target)) < kSpreadLoad && link_use_ < kBusyLink &&
                        source.entry.role == Role::kParent && healthy(source);
-    if (over && !spare) {
-      attempt.source = target;
-    }
+    attempt.source = over && !spare ? target : attempt.source;
     return attempt;
   }
 
@@ -536,13 +529,11 @@
     fill_bad_ += kFillBadGain * ((good ? 0.0 : 1.0) - fill_bad_);
     if (good) {
       const double window = std::max(attempt.fill_work, fill_limit_ * offered_.per_second(kOfferLeast));
-      fill_limit_ =
-          std::min({kFillMost, 2.0 * fill_limit_, fill_limit_ + kFillGrow * attempt.fill_work / window});
+      fill_limit_ = std::min(kFillMost, fill_limit_ + kFillGrow * attempt.fill_work / window);
     } else if (fills_fail() && now_ >= fill_cut_at_ + kFillCutPause) {
       const double used =
           (fill_out_ + attempt.fill_work) / std::max(attempt.fill_work, offered_.per_second(kOfferLeast));
-      const double least = std::min(fill_limit_, ended.status == Status::kFull ? kFillRefused : kFillLeast);
-      fill_limit_ = std::max(least, kFillCut * std::min(fill_limit_, used));
+      fill_limit_ = std::max(kFillLeast, kFillCut * std::min(fill_limit_, used));
       fill_cut_at_ = now_;
     }
   }
@@ -694,7 +685,7 @@
 
   static bool start_trial(Node& node) {
     const bool trial = node.ejections > 0 && !node.trial_out;
-    node.trial_out = node.trial_out || trial;
+    node.trial_out |= trial;
     return trial;
   }
 
@@ -763,12 +754,12 @@
   void assign_blame(Attempt& attempt, const AttemptEnded& ended, Node& node, Node& source) {
     if (tells_of_source(ended.note)) {
       attempt.avoid_source = attempt.fills();
-      if (attempt.fills() && ended.note == Note::kSourceUnreachable) {
-        blame(source, 1.0);
-      }
       if (ended.note != Note::kSourceLacks) {
         judge_source(source, false, ended.note != Note::kOriginFailed);
       }
+      if (attempt.fills() && ended.note == Note::kSourceUnreachable) {
+        blame(source, 1.0);
+      }
       return;
     }
     const bool refused = ended.status == Status::kFull || ended.status == Status::kMiss;
