--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -797,6 +797,10 @@
     if (attempt.done || now_ < attempt.overdue_at) {
       return;
     }
+    if (attempt.fill_work > 0.0 && fills_fail() && !on_time(request) && may_refuse(request)) {
+      give_up(request);  // it would be late, and holds a place that another could be served from in time
+      return;
+    }
     Node& node = at(attempt.node);
     Node& source = at(attempt.source);
     attempt.avoid_node = node.last_good < attempt.sent;
