--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -106,9 +106,8 @@
   Impl(Settings settings, std::uint64_t seed)
       : settings_(std::move(settings)),
         random_(seed),
-        purges_(kMaxPurges, settings_.purge_done + kPurgeMargin) {
-    mean_work_.resize(settings_.classes.size());
-  }
+        purges_(kMaxPurges, settings_.purge_done + kPurgeMargin),
+        mean_work_(settings_.classes.size()) {}
 
   void handle(Micros now, const Event& event, std::vector<Action>& out) {
     now_ = std::max(now_, now);
@@ -413,11 +412,9 @@
 
   // A write goes straight to the origin where that is allowed, else by way of a cache.
   int pick_target(const Request& request) {
-    if (cacheable(request) || !settings_.direct) {
-      return pick_cache(request);
-    }
     const std::vector<int>& origins = members(Role::kOrigin);
-    const bool straight = !origins.empty() && may_send(request, at(origins.front()));
+    const bool straight =
+        settings_.direct && !cacheable(request) && !origins.empty() && may_send(request, at(origins.front()));
     return straight ? origins.front() : pick_cache(request);
   }
 
@@ -609,8 +606,8 @@
     Node& node = at(attempt.node);
     Node& source = at(attempt.source);
     node.in_flight = std::max(0, node.in_flight - 1);
-    node.trial_out = node.trial_out && !attempt.trial;
-    source.trial_out = source.trial_out && !attempt.source_trial;
+    node.trial_out &= !attempt.trial;
+    source.trial_out &= !attempt.source_trial;
     source.cold_tokens += shows_hit(ended.note) ? attempt.cold_cost : 0.0;
     learn_load(node, ended.load);
     learn_fill(request, attempt, ended);
