--- a/tests/decider_test.cpp
+++ b/tests/decider_test.cpp
@@ -1056,6 +1056,28 @@
   EXPECT_LE(router.serve(2002, kImage, 500).age, Micros(seconds(1)));
 }
 
+TEST(Failures, WhileFillsFailAnOverdueFillPastItsAimIsGivenUpAndElseNot) {
+  for (const bool failing : {true, false}) {
+    Router router;
+    router.list(plain_list());
+    if (failing) {
+      refuse_fills(router, 1, 200, 400.0, Note::kOriginFailed);
+    }
+    RequestId id = 1001;
+    std::vector<SetTimer> timers = all<SetTimer>(router.ask(id, kVideo, id));
+    while (router.sends[id].empty() || router.sends[id][0].held_only ||
+           router.sends[id][0].source == router.sends[id][0].cache) {
+      ASSERT_LT(id, 3000U);  // let in by chance
+      ++id;
+      timers = all<SetTimer>(router.ask(id, kVideo, id));
+    }
+    router.now += std::max(Micros(seconds(1)), timers.back().delay);
+    const auto after = router.handle(TimerFired{timers.back().token});
+    EXPECT_EQ(count<Refuse>(after), failing ? 1 : 0);
+    EXPECT_EQ(count<Cancel>(after), failing ? 1 : 0);
+  }
+}
+
 TEST(Failures, OverTheMissWindowASoundParentIsAskedForWhatItHolds) {
   Router router;
   router.list(plain_list());
@@ -1084,6 +1106,17 @@
   EXPECT_EQ(count<Send>(router.ask(101, kVideo, 101, 20.0)), 1);
 }
 
+TEST(Load, ObjectsAboveTheMeanSizeAreRefusedFromASmallerPartOfTheirAim) {
+  Router router;
+  router.list({node("c1", Role::kCache, 4.0), node("p1", Role::kParent), node("o", Role::kOrigin)});
+  for (RequestId id = 1; id <= 6; ++id) {
+    router.ask(id, kVideo, id, 200.0);
+  }
+  // At one and a half times its capacity the cache would send 1.5 s of work in 2.3 s, within 0.9 of 3 s.
+  EXPECT_EQ(count<Refuse>(router.ask(100, kVideo, 100, 1500.0)), 1);
+  EXPECT_EQ(count<Send>(router.ask(101, kVideo, 101, 200.0)), 1);
+}
+
 TEST(Load, ARefusalNamesATimeToComeBackOnlyWhereClientsHeedIt) {
   Router heeded;
   const auto refusals = all<Refuse>(heeded.ask(1));
