--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -514,8 +514,7 @@
     fill_out_ = std::max(0.0, fill_out_ - attempt.fill_work);
     const bool left = attempt.avoid_node || attempt.avoid_source;  // called off for another: blamed by itself
     const bool not_the_fill = (ended.status == Status::kCancelled && (left || on_time(request))) ||
-                              ended.status == Status::kReset || ended.status == Status::kConnectFailed ||
-                              ended.note == Note::kNoFillPlace;
+                              ended.status == Status::kReset || ended.status == Status::kConnectFailed;
     if (attempt.fill_work <= 0.0 || not_the_fill || shows_hit(ended.note)) {
       return;
     }
--- a/tests/decider_test.cpp
+++ b/tests/decider_test.cpp
@@ -1045,6 +1045,24 @@
   EXPECT_LT(held_only, 400);  // some still try, so that recovery shows
 }
 
+TEST(Failures, CachesWithNoPlaceForAFillShrinkTheWindowAndAreNotTriedInTurn) {
+  Router router;
+  router.list(plain_list());
+  refuse_fills(router, 1, 100, 400.0, Note::kNoFillPlace);
+  int attempts = 0;
+  int held_only = 0;
+  for (RequestId id = 1001; id <= 1100; ++id) {
+    router.ask(id, kVideo, id, 400.0);
+    if (!router.sends[id].empty()) {
+      held_only += router.sends[id][0].held_only ? 1 : 0;
+      router.end(id, 0, Status::kFull, Note::kNoFillPlace);
+      attempts += static_cast<int>(router.sends[id].size());
+    }
+  }
+  EXPECT_GT(held_only, 50);
+  EXPECT_LT(attempts, 150);
+}
+
 TEST(Failures, WhileFillsFailACopyPastItsFreshTimeWillDoButNeverAPurgedOne) {
   Router router;
   router.list(plain_list());
