--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -374,8 +374,8 @@
   }
 
   // A source whose fills are refused, late or missing takes only a share of the objects; every router lets
-  // the same ones go on to the next. So a slow or crowded one keeps what it can carry. Where all are slow alike
-  // it does harm: the origin gets more, up to its own share.
+  // the same ones go on to the next. So a slow or crowded one keeps what it can carry. Where all are slow
+  // alike it does harm: the origin gets more, up to its own share.
   bool takes(const Node& source, const Request& request) const {
     return !cacheable(request) || unit(mix(source.hash) ^ request.key) < source.share;
   }
