--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -176,7 +176,7 @@
     }
     const bool parent = node.entry.role == Role::kParent;
     const double factor = parent ? settings_.parent_overload_factor : settings_.overload_factor;
-    const int routers = parent ? std::max(1, settings_.routers) : std::max(1, settings_.routers_in_zone);
+    const int routers = std::max(1, parent ? settings_.routers : settings_.routers_in_zone);
     const double budget = factor * share * node.transfers / routers;
     const double span = to_seconds(settings_.overload_span);
     const double burst = kColdBurst * budget * span;
@@ -422,7 +422,8 @@
   // Over the miss window only what the cache or a sound home parent holds is asked for, to spare the origin.
   Attempt plan(const Request& request, int target) {
     const bool by_cache = at(target).entry.role == Role::kCache;
-    const bool over = by_cache && over_fill_window(request, target);
+    const bool missing = by_cache && likely_miss(request, target);
+    const bool over = missing && over_fill_window(request);
     Attempt attempt;
     attempt.node = target;
     attempt.source = by_cache ? pick_source(request, target) : target;
@@ -431,6 +432,7 @@
     const bool spare = load(at(target)) < kSpreadLoad && link_use_ < kBusyLink &&
                        source.entry.role == Role::kParent && healthy(source);
     attempt.source = over && !spare ? target : attempt.source;
+    attempt.fill_work = missing && !attempt.held_only ? request.work + kAnswerOverhead : 0.0;
     return attempt;
   }
 
@@ -443,8 +445,6 @@
     attempt.trial = start_trial(node);
     attempt.source_trial = attempt.fills() && start_trial(source);
     ++node.in_flight;
-    const bool waits = !attempt.held_only && likely_miss(request, attempt.node);
-    attempt.fill_work = waits ? request.work + kAnswerOverhead : 0.0;
     fill_out_ += attempt.fill_work;
     const Micros patience = from_seconds(kPatienceBase + kPatienceStretch * expected(request, node));
     attempt.overdue_at = now_ + patience;
@@ -500,13 +500,15 @@
 
   // Where fills fail or come late, whatever the cause (origin, parents, link, a mass purge), fewer likely
   // misses wait at once. The rest only asks for what is held.
-  bool over_fill_window(const Request& request, int target) {
+  bool over_fill_window(const Request& request) {
     const double cost = request.work + kAnswerOverhead;
-    const double room = fill_limit_ * offered_.per_second(kOfferLeast) - fill_out_;
-    return may_refuse(request) && likely_miss(request, target) && room < cost &&
-           (fill_out_ > 0.0 || room < cost * drawn(0.0, 1.0));
+    const double room = fill_limit_ * offered() - fill_out_;
+    return may_refuse(request) && room < cost && (fill_out_ > 0.0 || room < cost * drawn(0.0, 1.0));
   }
 
+  // Seconds of sending that clients ask of this router in a second, lately.
+  double offered() const { return offered_.per_second(kOfferLeast); }
+
   double drawn(double from, double to) { return std::uniform_real_distribution<double>(from, to)(random_); }
 
   bool fills_fail() const { return fill_bad_ > kFillBadLimit; }
@@ -525,11 +527,10 @@
     }
     fill_bad_ += kFillBadGain * ((good ? 0.0 : 1.0) - fill_bad_);
     if (good) {
-      const double window = std::max(attempt.fill_work, fill_limit_ * offered_.per_second(kOfferLeast));
+      const double window = std::max(attempt.fill_work, fill_limit_ * offered());
       fill_limit_ = std::min(kFillMost, fill_limit_ + kFillGrow * attempt.fill_work / window);
     } else if (fills_fail() && now_ >= fill_cut_at_ + kFillCutPause) {
-      const double used =
-          (fill_out_ + attempt.fill_work) / std::max(attempt.fill_work, offered_.per_second(kOfferLeast));
+      const double used = (fill_out_ + attempt.fill_work) / std::max(attempt.fill_work, offered());
       fill_limit_ = std::max(kFillLeast, kFillCut * std::min(fill_limit_, used));
       fill_cut_at_ = now_;
     }
--- a/tests/decider_test.cpp
+++ b/tests/decider_test.cpp
@@ -110,13 +110,15 @@
     request.write = type >= kWrite;
     return handle(request);
   }
-  std::vector<Action> end(RequestId id, int attempt, Status status, Note note = Note::kNone) {
+  std::vector<Action> end(RequestId id, int attempt, Status status, Note note = Note::kNone,
+                          const LoadReport& load = {}) {
     AttemptEnded ended;
     ended.id = id;
     ended.attempt = attempt;
     ended.status = status;
     ended.finished = status == Status::kOk;
     ended.note = note;
+    ended.load = load;
     return handle(ended);
   }
   // Asks and has it answered at once; the attempt made.
@@ -1029,6 +1031,9 @@
   }
 }
 
+// Whether a source is to give the object whether it holds it or not.
+bool may_fill(const Send& send) { return !send.held_only && send.source != send.cache; }
+
 TEST(Failures, WhileFillsFailUnknownObjectsOnlyAskForWhatIsHeld) {
   Router router;
   router.list(plain_list());
@@ -1036,10 +1041,7 @@
   int held_only = 0;
   for (RequestId id = 1001; id <= 1400; ++id) {
     router.ask(id, kVideo, id, 400.0);
-    held_only += !router.sends[id].empty() && (router.sends[id][0].held_only ||
-                                               router.sends[id][0].source == router.sends[id][0].cache)
-                     ? 1
-                     : 0;
+    held_only += !router.sends[id].empty() && !may_fill(router.sends[id][0]) ? 1 : 0;
   }
   EXPECT_GT(held_only, 0);
   EXPECT_LT(held_only, 400);  // some still try, so that recovery shows
@@ -1054,8 +1056,7 @@
   for (RequestId id = 1001; id <= 1100; ++id) {
     router.ask(id, kVideo, id, 400.0);
     for (int i = 0; i < static_cast<int>(router.sends[id].size()); ++i) {
-      const Send& sent = router.sends[id][static_cast<std::size_t>(i)];
-      fills += !sent.held_only && sent.source != sent.cache ? 1 : 0;
+      fills += may_fill(router.sends[id][static_cast<std::size_t>(i)]) ? 1 : 0;
       ++attempts;
       router.end(id, i, Status::kFull, Note::kNoFillPlace);
     }
@@ -1084,8 +1085,7 @@
     }
     RequestId id = 1001;
     std::vector<SetTimer> timers = all<SetTimer>(router.ask(id, kVideo, id));
-    while (router.sends[id].empty() || router.sends[id][0].held_only ||
-           router.sends[id][0].source == router.sends[id][0].cache) {
+    while (router.sends[id].empty() || !may_fill(router.sends[id][0])) {
       ASSERT_LT(id, 3000U);  // let in by chance
       ++id;
       timers = all<SetTimer>(router.ask(id, kVideo, id));
@@ -1115,22 +1115,24 @@
   }
 }
 
-TEST(Load, OverCapacityTheLargeAreRefusedFirst) {
-  Router router;
+// One cache of four transfers that holds `count` requests.
+void crowd(Router& router, RequestId count, double size_kb) {
   router.list({node("c1", Role::kCache, 4.0), node("p1", Role::kParent), node("o", Role::kOrigin)});
-  for (RequestId id = 1; id <= 8; ++id) {
-    router.ask(id, kVideo, id, 300.0);
+  for (RequestId id = 1; id <= count; ++id) {
+    router.ask(id, kVideo, id, size_kb);
   }
+}
+
+TEST(Load, OverCapacityTheLargeAreRefusedFirst) {
+  Router router;
+  crowd(router, 8, 300.0);
   EXPECT_EQ(count<Refuse>(router.ask(100, kVideo, 100, 3000.0)), 1);
   EXPECT_EQ(count<Send>(router.ask(101, kVideo, 101, 20.0)), 1);
 }
 
 TEST(Load, ObjectsAboveTheMeanSizeAreRefusedFromASmallerPartOfTheirAim) {
   Router router;
-  router.list({node("c1", Role::kCache, 4.0), node("p1", Role::kParent), node("o", Role::kOrigin)});
-  for (RequestId id = 1; id <= 6; ++id) {
-    router.ask(id, kVideo, id, 200.0);
-  }
+  crowd(router, 6, 200.0);
   // At one and a half times its capacity the cache would send 1.5 s of work in 2.3 s, within 0.9 of 3 s.
   EXPECT_EQ(count<Refuse>(router.ask(100, kVideo, 100, 1500.0)), 1);
   EXPECT_EQ(count<Send>(router.ask(101, kVideo, 101, 200.0)), 1);
@@ -1162,12 +1164,7 @@
   for (RequestId id = 3; id <= 40; ++id) {
     router.ask(id);
     asked.insert(router.sends[id].at(0).cache);
-    AttemptEnded ended;
-    ended.id = id;
-    ended.finished = true;
-    ended.note = Note::kHit;
-    ended.load.utilisation = use;
-    router.handle(ended);
+    router.end(id, 0, Status::kOk, Note::kHit, {.utilisation = use});
   }
   return asked.size();
 }
@@ -1185,12 +1182,7 @@
   RequestId id = 1;
   const auto report = [&](double value) {
     router.ask(id, kVideo, id);
-    AttemptEnded ended;
-    ended.id = id++;
-    ended.finished = true;
-    ended.load.concurrent = value;
-    ended.load.utilisation = value;
-    router.handle(ended);
+    router.end(id++, 0, Status::kOk, Note::kNone, {.utilisation = value, .concurrent = value});
   };
   for (const double value : absurd) {
     report(value);
