--- a/src/program/configuration.cpp
+++ b/src/program/configuration.cpp
@@ -146,6 +146,8 @@
        "connections that may wait to be accepted; one that the system accepts is ours to answer"},
       {"client_idle_ms", "ms", 1'000, 3'600'000, &Tuning::client_idle_ms,
        "clients close after 4 s; this only reclaims those that vanished"},
+      {"client_lead_ms", "ms", 0, 1'000, &Tuning::client_lead_ms,
+       "patience counts from when the client sent the request; so much of it was used on the way here"},
       {"client_stall_ms", "ms", 100, 3'600'000, &Tuning::client_stall_ms,
        "a client that takes nothing for so long has given its answers up"},
       {"client_send_buffer", "bytes", 0, 16'777'216, &Tuning::client_send_buffer,
--- a/src/program/configuration.h
+++ b/src/program/configuration.h
@@ -26,6 +26,7 @@
 struct Tuning {
   std::int64_t listen_backlog = 1024;
   std::int64_t client_idle_ms = 60'000;
+  std::int64_t client_lead_ms = 10;
   std::int64_t client_stall_ms = 10'000;
   std::int64_t client_send_buffer = 0;
   std::int64_t answer_record_bytes = 16'384;
--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -57,6 +57,7 @@
 routing::Front::Bounds front_bounds(const Configuration& configuration) {
   const Tuning& tuning = configuration.tuning;
   routing::Front::Bounds bounds;
+  bounds.client_lead = milliseconds(tuning.client_lead_ms);
   bounds.backlog = static_cast<int>(tuning.listen_backlog);
   bounds.most_waiting = configuration.most_waiting_bytes();
   bounds.most_partial = configuration.most_partial_bytes();
--- a/src/routing/cache_client.cpp
+++ b/src/routing/cache_client.cpp
@@ -60,13 +60,16 @@
   if (!connection.ended() && !connection.withdraw(call.token)) {
     connection.write(protocol::write_cancel(id));
     given_up_.insert(id);
-    // Nothing has come since this was sent: the machine may have vanished, and what else goes over this
-    // connection would vanish with it. A new one shows whether it is there.
-    const bool silent = connection.up() && connection.last_received() < call.sent &&
-                        Clock::now() - call.sent >= client_.bounds_.silent_after;
-    if (silent || given_up_.size() > client_.bounds_.most_given_up) {
+    if (given_up_.size() > client_.bounds_.most_given_up) {
       client_.pool_.retire(slot);
     }
+    // Nothing has come from there since this was sent, over any connection: the machine may have vanished,
+    // and what else goes over these would vanish with it. A new one shows whether it is there.
+    if (Clock::now() - call.sent >= client_.bounds_.silent_after &&
+        client_.pool_.last_received(slot->peer) < call.sent) {
+      log_line(Level::kDebug) << "cache " << slot->peer << " is silent: its connections are given up";
+      client_.pool_.drop(slot->peer, ConnectionEnd::kSilent);
+    }
   }
   client_.pool_.give_back(slot);
 }
--- a/src/routing/cache_client.h
+++ b/src/routing/cache_client.h
@@ -81,7 +81,7 @@
             bool streaming) override;
   void cancel(const AttemptKey& key) override;
 
-  void drop(const std::string& name) { pool_.drop(name); }
+  void drop(const std::string& name) { pool_.drop(name, transport::ConnectionEnd::kDropped); }
   bool close_one_idle() { return pool_.close_one_idle(); }
 
  private:
--- a/src/routing/front.cpp
+++ b/src/routing/front.cpp
@@ -255,6 +255,7 @@
     answer(key, cgi_head(400, "Bad Request") + "\r\n");
     return;
   }
+  request.request.patience -= std::min(front_.bounds_.client_lead, request.request.patience / 2);
   // Clients that do not take their answers fill the memory that the next ones need. Nothing was sent for this
   // request, so trying again is harmless.
   if (front_.waiting_ > front_.bounds_.most_waiting) {
--- a/src/routing/front.h
+++ b/src/routing/front.h
@@ -78,6 +78,7 @@
     std::size_t most_waiting = 64U << 20U;  // bytes of answers that clients have not taken yet, in all
     std::size_t most_partial = 16U << 20U;  // bytes of requests that have not come whole yet, in all
     std::size_t record_bytes = 16U << 10U;
+    Micros client_lead{0};  // of a client's patience, used on the way here
     transport::Clock::duration client_idle = std::chrono::seconds(60);
     transport::Connection::Bounds connection;
     protocol::fastcgi::Bounds requests;
--- a/src/routing/notice_taker.cpp
+++ b/src/routing/notice_taker.cpp
@@ -91,7 +91,9 @@
     return true;
   }
   if (address) {
-    if (old && *old != *address) {
+    // Another address, or another process at the same one: the old connections lead nowhere.
+    const bool restarted = found != known_.end() && found->second.second != cache.since_ms;
+    if (old && (*old != *address || restarted)) {
       unwanted_(cache.name);
     }
     directory_.set(cache.name, *address);
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -244,11 +244,7 @@
 
 void Connection::close_when_written() {
   closing_ = true;
-  if (up_ && !ended_) {
-    work_.notify();
-  } else {
-    finish(ConnectionEnd::kShutdown);
-  }
+  work_.notify();
 }
 
 void Connection::finish_by_error(int error) { finish(end_of(error)); }
--- a/src/transport/connection_pool.h
+++ b/src/transport/connection_pool.h
@@ -80,14 +80,25 @@
     }
   }
 
-  // The peer is not wanted any more or has another address.
-  void drop(const std::string& peer) {
+  // When anything last came from the peer, over any connection.
+  Clock::time_point last_received(const std::string& peer) const {
+    Clock::time_point latest = Clock::time_point::min();
+    if (const auto found = peers_.find(peer); found != peers_.end()) {
+      for (const SlotPtr& slot : found->second) {
+        latest = slot->connection->up() ? std::max(latest, slot->connection->last_received()) : latest;
+      }
+    }
+    return latest;
+  }
+
+  // Nothing new goes over the connections to this peer that there are now; they close with their last stream.
+  void drop(const std::string& peer, ConnectionEnd end) {
     const auto found = peers_.find(peer);
     for (std::size_t i = 0; found != peers_.end() && i < found->second.size(); ++i) {
       Slot& slot = *found->second[i];
       slot.retired = true;
       if (slot.streams <= 0) {
-        slot.connection->close(ConnectionEnd::kDropped);
+        slot.connection->close(end);
       }
     }
   }
--- /dev/null
+++ b/tests/configuration_test.cpp
@@ -0,0 +1,219 @@
+// Configuration: what is read, what is at fault and how that is told; the command line.
+#include "program/configuration.h"
+
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <cstdio>
+#include <fstream>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "program/command_line.h"
+
+namespace trailcourse::program {
+namespace {
+
+using nlohmann::json;
+
+json good_config() {
+  return json::parse(R"({"name":"n3","listen":"127.0.0.1:4100","seed":"8c1f30d27a5be964",
+    "limits":{"cores":1.0,"memory_mb":192,"sockets":256},"board":"127.0.0.1:2379",
+    "flow_bytes_per_s":310000,"link_bytes_per_s":1240000,
+    "known":{"rev":1,"notices":[{"rev":1,"pool":{"snapshot":true,"endpoints":[
+      {"name":"a","address":"127.0.0.1:9","type":"std","status":"up"}]}}]},
+    "settings":{"Kinds":["std"],"Classes":[{"Name":"media","Effect":"safe","GiveUpS":6}],
+      "Limits":{"ConnIdleS":15,"ConnectTimeoutS":0.4,"StreamsPerConn":32,"MaxOpen":20000}}})");
+}
+
+class ConfigurationTest : public testing::Test {
+ protected:
+  ConfigurationTest()
+      : path_(testing::TempDir() + "trailcourse-config-" + std::to_string(::getpid()) + ".json") {}
+  ~ConfigurationTest() override { std::remove(path_.c_str()); }
+
+  Configuration read(const json& config) { return read_text(config.dump()); }
+  Configuration read_text(const std::string& text) {
+    std::ofstream(path_, std::ios::binary) << text;
+    environment_["NODE_CONFIG"] = path_;
+    Sources sources = sources_;
+    sources.environment = [this](const char* name) -> const char* {
+      const auto found = environment_.find(name);
+      return found == environment_.end() ? nullptr : found->second.c_str();
+    };
+    return read_configuration(sources);
+  }
+  // The line that a faulty configuration is told by.
+  std::string fault(const json& config) {
+    try {
+      read(config);
+    } catch (const ConfigurationError& error) {
+      EXPECT_EQ(std::string(error.what()).find('\n'), std::string::npos);
+      return error.what();
+    }
+    return "";
+  }
+
+  std::string path_;
+  std::map<std::string, std::string> environment_;
+  Sources sources_;
+};
+
+TEST_F(ConfigurationTest, ReadsWhatThePlatformTells) {
+  environment_["NODE_NAME"] = "n3";
+  environment_["NODE_LISTEN"] = "127.0.0.1:4100";
+  const Configuration configuration = read(good_config());
+  EXPECT_EQ(configuration.name, "n3");
+  EXPECT_EQ(to_string(configuration.listen), "127.0.0.1:4100");
+  EXPECT_EQ(to_string(configuration.board), "127.0.0.1:2379");
+  EXPECT_EQ(configuration.seed, 0x8c1f30d27a5be964U);
+  EXPECT_EQ(configuration.sockets, 256);
+  EXPECT_EQ(configuration.known.notices.size(), 1U);
+  EXPECT_EQ(configuration.profile.connection_idle, std::chrono::seconds(15));
+  EXPECT_EQ(configuration.profile.connect_timeout, std::chrono::milliseconds(400));
+  EXPECT_EQ(configuration.profile.streams_per_connection, 32);
+}
+
+TEST_F(ConfigurationTest, TheBoundsFollowTheLimits) {
+  json config = good_config();
+  const Configuration small = read(config);
+  EXPECT_LE(small.most_cache_connections() + 256 / 3, 256) << "clients hold a third";
+  const auto held = [](const Configuration& one) {
+    return one.most_open_requests() * static_cast<std::size_t>(one.tuning.open_request_bytes) +
+           one.most_waiting_bytes() + one.most_answer_bytes();
+  };
+  EXPECT_LE(held(small), 192U << 20U);
+  config["limits"]["memory_mb"] = 64;
+  EXPECT_LE(held(read(config)), 64U << 20U);
+  EXPECT_LT(read(config).most_open_requests(), small.most_open_requests());
+  config["settings"]["Limits"]["MaxOpen"] = 5;
+  EXPECT_EQ(read(config).most_open_requests(), 5U);
+}
+
+TEST_F(ConfigurationTest, EachFaultNamesItsKey) {
+  const std::vector<std::pair<std::string, json>> faults{{"/listen", "nowhere"},
+                                                         {"/listen", 5},
+                                                         {"/board", "127.0.0.1"},
+                                                         {"/seed", "xyz"},
+                                                         {"/seed", 12},
+                                                         {"/limits", 3},
+                                                         {"/limits/memory_mb", "much"},
+                                                         {"/limits/memory_mb", 8},
+                                                         {"/limits/sockets", 12},
+                                                         {"/limits/sockets", 1.5},
+                                                         {"/known", 5},
+                                                         {"/known/rev", -1},
+                                                         {"/settings", 5},
+                                                         {"/settings/Classes", json::array()},
+                                                         {"/settings/Classes/0/Effect", "odd"},
+                                                         {"/settings/Classes/0/GiveUpS", "long"},
+                                                         {"/name", 5},
+                                                         {"/router", {{"listen_backlog", 0}}},
+                                                         {"/router", {{"listen_backlog", "x"}}},
+                                                         {"/router", {{"no_such_key", 1}}}};
+  for (const auto& [where, value] : faults) {
+    json config = good_config();
+    config[json::json_pointer(where)] = value;
+    const std::string told = fault(config);
+    const std::string key = value.is_object() ? value.begin().key()
+                                              : where.substr(where.find('/', 0) + 1, where.find('/', 1) - 1);
+    EXPECT_NE(told.find(key), std::string::npos) << where << " = " << value << ": '" << told << "'";
+  }
+}
+
+TEST_F(ConfigurationTest, MissingKeysAreNamed) {
+  for (const char* key : {"name", "listen", "board", "known", "settings"}) {
+    json config = good_config();
+    config.erase(key);
+    EXPECT_EQ(fault(config).rfind(key, 0), 0U) << key << ": " << fault(config);
+  }
+}
+
+TEST_F(ConfigurationTest, UnreadableFilesAndNonsenseAreTold) {
+  EXPECT_THROW(read_text("{"), ConfigurationError);
+  EXPECT_THROW(read_text("[]"), ConfigurationError);
+  EXPECT_THROW(read_text(""), ConfigurationError);
+  sources_.file = path_ + ".missing";
+  EXPECT_EQ(fault(good_config()).rfind("--config", 0), 0U);
+  sources_.file.clear();
+  Sources none;
+  none.environment = [](const char*) -> const char* { return nullptr; };
+  EXPECT_THROW(read_configuration(none), ConfigurationError);
+}
+
+TEST_F(ConfigurationTest, AnEnvironmentThatContradictsTheFileIsAFault) {
+  environment_["NODE_NAME"] = "n4";
+  EXPECT_EQ(fault(good_config()).rfind("NODE_NAME", 0), 0U);
+  environment_["NODE_NAME"] = "n3";
+  environment_["NODE_LISTEN"] = "127.0.0.1:4101";
+  EXPECT_EQ(fault(good_config()).rfind("NODE_LISTEN", 0), 0U);
+}
+
+TEST_F(ConfigurationTest, FlagsOverrideAndAreChecked) {
+  sources_.listen = "127.0.0.1:4999";
+  sources_.sets = {"listen_backlog=7"};
+  const Configuration configuration = read(good_config());
+  EXPECT_EQ(configuration.listen.port, 4999);
+  EXPECT_EQ(configuration.tuning.listen_backlog, 7);
+  for (const char* set :
+       {"listen_backlog", "listen_backlog=", "listen_backlog=x", "listen_backlog=0", "odd=1"}) {
+    sources_.sets = {set};
+    EXPECT_THROW(read(good_config()), ConfigurationError) << set;
+  }
+}
+
+TEST_F(ConfigurationTest, EachTuningKeyHasADefaultWithinItsRangeAndAReason) {
+  const Tuning defaults;
+  for (const TuningKey& key : tuning_keys()) {
+    EXPECT_GE(defaults.*key.value, key.least) << key.name;
+    EXPECT_LE(defaults.*key.value, key.most) << key.name;
+    EXPECT_GT(std::string(key.reason).size(), 10U) << key.name;
+  }
+}
+
+struct Ran {
+  int status;
+  std::string out;
+  std::string errors;
+};
+Ran run(std::vector<const char*> words) {
+  words.insert(words.begin(), "trailcourse");
+  std::ostringstream out;
+  std::ostringstream errors;
+  const int status = run_command(static_cast<int>(words.size()), words.data(), out, errors);
+  return {status, out.str(), errors.str()};
+}
+
+TEST(CommandLine, TellsItsVersionAndHelp) {
+  EXPECT_EQ(run({"version"}).out.rfind("trailcourse ", 0), 0U);
+  EXPECT_EQ(run({"version"}).status, 0);
+  const Ran help = run({"--help"});
+  EXPECT_EQ(help.status, 0);
+  for (const char* word : {"serve", "version", "check-config", "--config", "--log-level"}) {
+    EXPECT_NE(help.out.find(word), std::string::npos) << word;
+  }
+}
+
+TEST(CommandLine, WrongUseIsToldApartFromAFaultyConfiguration) {
+  EXPECT_EQ(run({}).status, 2);
+  EXPECT_EQ(run({"dance"}).status, 2);
+  EXPECT_EQ(run({"serve", "--no-such-flag"}).status, 2);
+  EXPECT_EQ(run({"serve", "--log-level", "loud"}).status, 2);
+  const Ran missing = run({"check-config", "--config", "/no/such/file"});
+  EXPECT_EQ(missing.status, 1);
+  EXPECT_NE(missing.errors.find("--config"), std::string::npos);
+}
+
+TEST_F(ConfigurationTest, CheckConfigPrintsWhatIsInForce) {
+  read(good_config());
+  const Ran good = run({"check-config", "--config", path_.c_str(), "--set", "listen_backlog=9"});
+  EXPECT_EQ(good.status, 0) << good.errors;
+  EXPECT_NE(good.out.find("router.listen_backlog = 9"), std::string::npos);
+  EXPECT_NE(good.out.find("the configuration is good"), std::string::npos);
+}
+
+}  // namespace
+}  // namespace trailcourse::program
--- /dev/null
+++ b/tests/integration_test.cpp
@@ -0,0 +1,578 @@
+// The program itself, started as the operators do and spoken to over sockets.
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <chrono>
+#include <csignal>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "stand_ins.h"
+
+namespace trailcourse::testing_support {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+std::optional<std::string> silence(const CacheRequest&) { return std::nullopt; }
+std::optional<std::string> break_off(const CacheRequest&) { return CacheStandIn::kThenClose; }
+
+class IntegrationTest : public testing::Test {
+ protected:
+  // Lists two caches and the origin.
+  void list_all() {
+    board_.post(pool({listed("cache-a", a_.address(), "std"), listed("cache-b", b_.address(), "std"),
+                      listed("origin-o", origin_.address(), "origin")},
+                     true));
+  }
+  void start(const json& changes = json::object(), const std::vector<std::string>& flags = {}) {
+    json config = plain_config(board_);
+    config.merge_patch(changes);
+    program_ = std::make_unique<Program>(config, flags);
+    ASSERT_TRUE(program_->await_health(200)) << program_->log();
+  }
+  Client connect() const { return Client(program_->port()); }
+  void script_all(const CacheStandIn::Script& script) {
+    a_.set_script(script);
+    b_.set_script(script);
+    origin_.set_script(script);
+  }
+  std::size_t sends() const { return a_.count("serve") + b_.count("serve") + origin_.count("serve"); }
+  std::vector<CacheRequest> all_seen() const {
+    std::vector<CacheRequest> out;
+    for (const CacheStandIn* cache : {&a_, &b_, &origin_}) {
+      const std::vector<CacheRequest> seen = cache->seen();
+      out.insert(out.end(), seen.begin(), seen.end());
+    }
+    return out;
+  }
+
+  CacheStandIn a_{CacheStandIn::serving("from a")};
+  CacheStandIn b_{CacheStandIn::serving("from b")};
+  CacheStandIn origin_{CacheStandIn::serving("from origin")};
+  BoardStandIn board_;
+  std::unique_ptr<Program> program_;
+};
+
+TEST_F(IntegrationTest, ServesTheBytesOfACacheUnchanged) {
+  std::string bytes;
+  for (int i = 0; i < 240'000; ++i) {
+    bytes += static_cast<char>(i * 31 % 256);
+  }
+  script_all(CacheStandIn::serving(bytes));
+  list_all();
+  start();
+  Client client = connect();
+  const auto answer = client.ask(1, read_fields(id_of(1), {{"HTTP_X_GOT", "4be0c1927d55a6f3"}}));
+  ASSERT_TRUE(answer.has_value());
+  EXPECT_EQ(answer->status, 200);
+  EXPECT_EQ(answer->body, bytes);
+  EXPECT_FALSE(answer->headers.contains("X-Ok304"));
+  ASSERT_EQ(all_seen().size(), 1U);
+  const CacheRequest seen = all_seen()[0];
+  EXPECT_EQ(seen.id, id_of(1));
+  EXPECT_EQ(seen.fields.at("cls"), "media");
+  EXPECT_EQ(seen.fields.at("item"), "7f3a9c21e0b4d655");
+  EXPECT_EQ(seen.fields.at("chunk"), "3");
+  EXPECT_EQ(seen.fields.at("cached"), "4be0c1927d55a6f3");
+  EXPECT_EQ(seen.fields.at("next"), "origin-o") << "sources go by the notice board's names";
+  EXPECT_LE(std::stoi(seen.fields.at("limit")), 5000);
+  EXPECT_GT(std::stoi(seen.fields.at("limit")), 4000);
+}
+
+TEST_F(IntegrationTest, TheClientsOwnCopyIsAnsweredWithoutABody) {
+  script_all([](const CacheRequest& request) {
+    return CacheStandIn::answer(request, "SAME", "sum=4be0c1927d55a6f3,t0=1,tell=warm");
+  });
+  list_all();
+  start();
+  const auto answer = connect().ask(1, read_fields(id_of(1), {{"HTTP_X_GOT", "4be0c1927d55a6f3"}}));
+  ASSERT_TRUE(answer.has_value());
+  EXPECT_EQ(answer->status, 200);
+  EXPECT_EQ(answer->headers.at("X-Ok304"), "1");
+  EXPECT_TRUE(answer->body.empty());
+}
+
+TEST_F(IntegrationTest, AnswersManyOnOneConnectionInTheOrderTheyCome) {
+  std::atomic<bool> held{true};
+  script_all([&held](const CacheRequest& request) -> std::optional<std::string> {
+    return request.id == id_of(1) && held
+               ? std::nullopt
+               : std::optional(CacheStandIn::answer(request, "OK", "-", request.id));
+  });
+  list_all();
+  start();
+  Client client = connect();
+  std::string bytes;
+  for (int i = 1; i <= 32; ++i) {
+    bytes += request_bytes(static_cast<std::uint16_t>(i),
+                           read_fields(id_of(i), {{"HTTP_X_ENTITY", id_of(i)}}), "");
+  }
+  client.send(bytes);
+  for (int i = 32; i >= 2; --i) {
+    const auto answer = client.read(static_cast<std::uint16_t>(i));
+    ASSERT_TRUE(answer.has_value()) << i;
+    EXPECT_EQ(answer->body, id_of(i));
+  }
+  EXPECT_FALSE(client.read(1, milliseconds(0)).has_value());
+}
+
+TEST_F(IntegrationTest, AWriteGoesToTheOriginWithItsKeyAndBody) {
+  std::string body(48'000, '\0');
+  for (std::size_t i = 0; i < body.size(); ++i) {
+    body[i] = static_cast<char>(i % 251);
+  }
+  list_all();
+  start();
+  const auto answer = connect().ask(
+      1, read_fields(id_of(1), {{"SCRIPT_NAME", "/v1/entry"}, {"HTTP_X_DEDUPE_KEY", "5c0f6e1a2b3d4c59"}}),
+      body);
+  ASSERT_TRUE(answer.has_value());
+  EXPECT_EQ(answer->body, "from origin");
+  ASSERT_EQ(origin_.seen().size(), 1U);
+  EXPECT_EQ(origin_.seen()[0].body, body);
+  EXPECT_EQ(origin_.seen()[0].fields.at("nonce"), "5c0f6e1a2b3d4c59");
+  EXPECT_FALSE(origin_.seen()[0].fields.contains("next"));
+  EXPECT_EQ(a_.count("serve") + b_.count("serve"), 0U);
+}
+
+TEST_F(IntegrationTest, ARefusalIsOneAndNamesATimeToComeBack) {
+  script_all(
+      [](const CacheRequest& request) { return CacheStandIn::answer(request, "BUSY", "tell=jammed"); });
+  list_all();
+  start();
+  const auto answer = connect().ask(1, read_fields(id_of(1)));
+  ASSERT_TRUE(answer.has_value());
+  EXPECT_EQ(answer->status, 503);
+  EXPECT_GT(std::stoi(answer->headers.at("X-Come-Back-Ms")), 0);
+  EXPECT_TRUE(answer->body.empty());
+}
+
+TEST_F(IntegrationTest, WithoutRetryAfterInTheSettingsNoTimeIsNamed) {
+  script_all(
+      [](const CacheRequest& request) { return CacheStandIn::answer(request, "BUSY", "tell=jammed"); });
+  list_all();
+  start({{"settings", {{"Limits", {{"RetryAfter", false}}}}}});
+  const auto answer = connect().ask(1, read_fields(id_of(1)));
+  ASSERT_TRUE(answer.has_value());
+  EXPECT_EQ(answer->status, 503);
+  EXPECT_FALSE(answer->headers.contains("X-Come-Back-Ms"));
+}
+
+// Rule 2: an unsafe request that may have run gets no second attempt, and no word that trying again is
+// harmless.
+TEST_F(IntegrationTest, AnUnsafeRequestThatMayHaveRunFailsAfterOneAttempt) {
+  origin_.set_script(break_off);
+  list_all();
+  start();
+  const auto answer = connect().ask(1, read_fields(id_of(1), {{"SCRIPT_NAME", "/v1/once"}}), "body");
+  ASSERT_TRUE(answer.has_value());
+  EXPECT_EQ(answer->status, 502);
+  EXPECT_EQ(origin_.count("serve"), 1U);
+}
+
+TEST_F(IntegrationTest, AnAnswerThatBreaksOffIsAskedForAgain) {
+  std::atomic<int> tries{0};
+  script_all([&tries](const CacheRequest& request) -> std::optional<std::string> {
+    const std::string whole = CacheStandIn::answer(request, "OK", "tell=warm", std::string(100'000, 'x'));
+    return ++tries == 1 ? std::optional<std::string>(whole.substr(0, 50'000) + CacheStandIn::kThenClose)
+                        : whole;
+  });
+  list_all();
+  start();
+  Client client = connect();
+  const auto answer = client.ask(1, read_fields(id_of(1)));
+  ASSERT_TRUE(answer.has_value());
+  EXPECT_EQ(answer->status, 200);
+  EXPECT_EQ(answer->body.size(), 100'000U);
+  EXPECT_EQ(sends(), 2U);
+}
+
+TEST_F(IntegrationTest, ACacheThatDiesIsTriedElsewhere) {
+  list_all();
+  start();
+  a_.stop();
+  b_.set_script(CacheStandIn::serving("alive"));
+  origin_.set_script(CacheStandIn::serving("alive"));
+  Client client = connect();
+  for (int i = 1; i <= 8; ++i) {
+    const auto answer =
+        client.ask(static_cast<std::uint16_t>(i), read_fields(id_of(i), {{"HTTP_X_ENTITY", id_of(i)}}));
+    ASSERT_TRUE(answer.has_value());
+    EXPECT_EQ(answer->status, 200) << "request " << i;
+    EXPECT_EQ(answer->body, "alive");
+  }
+}
+
+TEST_F(IntegrationTest, AStreamedAnswerIsPassedOnAndItsBreakCanBeTold) {
+  script_all([](const CacheRequest& request) {
+    return "*4\r\n$16\r\n" + request.id + "\r\n$2\r\nOK\r\n$1\r\n-\r\n$10\r\nhalf" + CacheStandIn::kThenClose;
+  });
+  list_all();
+  start();
+  const auto answer = connect().ask(1, read_fields(id_of(1), {{"SCRIPT_NAME", "/v1/live"}}));
+  ASSERT_TRUE(answer.has_value());
+  EXPECT_EQ(answer->body, "half");
+  EXPECT_NE(answer->application_status, 0U) << "the client can tell that it is not whole";
+  EXPECT_EQ(sends(), 1U) << "what was begun is not begun again";
+}
+
+TEST_F(IntegrationTest, APurgeBindsWhatIsAskedAfterIt) {
+  list_all();
+  start();
+  Client client = connect();
+  ASSERT_TRUE(client.ask(1, read_fields(id_of(1))).has_value());
+  const auto now =
+      std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch());
+  board_.post({{"flush", {{"asset", "7f3a9c21e0b4d655"}, {"ms", now.count()}}}});
+  ASSERT_TRUE(board_.await_caught_up());
+  ASSERT_TRUE(client.ask(2, read_fields(id_of(2))).has_value());
+  ASSERT_TRUE(client.ask(3, read_fields(id_of(3), {{"HTTP_X_ENTITY", id_of(9)}})).has_value());
+  const auto after =
+      std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()) - now;
+  for (const CacheRequest& seen : all_seen()) {
+    if (seen.id == id_of(2)) {
+      ASSERT_TRUE(seen.fields.contains("agelim"));
+      EXPECT_GE(std::stoll(seen.fields.at("agelim")), 1);
+      EXPECT_LE(std::stoll(seen.fields.at("agelim")), after.count());
+    } else {
+      EXPECT_FALSE(seen.fields.contains("agelim")) << seen.id;
+    }
+  }
+  board_.post({{"flush", {{"collection", 17}, {"ms", now.count()}}}});
+  ASSERT_TRUE(board_.await_caught_up());
+  ASSERT_TRUE(client.ask(4, read_fields(id_of(4), {{"HTTP_X_ENTITY", id_of(9)}})).has_value());
+  for (const CacheRequest& seen : all_seen()) {
+    EXPECT_TRUE(seen.id != id_of(4) || seen.fields.contains("agelim")) << "its group was purged";
+  }
+}
+
+TEST_F(IntegrationTest, NothingNewGoesToADrainingCache) {
+  list_all();
+  start();
+  board_.post(pool({listed("cache-a", a_.address(), "std", "draining")}, false));
+  ASSERT_TRUE(board_.await_caught_up());
+  Client client = connect();
+  for (int i = 1; i <= 24; ++i) {
+    const auto answer =
+        client.ask(static_cast<std::uint16_t>(i), read_fields(id_of(i), {{"HTTP_X_ENTITY", id_of(i)}}));
+    ASSERT_TRUE(answer.has_value());
+    EXPECT_EQ(answer->body, "from b");
+  }
+  EXPECT_EQ(a_.count("serve"), 0U);
+}
+
+TEST_F(IntegrationTest, ANewCacheAtAGoneOnesAddressIsReachedByItsOwnName) {
+  list_all();
+  start();
+  board_.post(pool({listed("cache-a", a_.address(), "std", "removed"),
+                    listed("cache-b", "", "std", "removed"), listed("cache-n", a_.address(), "std")},
+                   false));
+  ASSERT_TRUE(board_.await_caught_up());
+  const auto answer = connect().ask(1, read_fields(id_of(1)));
+  ASSERT_TRUE(answer.has_value());
+  EXPECT_EQ(answer->body, "from a");
+}
+
+TEST_F(IntegrationTest, IsReadyOnlyOnceACacheIsListed) {
+  json config = plain_config(board_);
+  program_ = std::make_unique<Program>(config);
+  ASSERT_TRUE(program_->await_health(503)) << program_->log();
+  list_all();
+  EXPECT_TRUE(program_->await_health(200));
+}
+
+// No request waits for the board, and what it has to tell is heard once it is back.
+TEST_F(IntegrationTest, ServesWhileTheBoardIsLostAndHearsItAgain) {
+  list_all();
+  start();
+  const std::uint16_t port = board_.port();
+  board_.stop();
+  Client client = connect();
+  for (int i = 1; i <= 5; ++i) {
+    ASSERT_TRUE(client.ask(static_cast<std::uint16_t>(i), read_fields(id_of(i))).has_value());
+  }
+  board_.post(pool({listed("cache-a", "", "std", "removed")}, false));
+  board_.start(port);
+  ASSERT_TRUE(board_.await_caught_up());
+  for (int i = 11; i <= 20; ++i) {
+    const auto answer =
+        client.ask(static_cast<std::uint16_t>(i), read_fields(id_of(i), {{"HTTP_X_ENTITY", id_of(i)}}));
+    ASSERT_TRUE(answer.has_value());
+    EXPECT_EQ(answer->body, "from b");
+  }
+}
+
+TEST_F(IntegrationTest, ABoardThatTalksNonsenseIsAskedAgain) {
+  list_all();
+  start({{"router", {{"board_linger_ms", 200}, {"board_grace_ms", 100}}}});
+  for (const char* nonsense : {"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n",
+                               "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nnonsense!", "what?\r\n\r\n",
+                               "HTTP/1.1 200 OK\r\nContent-Length: 22\r\n\r\n{\"rev\":0,\"notices\":[]}"}) {
+    board_.say(nonsense);
+    ASSERT_TRUE(board_.await_calls(board_.calls() + 2)) << nonsense;
+    ASSERT_TRUE(connect().ask(1, read_fields(id_of(1))).has_value()) << nonsense;
+  }
+  board_.say("HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\ncut");  // and then nothing, for longer than it may
+  ASSERT_TRUE(board_.await_calls(board_.calls() + 1));
+  board_.say("");
+  board_.post(pool({listed("cache-a", "", "std", "removed")}, false));
+  EXPECT_TRUE(board_.await_caught_up());
+}
+
+TEST_F(IntegrationTest, AClientThatStopsWaitingGetsNothingMoreAndItsAttemptIsCancelled) {
+  script_all(silence);
+  list_all();
+  start();
+  Client client = connect();
+  client.send(request_bytes(1, read_fields(id_of(1)), ""));
+  while (sends() == 0) {
+    std::this_thread::yield();
+  }
+  client.send(record(2, 1, ""));
+  CacheStandIn& asked = a_.count("serve") > 0 ? a_ : b_;
+  ASSERT_TRUE(asked.await("cancel", 1));
+  script_all(CacheStandIn::serving("next"));
+  const auto next = client.ask(2, read_fields(id_of(2)));
+  ASSERT_TRUE(next.has_value());
+  EXPECT_EQ(next->body, "next");
+  EXPECT_FALSE(client.read(1, milliseconds(0)).has_value());
+}
+
+TEST_F(IntegrationTest, AClosedClientConnectionCancelsWhatWasOutForIt) {
+  script_all(silence);
+  list_all();
+  start();
+  {
+    Client client = connect();
+    client.send(request_bytes(1, read_fields(id_of(1)), ""));
+    while (sends() == 0) {
+      std::this_thread::yield();
+    }
+  }
+  CacheStandIn& asked = a_.count("serve") > 0 ? a_ : b_;
+  EXPECT_TRUE(asked.await("cancel", 1));
+}
+
+TEST_F(IntegrationTest, TheAnswerComesBeforeTheClientsTimeIsUp) {
+  script_all(silence);
+  list_all();
+  start();
+  Client client = connect();
+  const auto before = std::chrono::steady_clock::now();
+  const auto answer = client.ask(1, read_fields(id_of(1), {{"HTTP_X_PATIENCE_MS", "300"}}));
+  ASSERT_TRUE(answer.has_value());
+  EXPECT_NE(answer->status, 200);
+  EXPECT_LT(std::chrono::steady_clock::now() - before, milliseconds(350));
+}
+
+TEST_F(IntegrationTest, UnusableRequestsFailAndReachNoCache) {
+  list_all();
+  start();
+  Client client = connect();
+  const std::vector<Fields> faults{{{"SCRIPT_NAME", "/v1/unknown"}},
+                                   {{"SCRIPT_NAME", "/other"}},
+                                   {{"SCRIPT_NAME", "/v1/"}},
+                                   {{"HTTP_X_CALL_ID", "short"}},
+                                   {{"HTTP_X_CALL_ID", "zzzzzzzzzzzzzzzz"}},
+                                   {{"HTTP_X_CALL_ID", ""}},
+                                   {{"HTTP_X_PATIENCE_MS", ""}},
+                                   {{"HTTP_X_PATIENCE_MS", "0"}},
+                                   {{"HTTP_X_PATIENCE_MS", "-5"}},
+                                   {{"HTTP_X_PATIENCE_MS", "soon"}},
+                                   {{"HTTP_X_ENTITY", ""}},
+                                   {{"HTTP_X_ENTITY", "xyz"}},
+                                   {{"HTTP_X_NTH", "-1"}},
+                                   {{"HTTP_X_BATCH", "256"}},
+                                   {{"HTTP_X_HEAP_KB", "nan"}},
+                                   {{"HTTP_X_HEAP_KB", "-1"}},
+                                   {{"HTTP_X_GOT", "a,next=evil"}},
+                                   {{"HTTP_X_DEDUPE_KEY", "a=b"}},
+                                   {{"SCRIPT_NAME", "/v1/entry"}}};
+  std::uint16_t key = 0;
+  for (const Fields& fault : faults) {
+    ++key;
+    const auto answer = client.ask(key, read_fields(id_of(key), fault));
+    ASSERT_TRUE(answer.has_value()) << fault[0].first << "=" << fault[0].second;
+    EXPECT_EQ(answer->status, 400) << fault[0].first << "=" << fault[0].second;
+  }
+  ++key;
+  const auto body = client.ask(key, read_fields(id_of(key)), std::string(70'000, 'x'));
+  ASSERT_TRUE(body.has_value());
+  EXPECT_EQ(body->status, 400) << "the body is over the limit";
+  EXPECT_EQ(sends(), 0U);
+  ++key;
+  EXPECT_TRUE(client.ask(key, read_fields(id_of(key))).has_value()) << "the connection goes on";
+}
+
+TEST_F(IntegrationTest, MalformedBytesEndTheirConnectionAlone) {
+  list_all();
+  start();
+  Client good = connect();
+  ASSERT_TRUE(good.ask(1, read_fields(id_of(1))).has_value());
+  for (const std::string& bytes :
+       {std::string("GET / HTTP/1.1\r\n\r\n"), std::string(100, '\xff'), begin_record(1) + begin_record(1)}) {
+    Client bad = connect();
+    bad.send(bytes);
+    EXPECT_TRUE(bad.await_close());
+  }
+  const std::string whole = request_bytes(1, read_fields(id_of(2)), "body");
+  for (std::size_t cut = 1; cut < whole.size(); cut += 37) {
+    connect().send(whole.substr(0, cut));  // a connection that ends anywhere
+  }
+  ASSERT_TRUE(good.ask(2, read_fields(id_of(3))).has_value());
+  EXPECT_NE(program_->log().find("cannot be read"), std::string::npos);
+}
+
+TEST_F(IntegrationTest, ACacheThatTalksNonsenseStopsNothing) {
+  const std::vector<std::string> nonsense{
+      "+OK\r\n", "*4\r\n$99999999\r\n", "*1\r\n$2\r\nhi\r\n",
+      "*4\r\n$16\r\n" + id_of(99) + "\r\n$2\r\nOK\r\n$1\r\n-\r\n$0\r\n\r\n", std::string(5000, '*')};
+  list_all();
+  start();
+  Client client = connect();
+  std::uint16_t key = 0;
+  for (const std::string& bytes : nonsense) {
+    script_all(
+        [&bytes](const CacheRequest& request) { return bytes + CacheStandIn::answer(request, "ODD", "x"); });
+    ++key;
+    const auto odd = client.ask(key, read_fields(id_of(key), {{"HTTP_X_PATIENCE_MS", "1000"}}));
+    ASSERT_TRUE(odd.has_value()) << bytes.substr(0, 20);
+    EXPECT_NE(odd->status, 200);
+  }
+  script_all([](const CacheRequest& request) {
+    const std::string answer = CacheStandIn::answer(request, "OK", "tell=odd,meter=:;x,slow=y", "good");
+    return answer + answer;  // a repeated answer
+  });
+  for (int i = 0; i < 30; ++i) {  // caches in question are left alone for a while
+    ++key;
+    const auto good = client.ask(key, read_fields(id_of(key), {{"HTTP_X_ENTITY", id_of(key)}}));
+    ASSERT_TRUE(good.has_value());
+    if (good->status == 200) {
+      EXPECT_EQ(good->body, "good");
+      return;
+    }
+  }
+  FAIL() << "no cache was used again";
+}
+
+// A stalled client holds up nothing but its own answers.
+TEST_F(IntegrationTest, AStalledClientHoldsUpNobodyElse) {
+  script_all(CacheStandIn::serving(std::string(240'000, 'z')));
+  list_all();
+  start();
+  Client stalled(program_->port(), true);
+  for (std::uint16_t key = 1; key <= 30; ++key) {
+    stalled.send(request_bytes(key, read_fields(id_of(key), {{"HTTP_X_ENTITY", id_of(key)}}), ""));
+  }
+  Client other = connect();
+  for (std::uint16_t key = 1; key <= 10; ++key) {
+    const auto answer = other.ask(key, read_fields(id_of(100 + key)));
+    ASSERT_TRUE(answer.has_value());
+    EXPECT_EQ(answer->body.size(), 240'000U);
+  }
+  for (std::uint16_t key = 1; key <= 30; ++key) {
+    const auto late = stalled.read(key);
+    ASSERT_TRUE(late.has_value()) << "once it reads again, its answers are whole";
+    EXPECT_EQ(late->body.size(), 240'000U);
+  }
+}
+
+TEST_F(IntegrationTest, BeyondTheBoundOnOpenRequestsTheRestIsRefused) {
+  script_all(silence);
+  list_all();
+  start({{"settings", {{"Limits", {{"MaxOpen", 4}}}}}});
+  Client client = connect();
+  std::string bytes;
+  for (std::uint16_t key = 1; key <= 6; ++key) {
+    bytes += request_bytes(key, read_fields(id_of(key), {{"HTTP_X_ENTITY", id_of(key)}}), "");
+  }
+  client.send(bytes);
+  for (const std::uint16_t key : {5, 6}) {
+    const auto answer = client.read(key);
+    ASSERT_TRUE(answer.has_value());
+    EXPECT_EQ(answer->status, 503);
+  }
+}
+
+// Idle connections make room: a client that the system has accepted is ours to answer.
+TEST_F(IntegrationTest, ServesWithAllDescriptorsUsedUp) {
+  list_all();
+  start({{"limits", {{"sockets", 64}}}});
+  std::vector<std::unique_ptr<Client>> idle;
+  for (int i = 0; i < 80; ++i) {
+    idle.push_back(std::make_unique<Client>(program_->port()));
+  }
+  for (int round = 0; round < 3; ++round) {
+    Client client = connect();
+    const auto answer = client.ask(1, read_fields(id_of(round + 1), {{"HTTP_X_ENTITY", id_of(round)}}));
+    ASSERT_TRUE(answer.has_value()) << program_->log();
+    EXPECT_EQ(answer->status, 200);
+  }
+}
+
+TEST_F(IntegrationTest, OnSigtermItServesOnUntilArrivalsCeaseAndAllIsAnswered) {
+  std::atomic<bool> held{true};
+  script_all([&held](const CacheRequest& request) -> std::optional<std::string> {
+    return request.id == id_of(1) && held ? std::nullopt
+                                          : std::optional(CacheStandIn::answer(request, "OK", "-", "served"));
+  });
+  list_all();
+  start();
+  Client open = connect();
+  open.send(request_bytes(1, read_fields(id_of(1), {{"HTTP_X_PATIENCE_MS", "1500"}}), ""));
+  while (sends() == 0) {
+    std::this_thread::yield();
+  }
+  program_->signal(SIGTERM);
+  ASSERT_TRUE(program_->await_health(503)) << "it takes new connections, and says that it ends";
+  const auto fresh = connect().ask(1, read_fields(id_of(2), {{"HTTP_X_ENTITY", id_of(2)}}));
+  ASSERT_TRUE(fresh.has_value());
+  EXPECT_EQ(fresh->body, "served");
+  const auto late = open.ask(2, read_fields(id_of(3), {{"HTTP_X_ENTITY", id_of(3)}}));
+  ASSERT_TRUE(late.has_value());
+  EXPECT_EQ(late->body, "served");
+  const auto first = open.read(1);
+  ASSERT_TRUE(first.has_value()) << "what was open before is answered, too";
+  EXPECT_EQ(program_->await_exit(), 0);
+}
+
+// SIGKILL follows after 3.7 s at the earliest: what no cache answers until then is failed, not lost.
+TEST_F(IntegrationTest, ADrainAnswersWhatIsStillOpenInTime) {
+  script_all(silence);
+  list_all();
+  start({{"router", {{"drain_answer_ms", 300}, {"drain_linger_ms", 200}}}});
+  Client client = connect();
+  client.send(request_bytes(
+      1, read_fields(id_of(1), {{"HTTP_X_PATIENCE_MS", "60000"}, {"HTTP_X_HEAP_KB", "900000"}}), ""));
+  while (sends() == 0) {
+    std::this_thread::yield();
+  }
+  program_->signal(SIGTERM);
+  const auto answer = client.read(1, milliseconds(3000));
+  ASSERT_TRUE(answer.has_value());
+  EXPECT_EQ(answer->status, 502);
+  EXPECT_EQ(program_->await_exit(), 0);
+}
+
+TEST_F(IntegrationTest, AFaultyConfigurationIsOneLineAndANonZeroExit) {
+  json config = plain_config(board_);
+  config["board"] = "nowhere";
+  program_ = std::make_unique<Program>(config);
+  EXPECT_EQ(program_->await_exit(), 1);
+  EXPECT_NE(program_->log().find("board: 'nowhere'"), std::string::npos) << program_->log();
+}
+
+TEST_F(IntegrationTest, AnAddressInUseIsTold) {
+  list_all();
+  json config = plain_config(board_);
+  program_ = std::make_unique<Program>(config, std::vector<std::string>{"--listen", a_.address()});
+  EXPECT_EQ(program_->await_exit(), 1);
+  EXPECT_NE(program_->log().find("listen on " + a_.address()), std::string::npos) << program_->log();
+}
+
+}  // namespace
+}  // namespace trailcourse::testing_support
--- a/tests/notice_board_test.cpp
+++ b/tests/notice_board_test.cpp
@@ -237,6 +237,16 @@
   EXPECT_EQ(directory_.find("a"), transport::parse_address("127.0.0.1:9"));
 }
 
+// A process that restarts keeps its name and address; connections to the one before lead nowhere.
+TEST_F(NoticeTakerTest, ACacheThatRestartsLosesItsConnections) {
+  take(1, true, {entry("a", "127.0.0.1:1", "up", 5)});
+  take(2, false, {entry("a", "127.0.0.1:1", "up", 5)});
+  EXPECT_TRUE(unwanted_.empty());
+  take(3, false, {entry("a", "127.0.0.1:1", "up", 6)});
+  EXPECT_EQ(unwanted_, std::vector<std::string>{"a"});
+  EXPECT_EQ(lists_.back().entries.at(0).started, routing::ModuleClock::after_unix_ms(6));
+}
+
 TEST_F(NoticeTakerTest, OldNumbersAreNotTakenTwice) {
   take(5, true, {entry("a", "127.0.0.1:1")});
   take(5, false, {entry("a", "", "removed")});
--- /dev/null
+++ b/tests/transport_test.cpp
@@ -0,0 +1,384 @@
+// The scheduler, connections and the pool, over loopback.
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <functional>
+#include <memory>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "transport/connection.h"
+#include "transport/connection_pool.h"
+#include "transport/log.h"
+#include "transport/scheduler.h"
+#include "transport/socket.h"
+
+namespace trailcourse::transport {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Address kAnyPort{0x7f000001U, 0};
+
+void turn_until(Scheduler& scheduler, const std::function<bool()>& done) {
+  const Clock::time_point late = Clock::now() + std::chrono::seconds(20);
+  while (!done() && Clock::now() < late) {
+    scheduler.turn(milliseconds(20));
+  }
+  ASSERT_TRUE(done()) << "it never came";
+}
+
+TEST(Address, ReadsWhatIsOneAndNothingElse) {
+  const auto address = parse_address("10.0.0.4:4100");
+  ASSERT_TRUE(address.has_value());
+  EXPECT_EQ(to_string(*address), "10.0.0.4:4100");
+  for (const char* text : {"", "10.0.0.4", "10.0.0.4:", "10.0.0.4:0", "10.0.0.4:65536", "10.0.0.4:41x",
+                           "a.b:1", "10.0.0:4100", ":4100", "10.0.0.4:-1"}) {
+    EXPECT_FALSE(parse_address(text).has_value()) << text;
+  }
+}
+
+TEST(Scheduler, TimersRunInOrderAndCancelledOnesNot) {
+  Scheduler scheduler;
+  std::string order;
+  const auto now = Clock::now();
+  scheduler.at(now + milliseconds(4), [&] { order += 'c'; });
+  scheduler.at(now + milliseconds(2), [&] { order += 'b'; });
+  const auto cancelled = scheduler.at(now + milliseconds(1), [&] { order += 'x'; });
+  scheduler.at(now, [&] { order += 'a'; });
+  scheduler.cancel(cancelled);
+  turn_until(scheduler, [&] { return order.size() == 3; });
+  EXPECT_EQ(order, "abc");
+}
+
+Task<int> add_later(Scheduler& scheduler, int left, int right) {
+  co_await scheduler.sleep(milliseconds(1));
+  co_return left + right;
+}
+Task<int> throw_later(Scheduler& scheduler) {
+  co_await scheduler.yield();
+  throw std::runtime_error("scripted");
+}
+Task<void> collect(Scheduler& scheduler, std::string& out) {
+  const int sum = co_await add_later(scheduler, 2, 3);
+  out += std::to_string(sum);
+  try {
+    co_await throw_later(scheduler);
+  } catch (const std::runtime_error& error) {
+    out += error.what();
+  }
+}
+
+TEST(Scheduler, TasksAwaitValuesAndExceptions) {
+  Scheduler scheduler;
+  std::string out;
+  scheduler.spawn(collect(scheduler, out));
+  turn_until(scheduler, [&] { return out.size() > 1; });
+  EXPECT_EQ(out, "5scripted");
+}
+
+Task<void> fail_at_once(Scheduler& scheduler) {
+  co_await scheduler.yield();
+  throw std::runtime_error("scripted");
+}
+
+TEST(Scheduler, AFailingTaskOrJobLeavesTheOthersRunning) {
+  Scheduler scheduler;
+  std::ostringstream log;
+  set_log_stream(log);
+  std::string out;
+  scheduler.spawn(fail_at_once(scheduler));
+  scheduler.post([] { throw std::runtime_error("in a job"); });
+  scheduler.at(Clock::now(), [] { throw 5; });
+  scheduler.spawn(collect(scheduler, out));
+  turn_until(scheduler, [&] { return out.size() > 1; });
+  set_log_stream(std::clog);
+  EXPECT_NE(log.str().find("error a task ended: scripted"), std::string::npos);
+  EXPECT_NE(log.str().find("in a job"), std::string::npos);
+}
+
+Task<void> wait_for(Signal& signal, Clock::duration longest, std::string& out) {
+  const bool notified = co_await signal.wait(longest);
+  out += notified ? 'n' : 't';
+}
+
+TEST(Signal, IsNotifiedBeforeOrDuringTheWaitOrTimesOut) {
+  Scheduler scheduler;
+  Signal signal(scheduler);
+  std::string out;
+  signal.notify();
+  scheduler.spawn(wait_for(signal, milliseconds(1000), out));
+  EXPECT_EQ(out, "n");
+  scheduler.spawn(wait_for(signal, milliseconds(1), out));
+  turn_until(scheduler, [&] { return out.size() == 2; });
+  EXPECT_EQ(out, "nt");
+  scheduler.spawn(wait_for(signal, std::chrono::hours(1), out));
+  signal.notify();
+  turn_until(scheduler, [&] { return out.size() == 3; });
+  EXPECT_EQ(out, "ntn");
+}
+
+TEST(Log, LinesBelowTheLevelAreNotMade) {
+  std::ostringstream log;
+  set_log_stream(log);
+  log_line(Level::kDebug) << "hidden";
+  log_line(Level::kWarning) << "shown " << 5;
+  set_log_stream(std::clog);
+  EXPECT_EQ(log.str().find("hidden"), std::string::npos);
+  EXPECT_NE(log.str().find("warning shown 5\n"), std::string::npos);
+  EXPECT_EQ(level_named("error"), Level::kError);
+  EXPECT_FALSE(level_named("loud").has_value());
+}
+
+// Keeps what happens on a connection.
+class Noted : public Connection::Handler {
+ public:
+  struct Seen {
+    std::string bytes;
+    std::vector<ConnectionEnd> ends;
+    bool throws = false;
+  };
+  explicit Noted(Seen& seen) : seen_(seen) {}
+  void on_bytes(std::string_view bytes) override {
+    seen_.bytes += bytes;
+    if (seen_.throws) {
+      throw std::runtime_error("scripted");
+    }
+  }
+  void on_end(ConnectionEnd end) override { seen_.ends.push_back(end); }
+
+ private:
+  Seen& seen_;
+};
+
+class ConnectionTest : public testing::Test {
+ protected:
+  ConnectionTest() : listener_(listen_on(kAnyPort, 16)), address_(local_of(listener_.descriptor.get())) {}
+
+  std::shared_ptr<Connection> connect(const Connection::Bounds& bounds = Connection::Bounds()) {
+    auto connection = Connection::connect(scheduler_, address_, bounds);
+    connection->start(std::make_shared<Noted>(seen_));
+    return connection;
+  }
+  Descriptor accept() {
+    Descriptor socket;
+    turn_until(scheduler_, [&] {
+      if (!socket.valid()) {
+        socket = std::move(accept_from(listener_.descriptor.get()).descriptor);
+      }
+      return socket.valid();
+    });
+    return socket;
+  }
+  std::string read_from(const Descriptor& socket, std::size_t wanted) {
+    std::string out;
+    turn_until(scheduler_, [&] {
+      char buffer[65536];
+      const ssize_t count = ::recv(socket.get(), buffer, sizeof buffer, 0);
+      out.append(buffer, count > 0 ? static_cast<std::size_t>(count) : 0);
+      return out.size() >= wanted;
+    });
+    return out;
+  }
+  void await_end() {
+    turn_until(scheduler_, [&] { return !seen_.ends.empty(); });
+  }
+
+  Scheduler scheduler_;
+  Opened listener_;
+  Address address_;
+  Noted::Seen seen_;
+};
+
+TEST_F(ConnectionTest, CarriesBytesBothWaysAndSeesTheEnd) {
+  const auto connection = connect();
+  connection->write("early");
+  Descriptor peer = accept();
+  EXPECT_EQ(read_from(peer, 5), "early");
+  ASSERT_EQ(::send(peer.get(), "hello", 5, MSG_NOSIGNAL), 5);
+  turn_until(scheduler_, [&] { return seen_.bytes == "hello"; });
+  peer.reset();
+  await_end();
+  EXPECT_EQ(seen_.ends, std::vector<ConnectionEnd>{ConnectionEnd::kPeerClosed});
+  connection->close(ConnectionEnd::kIdle);
+  scheduler_.turn(milliseconds(0));
+  EXPECT_EQ(seen_.ends.size(), 1U) << "it ends once";
+}
+
+TEST_F(ConnectionTest, ARefusedConnectWasNeverBegun) {
+  listener_.descriptor.reset();
+  const auto connection = connect();
+  connection->write("request");
+  await_end();
+  EXPECT_EQ(seen_.ends[0], ConnectionEnd::kRefused);
+  EXPECT_FALSE(connection->up());
+}
+
+TEST_F(ConnectionTest, WhatIsWrittenOfAnEndedConnectionIsStillKnownWhenTheEndIsTold) {
+  // A peer that never reads: the system takes a part, the rest waits.
+  Connection::Bounds bounds;
+  bounds.send_buffer = 8192;
+  const auto connection = connect(bounds);
+  Descriptor peer = accept();
+  const auto first = connection->write(std::string(3'000'000, 'x'));
+  const auto second = connection->write("behind");
+  turn_until(scheduler_, [&] { return connection->begun(first); });
+  EXPECT_FALSE(connection->begun(second));
+  EXPECT_FALSE(connection->withdraw(first)) << "a part has left";
+  EXPECT_TRUE(connection->withdraw(second));
+  EXPECT_FALSE(connection->withdraw(second));
+  connection->close(ConnectionEnd::kStalled);
+  EXPECT_TRUE(connection->begun(first));
+  await_end();
+}
+
+TEST_F(ConnectionTest, AConnectThatNeverComesUpTimesOut) {
+  // A full backlog leaves the connect without an answer.
+  Opened full = listen_on(kAnyPort, 0);
+  address_ = local_of(full.descriptor.get());
+  std::vector<Opened> fillers;
+  for (int i = 0; i < 8; ++i) {
+    fillers.push_back(start_connect(address_));
+  }
+  Connection::Bounds bounds;
+  bounds.connect_timeout = milliseconds(30);
+  const auto connection = connect(bounds);
+  await_end();
+  EXPECT_EQ(seen_.ends[0], ConnectionEnd::kConnectTimeout);
+}
+
+TEST_F(ConnectionTest, APeerThatTakesNothingIsStalled) {
+  Connection::Bounds bounds;
+  bounds.stall_timeout = milliseconds(30);
+  bounds.send_buffer = 8192;
+  const auto connection = connect(bounds);
+  Descriptor peer = accept();
+  connection->write(std::string(4'000'000, 'x'));
+  await_end();
+  EXPECT_EQ(seen_.ends[0], ConnectionEnd::kStalled);
+}
+
+TEST_F(ConnectionTest, MoreThanMayWaitEndsIt) {
+  Connection::Bounds bounds;
+  bounds.most_waiting = 1000;
+  const auto connection = connect(bounds);
+  connection->write(std::string(1001, 'x'));
+  await_end();
+  EXPECT_EQ(seen_.ends[0], ConnectionEnd::kOverflow);
+}
+
+TEST_F(ConnectionTest, AHandlerThatThrowsEndsItsConnectionAlone) {
+  std::ostringstream log;
+  set_log_stream(log);
+  seen_.throws = true;
+  const auto connection = connect();
+  Descriptor peer = accept();
+  ASSERT_EQ(::send(peer.get(), "x", 1, MSG_NOSIGNAL), 1);
+  await_end();
+  set_log_stream(std::clog);
+  EXPECT_EQ(seen_.ends[0], ConnectionEnd::kMalformed);
+}
+
+TEST_F(ConnectionTest, ClosesOnceAllIsWritten) {
+  const auto connection = connect();
+  Descriptor peer = accept();
+  const std::string large(1'000'000, 'y');
+  connection->write(large);
+  connection->close_when_written();
+  EXPECT_EQ(read_from(peer, large.size()).size(), large.size());
+  await_end();
+  EXPECT_EQ(seen_.ends[0], ConnectionEnd::kShutdown);
+}
+
+class PoolTest : public ConnectionTest {
+ protected:
+  using Pool = ConnectionPool<Noted>;
+
+  Pool::MakeLink make() {
+    return [this](const Pool::SlotPtr& slot) {
+      made_.push_back(slot);
+      return std::make_shared<Noted>(seen_);
+    };
+  }
+  static bool any(const Pool::Slot&) { return true; }
+  void bring_up(const Pool::SlotPtr& slot) {
+    turn_until(scheduler_, [&] { return slot->connection->up(); });
+  }
+  static Pool::Bounds bounds() {
+    Pool::Bounds out;
+    out.streams = 2;
+    out.per_peer = 2;
+    out.in_all = 3;
+    return out;
+  }
+
+  std::vector<std::weak_ptr<Pool::Slot>> made_;
+};
+
+TEST_F(PoolTest, AFreeConnectionIsUsedAgainABusyOneGetsCompany) {
+  Pool pool(scheduler_, bounds(), make());
+  const auto first = pool.take("a", address_, any);
+  ASSERT_TRUE(first);
+  bring_up(first);
+  const auto second = pool.take("a", address_, any);
+  EXPECT_NE(first, second);
+  bring_up(second);
+  EXPECT_EQ(pool.take("a", address_, any), first) << "no third connection: the streams are shared out";
+  EXPECT_EQ(pool.take("a", address_, any), second);
+  EXPECT_FALSE(pool.take("a", address_, any)) << "all streams are in use";
+  pool.give_back(second);
+  EXPECT_EQ(pool.take("a", address_, any), second);
+}
+
+TEST_F(PoolTest, AtItsBoundAnIdleConnectionMakesRoomElseNoneIsHad) {
+  Pool pool(scheduler_, bounds(), make());
+  const auto a = pool.take("a", address_, any);
+  const auto b = pool.take("b", address_, any);
+  const auto c = pool.take("c", address_, any);
+  bring_up(a);
+  EXPECT_FALSE(pool.take("d", address_, any)) << "the bound is reached and all are in use";
+  pool.give_back(a);
+  EXPECT_TRUE(pool.take("d", address_, any));
+  EXPECT_TRUE(a->connection->ended());
+}
+
+TEST_F(PoolTest, ARetiredOrDroppedConnectionGetsNothingNew) {
+  Pool pool(scheduler_, bounds(), make());
+  const auto first = pool.take("a", address_, any);
+  bring_up(first);
+  pool.retire(first);
+  EXPECT_FALSE(first->connection->ended()) << "its streams go on";
+  const auto second = pool.take("a", address_, any);
+  EXPECT_NE(second, first);
+  pool.give_back(first);
+  EXPECT_TRUE(first->connection->ended());
+  pool.drop("a", ConnectionEnd::kDropped);
+  pool.give_back(second);
+  EXPECT_TRUE(second->connection->ended());
+}
+
+TEST_F(PoolTest, AConnectionToAnOldAddressIsNotUsed) {
+  Pool pool(scheduler_, bounds(), make());
+  const auto first = pool.take("a", address_, any);
+  bring_up(first);
+  pool.give_back(first);
+  Opened other = listen_on(kAnyPort, 4);
+  const auto second = pool.take("a", local_of(other.descriptor.get()), any);
+  EXPECT_NE(second, first);
+}
+
+TEST_F(PoolTest, IdleConnectionsAreClosedBeforeThePeerDoes) {
+  Pool::Bounds short_idle = bounds();
+  short_idle.idle = milliseconds(20);
+  Pool pool(scheduler_, short_idle, make());
+  const auto slot = pool.take("a", address_, any);
+  bring_up(slot);
+  pool.give_back(slot);
+  await_end();
+  EXPECT_EQ(seen_.ends[0], ConnectionEnd::kIdle);
+}
+
+}  // namespace
+}  // namespace trailcourse::transport
