--- a/src/program/configuration.cpp
+++ b/src/program/configuration.cpp
@@ -159,7 +159,7 @@
       {"cache_connections", "connections", 1, 1'024, &Tuning::cache_connections,
        "to one cache: a large answer holds up what comes behind it on its connection"},
       {"cache_silent_ms", "ms", 10, 600'000, &Tuning::cache_silent_ms,
-       "nothing came for so long after a request that was given up: nothing new goes over that connection"},
+       "nothing came from a cache for so long after a request that was given up: its connections are, too"},
       {"answer_bytes", "bytes", 1'024, 67'108'864, &Tuning::answer_bytes,
        "one answer of a cache; objects hold 240,000 at most"},
       {"board_linger_ms", "ms", 0, 5'000, &Tuning::board_linger_ms,
--- a/src/program/configuration.h
+++ b/src/program/configuration.h
@@ -32,7 +32,7 @@
   std::int64_t answer_record_bytes = 16'384;
   std::int64_t write_low_mark = 65'536;
   std::int64_t cache_connections = 16;
-  std::int64_t cache_silent_ms = 1'000;
+  std::int64_t cache_silent_ms = 400;
   std::int64_t answer_bytes = 524'288;
   std::int64_t board_linger_ms = 2'000;
   std::int64_t board_grace_ms = 1'000;
--- a/src/protocol/notice_board.cpp
+++ b/src/protocol/notice_board.cpp
@@ -30,20 +30,21 @@
     throw FormatError("not an entry");
   }
   ListedCache cache;
-  cache.name = text_at(source, "name");
+  NodeEntry& entry = cache.entry;
+  entry.address = text_at(source, "name");
   // The name goes on to caches as a field's value.
-  if (cache.name.empty() || cache.name.find_first_of(",= \r\n") != std::string::npos) {
+  if (entry.address.empty() || entry.address.find_first_of(",= \r\n") != std::string::npos) {
     throw FormatError("unusable name");
   }
-  cache.state = look_up(kStateWords, word_at(source, "status", "up"));
-  cache.address = word_at(source, "address", "");
-  cache.zone = word_at(source, "zone", "");
-  cache.role = profile.role_of(word_at(source, "type", ""));
-  cache.cell = small_at(source, "group", 0);
-  cache.weight = number_at(source, "weight", 1.0);
-  if (!std::isfinite(cache.weight) || cache.weight < 0.0) {
+  entry.state = look_up(kStateWords, word_at(source, "status", "up"));
+  entry.zone = word_at(source, "zone", "");
+  entry.role = profile.role_of(word_at(source, "type", ""));
+  entry.cell = small_at(source, "group", 0);
+  entry.weight = number_at(source, "weight", 1.0);
+  if (!std::isfinite(entry.weight) || entry.weight < 0.0) {
     throw FormatError("number out of range: weight");
   }
+  cache.address = word_at(source, "address", "");
   cache.since_ms = millis_at(source, "since_ms");
   return cache;
 }
--- a/src/protocol/notice_board.h
+++ b/src/protocol/notice_board.h
@@ -14,13 +14,8 @@
 
 // A cache as the notice board lists it: its name, and where this router reaches it.
 struct ListedCache {
-  std::string name;
-  std::string address;
-  std::string zone;
-  Role role = Role::kCache;
-  int cell = 0;
-  NodeState state = NodeState::kReady;
-  double weight = 1.0;
+  NodeEntry entry;            // its address is the name, its start is not set
+  std::string address;        // IP:PORT
   std::int64_t since_ms = 0;  // Unix time of a late start; 0: long ago
 };
 struct PoolNotice {
--- a/src/routing/front.cpp
+++ b/src/routing/front.cpp
@@ -388,11 +388,11 @@
       if (!open) {
         co_return;
       }
-    } else if (opened.error == EMFILE || opened.error == ENFILE || opened.error == ENOMEM ||
-               opened.error == ENOBUFS) {
+    } else if (opened.error != ECONNABORTED && opened.error != EINTR) {
       // What waits in the backlog is already ours to answer: a descriptor is freed, or becomes free soon.
       if (!free_descriptor_() && !free_descriptor()) {
-        log_line(Level::kWarning) << "no descriptor left for a client";
+        log_line(Level::kWarning) << "a client cannot be accepted: "
+                                  << std::generic_category().message(opened.error);
       }
       co_await scheduler_.sleep(kAcceptPause);
     }
--- a/src/routing/notice_taker.cpp
+++ b/src/routing/notice_taker.cpp
@@ -49,17 +49,11 @@
   const auto before = whole ? known_ : decltype(known_)();
   std::set<std::string> named;
   for (const protocol::ListedCache& cache : pool.caches) {
-    named.insert(cache.name);
+    named.insert(cache.entry.address);
     if (!place(cache)) {
       continue;
     }
-    NodeEntry entry;
-    entry.address = cache.name;
-    entry.zone = cache.zone;
-    entry.role = cache.role;
-    entry.cell = cache.cell;
-    entry.state = cache.state;
-    entry.weight = cache.weight;
+    NodeEntry entry = cache.entry;
     entry.started = cache.since_ms > 0 ? ModuleClock::after_unix_ms(cache.since_ms) : Micros(0);
     list.entries.push_back(std::move(entry));
   }
@@ -74,35 +68,36 @@
 
 // Keeps the address; false where the entry cannot be used.
 bool NoticeTaker::place(const protocol::ListedCache& cache) {
-  const std::optional<transport::Address> old = directory_.find(cache.name);
+  const std::string& name = cache.entry.address;
+  const std::optional<transport::Address> old = directory_.find(name);
   const std::optional<transport::Address> address = transport::parse_address(cache.address);
-  if (!address && cache.state == NodeState::kReady && !old) {
-    log_line(Level::kWarning) << "notice board: cache " << cache.name << " has no usable address";
+  if (!address && cache.entry.state == NodeState::kReady && !old) {
+    log_line(Level::kWarning) << "notice board: cache " << name << " has no usable address";
     return false;
   }
-  const std::pair<NodeState, std::int64_t> state(cache.state, cache.since_ms);
-  const auto found = known_.find(cache.name);
+  const std::pair<NodeState, std::int64_t> state(cache.entry.state, cache.since_ms);
+  const auto found = known_.find(name);
   if (found == known_.end() || found->second != state) {
-    log_line(Level::kInfo) << "cache " << cache.name << " is " << state_name(cache.state)
+    log_line(Level::kInfo) << "cache " << name << " is " << state_name(cache.entry.state)
                            << (cache.since_ms > 0 ? ", started late" : "");
   }
-  if (cache.state == NodeState::kGone) {
-    leave_out(cache.name);
+  if (cache.entry.state == NodeState::kGone) {
+    leave_out(name);
     return true;
   }
   if (address) {
     // Another address, or another process at the same one: the old connections lead nowhere.
     const bool restarted = found != known_.end() && found->second.second != cache.since_ms;
     if (old && (*old != *address || restarted)) {
-      unwanted_(cache.name);
+      unwanted_(name);
     }
-    directory_.set(cache.name, *address);
+    directory_.set(name, *address);
   }
-  known_[cache.name] = state;
-  if (cache.state == NodeState::kReady) {
-    up_.insert(cache.name);
+  known_[name] = state;
+  if (cache.entry.state == NodeState::kReady) {
+    up_.insert(name);
   } else {
-    up_.erase(cache.name);
+    up_.erase(name);
   }
   return true;
 }
--- a/tests/transport_test.cpp
+++ b/tests/transport_test.cpp
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <stdexcept>
@@ -132,6 +133,19 @@
   EXPECT_FALSE(level_named("loud").has_value());
 }
 
+TEST(Log, LinesWithoutEndAreLeftOut) {
+  std::ostringstream log;
+  set_log_stream(log);
+  for (int i = 0; i < 2000; ++i) {
+    log_line(Level::kWarning) << "nonsense";
+  }
+  set_log_stream(std::clog);
+  const std::string text = log.str();
+  const auto lines = std::count(text.begin(), text.end(), '\n');
+  EXPECT_GT(lines, 0);
+  EXPECT_LE(lines, 800) << "at most so many a second, over a few seconds on a slow machine";
+}
+
 // Keeps what happens on a connection.
 class Noted : public Connection::Handler {
  public:
