--- a/src/program/configuration.cpp
+++ b/src/program/configuration.cpp
@@ -242,6 +242,9 @@
   if (out.profile.settings.classes.empty()) {
     fail("settings.Classes", "missing");
   }
+  if (out.profile.settings.attempts_cap < 1) {
+    fail("settings.Limits.AttemptsCap", "must be 1 at least");
+  }
   if (protocol::find(source, "known") == nullptr) {
     fail("known", "missing");
   }
--- a/src/program/configuration.h
+++ b/src/program/configuration.h
@@ -53,7 +53,6 @@
   protocol::Profile profile;
   protocol::NoticePage known;
   Tuning tuning;
-  std::vector<std::string> warnings;
 
   // Derived from the limits.
   std::size_t most_open_requests() const;
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -36,9 +36,25 @@
   if (held == nullptr || !held->reply) {
     return;
   }
-  close(*held);
+  end_for_client(id, *held);
+}
+
+// The module cancels what it has out, but for a stream: that is the client's alone and has no time-out, so it
+// ends with its client.
+void Router::end_for_client(RequestId id, Held& held) {
+  close(held);
+  const int streaming = held.streaming;
   tell(ClientLeft{id});
-  forget_if_over(id);
+  Attempt* attempt = streaming >= 0 ? find_out(held, streaming) : nullptr;
+  if (attempt != nullptr) {
+    const AttemptKey key{id, streaming};
+    upstream_->cancel(key);
+    AttemptResult result;
+    result.status = Status::kCancelled;
+    end_attempt(key, held, *attempt, result);
+  } else {
+    forget_if_over(id);
+  }
 }
 
 void Router::fail_open() {
@@ -50,9 +66,10 @@
   }
   for (const RequestId id : ids) {
     if (Held* held = find(id); held != nullptr && held->reply) {
-      close(*held)->failed();
-      tell(ClientLeft{id});
-      forget_if_over(id);
+      const std::shared_ptr<Reply> reply = held->reply;
+      const bool begun = held->streaming >= 0;
+      end_for_client(id, *held);
+      begun ? reply->finish(false) : reply->failed();
     }
   }
 }
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -134,6 +134,7 @@
   Attempt* find_out(Held& held, int attempt);
   void end_attempt(const AttemptKey& key, Held& held, Attempt& attempt, const AttemptResult& result);
   std::shared_ptr<Reply> close(Held& held);
+  void end_for_client(RequestId id, Held& held);
   void forget_if_over(RequestId id);
   void fail_after_error(const Event& event);
 
--- a/tests/configuration_test.cpp
+++ b/tests/configuration_test.cpp
@@ -108,6 +108,7 @@
                                                          {"/known/rev", -1},
                                                          {"/settings", 5},
                                                          {"/settings/Classes", json::array()},
+                                                         {"/settings/Limits/AttemptsCap", -1},
                                                          {"/settings/Classes/0/Effect", "odd"},
                                                          {"/settings/Classes/0/GiveUpS", "long"},
                                                          {"/name", 5},
--- a/tests/integration_test.cpp
+++ b/tests/integration_test.cpp
@@ -225,14 +225,15 @@
   start();
   Client client = connect();
   ASSERT_TRUE(client.ask(1, read_fields(id_of(1))).has_value());
-  const auto now =
-      std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch());
-  board_.post({{"flush", {{"asset", "7f3a9c21e0b4d655"}, {"ms", now.count()}}}});
+  const auto unix_now = [] {
+    return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch());
+  };
+  const milliseconds purge = unix_now() - milliseconds(500);
+  board_.post({{"flush", {{"asset", "7f3a9c21e0b4d655"}, {"ms", purge.count()}}}});
   ASSERT_TRUE(board_.await_caught_up());
   ASSERT_TRUE(client.ask(2, read_fields(id_of(2))).has_value());
   ASSERT_TRUE(client.ask(3, read_fields(id_of(3), {{"HTTP_X_ENTITY", id_of(9)}})).has_value());
-  const auto after =
-      std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()) - now;
+  const milliseconds after = unix_now() - purge;
   for (const CacheRequest& seen : all_seen()) {
     if (seen.id == id_of(2)) {
       ASSERT_TRUE(seen.fields.contains("agelim"));
@@ -242,7 +243,7 @@
       EXPECT_FALSE(seen.fields.contains("agelim")) << seen.id;
     }
   }
-  board_.post({{"flush", {{"collection", 17}, {"ms", now.count()}}}});
+  board_.post({{"flush", {{"collection", 17}, {"ms", purge.count()}}}});
   ASSERT_TRUE(board_.await_caught_up());
   ASSERT_TRUE(client.ask(4, read_fields(id_of(4), {{"HTTP_X_ENTITY", id_of(9)}})).has_value());
   for (const CacheRequest& seen : all_seen()) {
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -294,6 +294,26 @@
   EXPECT_EQ(answers_->said, (std::vector<std::string>{"begin", "whole"}));
 }
 
+// A stream has no time-out: left alone by its client it would be read for ever.
+TEST_F(RouterTest, AStreamEndsWithItsClient) {
+  const RequestId id = arrive(1);
+  router_.stream_started({id, 0}, false);
+  router_.leave(id);
+  EXPECT_EQ(upstream_.cancelled, std::vector<AttemptKey>{(AttemptKey{id, 0})});
+  ASSERT_EQ(told<AttemptEnded>().size(), 1U);
+  EXPECT_EQ(told<AttemptEnded>()[0].status, Status::kCancelled);
+  router_.stream_piece({id, 0}, "late");
+  EXPECT_EQ(answers_->said, std::vector<std::string>{"begin"});
+}
+
+TEST_F(RouterTest, AtTheEndAStreamIsCutVisibly) {
+  const RequestId id = arrive(1);
+  router_.stream_started({id, 0}, false);
+  router_.fail_open();
+  EXPECT_EQ(answers_->said, (std::vector<std::string>{"begin", "cut"}));
+  EXPECT_EQ(upstream_.cancelled, std::vector<AttemptKey>{(AttemptKey{id, 0})});
+}
+
 // A module that throws must not cost more than the request at hand.
 TEST_F(RouterTest, AnExceptionOfTheModuleFailsThatRequestAlone) {
   const RequestId first = arrive();
