After SIGTERM go on while requests come, health checks aside

Found by reading: the end came 0.65 s after SIGTERM once all was answered, also between two requests of a client that is late on its way; what the system had accepted in that moment would have been lost. Now also 0.15 s without a request. Test: AfterSigtermItGoesOnWhileRequestsCome.

--- a/src/program/configuration.cpp
+++ b/src/program/configuration.cpp
@@ -171,6 +171,8 @@
        "longest pause between failed calls"},
       {"drain_linger_ms", "ms", 0, 60'000, &Tuning::drain_linger_ms,
        "arrivals go on for up to 0.6 s after SIGTERM"},
+      {"drain_quiet_ms", "ms", 0, 60'000, &Tuning::drain_quiet_ms,
+       "and so long since the last request: what is late on its way is still taken"},
       {"drain_answer_ms", "ms", 100, 600'000, &Tuning::drain_answer_ms,
        "after SIGTERM; what is open then is failed, since SIGKILL may come after 3.7 s"},
       {"open_request_bytes", "bytes", 1'024, 67'108'864, &Tuning::open_request_bytes,
--- a/src/program/configuration.h
+++ b/src/program/configuration.h
@@ -39,6 +39,7 @@
   std::int64_t board_pause_ms = 50;
   std::int64_t board_most_pause_ms = 2'000;
   std::int64_t drain_linger_ms = 650;
+  std::int64_t drain_quiet_ms = 150;
   std::int64_t drain_answer_ms = 3'300;
   std::int64_t open_request_bytes = 98'304;
 };
--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -123,6 +123,7 @@
   front.start_draining();
   const Clock::time_point asked = Clock::now();
   const milliseconds linger(tuning.drain_linger_ms);
+  const milliseconds quiet(tuning.drain_quiet_ms);
   const milliseconds longest(tuning.drain_answer_ms);
   for (;;) {
     const Clock::duration since = Clock::now() - asked;
@@ -130,8 +131,9 @@
       log_line(Level::kWarning) << router.open_requests() << " requests failed: the time to drain is over";
       router.fail_open();
     }
-    const bool answered = router.open_requests() == 0 && (front.quiet() || since >= longest + kFlush);
-    if (since >= linger && answered) {
+    const bool ceased = since >= linger && Clock::now() - front.last_arrival() >= quiet;
+    const bool answered = router.open_requests() == 0 && front.quiet();
+    if ((ceased && answered) || since >= longest + kFlush) {
       break;
     }
     co_await scheduler.sleep(kDrainCheck);
--- a/src/routing/front.cpp
+++ b/src/routing/front.cpp
@@ -239,7 +239,6 @@
 }
 
 void FrontSession::take(fastcgi::RequestRead&& read) {
-  front_.last_arrival_ = front_.scheduler_.turn_time();
   const fastcgi::RequestKey key = read.key;
   keep_ = keep_ && read.keep_connection;
   if (field(read.parameters, "SCRIPT_NAME") == kHealthPath) {
@@ -248,6 +247,7 @@
                       : cgi_head(503, "Service Unavailable") + "\r\n");
     return;
   }
+  front_.last_arrival_ = front_.scheduler_.turn_time();
   ReadRequest request = read_request(std::move(read), front_.class_index_, front_.settings_);
   if (!request.fault.empty()) {
     log_line(Level::kWarning) << "request from " << to_string(connection_.peer())
@@ -377,7 +377,6 @@
   for (;;) {
     transport::Opened opened = transport::accept_from(listener_.get());
     if (opened.descriptor.valid()) {
-      last_arrival_ = Clock::now();
       const auto connection =
           transport::Connection::adopt(scheduler_, std::move(opened.descriptor), bounds_.connection);
       auto session = std::make_shared<FrontSession>(*this, *connection);
--- a/src/routing/front.h
+++ b/src/routing/front.h
@@ -101,6 +101,7 @@
   void start_draining() { draining_ = true; }
   // Whether nothing is owed to any client.
   bool quiet() const;
+  // Of a request; health checks do not count.
   transport::Clock::time_point last_arrival() const { return last_arrival_; }
   std::size_t waiting() const { return waiting_; }
   void close_all();
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -95,7 +95,7 @@
     co_return false;
   }
   up_ = true;
-  last_received_ = last_written_ = Clock::now();
+  last_received_ = Clock::now();
   co_return true;
 }
 
@@ -210,7 +210,6 @@
       }
       continue;
     }
-    last_written_ = Clock::now();
     auto left = static_cast<std::size_t>(count);
     waiting_ -= left;
     while (left > 0) {
--- a/src/transport/connection.h
+++ b/src/transport/connection.h
@@ -60,7 +60,6 @@
   bool ended() const { return ended_; }
   std::size_t waiting() const { return waiting_; }
   Clock::time_point last_received() const { return last_received_; }
-  Clock::time_point opened_at() const { return opened_at_; }
   const Address& peer() const { return peer_; }
 
  private:
@@ -93,9 +92,7 @@
   std::uint64_t last_token_ = 0;
   std::deque<Piece> pieces_;
   std::size_t waiting_ = 0;
-  Clock::time_point opened_at_ = Clock::now();
-  Clock::time_point last_received_ = opened_at_;
-  Clock::time_point last_written_ = opened_at_;
+  Clock::time_point last_received_ = Clock::now();
 };
 
 }  // namespace trailcourse::transport
--- a/tests/integration_test.cpp
+++ b/tests/integration_test.cpp
@@ -587,6 +587,20 @@
   EXPECT_EQ(program_->await_exit(), 0);
 }
 
+// Requests that are late on their way are still taken: an end between two of them would lose the second.
+TEST_F(IntegrationTest, AfterSigtermItGoesOnWhileRequestsCome) {
+  list_all();
+  start({{"router", {{"drain_linger_ms", 0}, {"drain_quiet_ms", 1500}}}});
+  Client client = connect();
+  ASSERT_TRUE(client.ask(1, read_fields(id_of(1))).has_value());
+  program_->signal(SIGTERM);
+  ASSERT_TRUE(program_->await_health(503));
+  for (std::uint16_t key = 2; key <= 20; ++key) {
+    ASSERT_TRUE(client.ask(key, read_fields(id_of(key))).has_value()) << key;
+  }
+  EXPECT_EQ(program_->await_exit(), 0);
+}
+
 // SIGKILL follows after 3.7 s at the earliest: what no cache answers until then is failed, not lost.
 TEST_F(IntegrationTest, ADrainAnswersWhatIsStillOpenInTime) {
   script_all(silence);
