--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -27,7 +27,7 @@
   ++open_;
   request.told.id = id;
   request.told.due = now() + request.patience;
-  tell(std::move(request.told));
+  tell(request.told);
   return id;
 }
 
