--- a/tests/integration_test.cpp
+++ b/tests/integration_test.cpp
@@ -530,6 +530,31 @@
   EXPECT_EQ(again->status, 200);
 }
 
+// Caches that begin large answers and do not end them must not fill the memory either.
+TEST_F(IntegrationTest, BeyondTheBoundOnAnswersInPartTheirConnectionsEnd) {
+  script_all([](const CacheRequest& request) {
+    return "*4\r\n$16\r\n" + request.id + "\r\n$2\r\nOK\r\n$1\r\n-\r\n$500000\r\npart";
+  });
+  list_all();
+  start({{"limits", {{"memory_mb", 36}}}});  // a quarter of the 4 MB over its base holds two such answers
+  Client client = connect();
+  const Fields patient{{"HTTP_X_PATIENCE_MS", "60000"}, {"HTTP_X_HEAP_KB", "5000"}};
+  std::string bytes;
+  for (std::uint16_t key = 1; key <= 6; ++key) {
+    Fields fields = patient;
+    fields.emplace_back("HTTP_X_ENTITY", id_of(key));
+    bytes += request_bytes(key, read_fields(id_of(key), fields), "");
+  }
+  client.send(bytes);
+  const auto until = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+  while (program_->log().find("too much is held of answers") == std::string::npos) {
+    ASSERT_LT(std::chrono::steady_clock::now(), until) << program_->log();
+    std::this_thread::yield();
+  }
+  script_all(CacheStandIn::serving("well"));
+  EXPECT_TRUE(connect().ask(1, read_fields(id_of(20), {{"HTTP_X_ENTITY", id_of(20)}})).has_value());
+}
+
 TEST_F(IntegrationTest, BeyondTheBoundOnRequestsInPartTheirConnectionsEnd) {
   list_all();
   start({{"limits", {{"memory_mb", 36}}}});  // an eighth of the 4 MB over its base
