--- a/tests/integration_test.cpp
+++ b/tests/integration_test.cpp
@@ -41,6 +41,16 @@
     origin_.set_script(script);
   }
   std::size_t sends() const { return a_.count("serve") + b_.count("serve") + origin_.count("serve"); }
+  // Waits until any cache was asked.
+  void await_send() const {
+    const auto until = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+    while (sends() == 0 && std::chrono::steady_clock::now() < until) {
+      std::this_thread::yield();
+    }
+    ASSERT_GT(sends(), 0U);
+  }
+  // The one of the two caches that was.
+  CacheStandIn& asked() { return a_.count("serve") > 0 ? a_ : b_; }
   std::vector<CacheRequest> all_seen() const {
     std::vector<CacheRequest> out;
     for (const CacheStandIn* cache : {&a_, &b_, &origin_}) {
@@ -330,12 +340,9 @@
   start();
   Client client = connect();
   client.send(request_bytes(1, read_fields(id_of(1)), ""));
-  while (sends() == 0) {
-    std::this_thread::yield();
-  }
+  await_send();
   client.send(record(2, 1, ""));
-  CacheStandIn& asked = a_.count("serve") > 0 ? a_ : b_;
-  ASSERT_TRUE(asked.await("cancel", 1));
+  ASSERT_TRUE(asked().await("cancel", 1));
   script_all(CacheStandIn::serving("next"));
   const auto next = client.ask(2, read_fields(id_of(2)));
   ASSERT_TRUE(next.has_value());
@@ -350,12 +357,9 @@
   {
     Client client = connect();
     client.send(request_bytes(1, read_fields(id_of(1)), ""));
-    while (sends() == 0) {
-      std::this_thread::yield();
-    }
+    await_send();
   }
-  CacheStandIn& asked = a_.count("serve") > 0 ? a_ : b_;
-  EXPECT_TRUE(asked.await("cancel", 1));
+  EXPECT_TRUE(asked().await("cancel", 1));
 }
 
 TEST_F(IntegrationTest, TheAnswerComesBeforeTheClientsTimeIsUp) {
@@ -596,9 +600,7 @@
   start();
   Client open = connect();
   open.send(request_bytes(1, read_fields(id_of(1), {{"HTTP_X_PATIENCE_MS", "1500"}}), ""));
-  while (sends() == 0) {
-    std::this_thread::yield();
-  }
+  await_send();
   program_->signal(SIGTERM);
   ASSERT_TRUE(program_->await_health(503)) << "it takes new connections, and says that it ends";
   const auto fresh = connect().ask(1, read_fields(id_of(2), {{"HTTP_X_ENTITY", id_of(2)}}));
@@ -634,9 +636,7 @@
   Client client = connect();
   client.send(request_bytes(
       1, read_fields(id_of(1), {{"HTTP_X_PATIENCE_MS", "60000"}, {"HTTP_X_HEAP_KB", "900000"}}), ""));
-  while (sends() == 0) {
-    std::this_thread::yield();
-  }
+  await_send();
   program_->signal(SIGTERM);
   const auto answer = client.read(1, milliseconds(3000));
   ASSERT_TRUE(answer.has_value());
