Read numbers, retire connections and answer whole replies in one place each

Dropping a cache's connections is retiring each of them; the reason they end with is kept, so the log names the true one instead of 'silent'. A reply's whole answer goes through FrontSession::answer. Twins in Connection folded; unused accessors gone.

--- a/src/program/configuration.cpp
+++ b/src/program/configuration.cpp
@@ -3,7 +3,6 @@
 #include <sys/resource.h>
 
 #include <algorithm>
-#include <charconv>
 #include <fstream>
 #include <iterator>
 #include <nlohmann/json.hpp>
@@ -11,6 +10,7 @@
 #include <utility>
 
 #include "protocol/json_fields.h"
+#include "protocol/numbers.h"
 
 namespace trailcourse::program {
 
@@ -79,13 +79,11 @@
 
 std::uint64_t read_seed(const json& source) {
   const std::string text = text_or_empty(source, "seed");
-  std::uint64_t seed = 0;
-  const char* const end = text.data() + text.size();
-  const auto [stop, error] = std::from_chars(text.data(), end, seed, 16);
-  if (error != std::errc() || stop != end) {
+  const std::optional<std::uint64_t> seed = protocol::read_hex<std::uint64_t>(text);
+  if (!seed) {
     fail("seed", "'" + text + "' is not a number of up to 16 hex digits");
   }
-  return seed;
+  return *seed;
 }
 
 void set_tuning(Tuning& tuning, const std::string& name, std::int64_t value) {
@@ -109,14 +107,13 @@
   }
   for (const std::string& set : sets) {
     const std::size_t equals = set.find('=');
-    std::int64_t value = 0;
-    const char* const end = set.data() + set.size();
-    const char* const begin = equals == std::string::npos ? end : set.data() + equals + 1;
-    const auto [stop, error] = std::from_chars(begin, end, value);
-    if (begin == end || error != std::errc() || stop != end) {
+    const std::optional<std::int64_t> value =
+        equals == std::string::npos ? std::nullopt
+                                    : protocol::read_number<std::int64_t>(set.substr(equals + 1));
+    if (!value) {
       fail(set.substr(0, equals), "not of the form KEY=NUMBER");
     }
-    set_tuning(tuning, set.substr(0, equals), value);
+    set_tuning(tuning, set.substr(0, equals), *value);
   }
 }
 
--- a/src/program/configuration.h
+++ b/src/program/configuration.h
@@ -4,14 +4,12 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <stdexcept>
 #include <string>
 #include <vector>
 
 #include "protocol/notice_board.h"
 #include "protocol/settings.h"
-#include "transport/log.h"
 #include "transport/socket.h"
 
 namespace trailcourse::program {
--- a/src/protocol/cache_answer.cpp
+++ b/src/protocol/cache_answer.cpp
@@ -2,11 +2,11 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <chrono>
 #include <cmath>
 #include <utility>
 
+#include "protocol/numbers.h"
 #include "protocol/resp.h"
 #include "protocol/settings.h"
 
@@ -50,13 +50,6 @@
   return found == words.end() ? nullptr : &found->second;
 }
 
-std::optional<double> read_number(std::string_view text) {
-  double value = 0.0;
-  const auto [stop, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-  const bool good = error == std::errc() && stop == text.data() + text.size() && std::isfinite(value);
-  return good ? std::optional<double>(value) : std::nullopt;
-}
-
 // Calls `take(name, value)` for each "name=value" of a list.
 template <typename Take>
 void each_field(std::string_view list, char separator, char equals, Take take) {
@@ -74,7 +67,7 @@
   each_field(meter, ';', ':', [&](std::string_view name, std::string_view value) {
     const std::string_view* other = find_word(kMeterNames, name);
     const std::string known(other != nullptr ? *other : name);
-    const std::optional<double> number = read_number(value);
+    const std::optional<double> number = read_number<double>(value);
     if (number && std::find(report_fields.begin(), report_fields.end(), known) != report_fields.end()) {
       set_report_value(load, known, *number);
     }
@@ -101,7 +94,7 @@
       const Note* note = find_word(kNotes, value);
       out.note = note != nullptr ? *note : out.note;
     } else if (name == "slow") {
-      const std::optional<double> millis = read_number(value);
+      const std::optional<double> millis = read_number<double>(value);
       const bool usable = millis && *millis >= 0.0 && *millis <= kMostWaitedMs;
       out.waited = usable ? Micros(std::llround(*millis * 1e3)) : out.waited;
     } else if (name == "meter") {
--- a/src/protocol/http_client.cpp
+++ b/src/protocol/http_client.cpp
@@ -2,9 +2,10 @@
 
 #include <algorithm>
 #include <cctype>
-#include <charconv>
 #include <utility>
 
+#include "protocol/numbers.h"
+
 namespace trailcourse::protocol::http {
 namespace {
 
@@ -25,13 +26,6 @@
   return text;
 }
 
-std::optional<std::size_t> read_size(std::string_view text, int base) {
-  std::size_t value = 0;
-  const auto [stop, error] = std::from_chars(text.data(), text.data() + text.size(), value, base);
-  const bool good = error == std::errc() && stop == text.data() + text.size();
-  return good ? std::optional<std::size_t>(value) : std::nullopt;
-}
-
 }  // namespace
 
 void ResponseParser::fail(std::string why) {
@@ -96,7 +90,7 @@
     fail("too many header lines");
   } else if (stage_ == Stage::kStatus) {
     const std::optional<std::size_t> status =
-        line.size() >= 12 ? read_size(line.substr(9, 3), 10) : std::nullopt;
+        line.size() >= 12 ? read_number<std::size_t>(line.substr(9, 3)) : std::nullopt;
     if (!line.starts_with("HTTP/1.") || !status) {
       fail("not a status line");
       return;
@@ -111,7 +105,7 @@
       take_header(line);
     }
   } else if (stage_ == Stage::kChunkSize) {
-    const std::optional<std::size_t> size = read_size(trimmed(line.substr(0, line.find(';'))), 16);
+    const std::optional<std::size_t> size = read_hex<std::size_t>(trimmed(line.substr(0, line.find(';'))));
     if (!size || *size > bounds_.body_bytes - response_.body.size()) {
       fail("a bad chunk size");
       return;
@@ -138,7 +132,7 @@
   const std::string name = lower(line.substr(0, colon));
   const std::string value = lower(trimmed(line.substr(colon + 1)));
   if (name == "content-length") {
-    const std::optional<std::size_t> size = read_size(value, 10);
+    const std::optional<std::size_t> size = read_number<std::size_t>(value);
     if (!size || *size > bounds_.body_bytes) {
       fail("a bad content length");
       return;
--- a/src/protocol/json_fields.cpp
+++ b/src/protocol/json_fields.cpp
@@ -1,7 +1,9 @@
 #include "protocol/json_fields.h"
 
-#include <charconv>
 #include <cmath>
+#include <optional>
+
+#include "protocol/numbers.h"
 
 namespace trailcourse::protocol {
 
@@ -118,13 +120,11 @@
 
 std::uint64_t hex_at(const json& object, const char* key) {
   const std::string digits = text_at(object, key);
-  std::uint64_t value = 0;
-  const char* end = digits.data() + digits.size();
-  const auto [stop, error] = std::from_chars(digits.data(), end, value, 16);
-  if (error != std::errc() || stop != end) {
+  const std::optional<std::uint64_t> value = read_hex<std::uint64_t>(digits);
+  if (!value) {
     throw FormatError(std::string("not an object: ") + key);
   }
-  return value;
+  return *value;
 }
 
 const json& section(const json& object, const char* key) {
--- a/src/protocol/resp.cpp
+++ b/src/protocol/resp.cpp
@@ -1,9 +1,11 @@
 #include "protocol/resp.h"
 
 #include <algorithm>
-#include <charconv>
+#include <optional>
 #include <utility>
 
+#include "protocol/numbers.h"
+
 namespace trailcourse::protocol::resp {
 namespace {
 
@@ -33,14 +35,14 @@
 bool Parser::take_length() {
   const std::string line = std::exchange(line_, {});
   const char prefix = stage_ == Stage::kArray ? '*' : '$';
-  std::size_t length = 0;
   if (line.empty() || line[0] != prefix) {
     return fail(std::string("not a ") + (prefix == '*' ? "array" : "bulk string"));
   }
-  const auto [stop, error] = std::from_chars(line.data() + 1, line.data() + line.size(), length);
-  if (error != std::errc() || stop != line.data() + line.size()) {
+  const std::optional<std::size_t> told = read_number<std::size_t>(std::string_view(line).substr(1));
+  if (!told) {
     return fail("a bad length");
   }
+  const std::size_t length = *told;
   if (stage_ == Stage::kArray) {
     if (length == 0 || length > bounds_.words) {
       return fail("an array of " + std::to_string(length));
--- a/src/routing/cache_client.cpp
+++ b/src/routing/cache_client.cpp
@@ -61,7 +61,7 @@
     connection.write(protocol::write_cancel(id));
     given_up_.insert(id);
     if (given_up_.size() > client_.bounds_.most_given_up) {
-      client_.pool_.retire(slot);
+      client_.pool_.retire(slot, ConnectionEnd::kOverflow);
     }
     // Nothing has come from there since this was sent, over any connection: the machine may have vanished,
     // and what else goes over these would vanish with it. A new one shows whether it is there.
--- a/src/routing/front.cpp
+++ b/src/routing/front.cpp
@@ -2,14 +2,13 @@
 
 #include <algorithm>
 #include <cerrno>
-#include <charconv>
-#include <cmath>
 #include <optional>
 #include <system_error>
 #include <utility>
 #include <variant>
 #include <vector>
 
+#include "protocol/numbers.h"
 #include "transport/log.h"
 
 namespace trailcourse::routing {
@@ -37,14 +36,6 @@
 // Values go on inside "name=value,name=value".
 bool is_plain(char c) { return c > ' ' && c < 0x7f && c != ',' && c != '='; }
 
-template <typename Number>
-std::optional<Number> read_whole(std::string_view text, int base = 10) {
-  Number value{};
-  const auto [stop, error] = std::from_chars(text.data(), text.data() + text.size(), value, base);
-  const bool good = error == std::errc() && stop == text.data() + text.size();
-  return good ? std::optional<Number>(value) : std::nullopt;
-}
-
 std::string cgi_head(int status, std::string_view reason) {
   std::string out = "Status: " + std::to_string(status) + ' ';
   return out.append(reason).append("\r\n");
@@ -95,8 +86,7 @@
   }
   void whole(std::string text) {
     if (const auto session = session_.lock()) {
-      session->append(key_, std::move(text));
-      session->end(key_, fastcgi::ProtocolStatus::kRequestComplete, 0);
+      session->answer(key_, std::move(text));
     }
   }
 
@@ -137,14 +127,14 @@
     return fault("X-Call-Id");
   }
   const std::string patience_text = field(read.parameters, "HTTP_X_PATIENCE_MS");
-  const std::optional<std::int64_t> patience = read_whole<std::int64_t>(patience_text);
+  const std::optional<std::int64_t> patience = protocol::read_number<std::int64_t>(patience_text);
   if (!patience || *patience <= 0 || *patience > kMostPatienceMs) {
     return fault("X-Patience-Ms");
   }
   out.request.patience = std::chrono::milliseconds(*patience);
   passed->object = field(read.parameters, "HTTP_X_ENTITY");
   if (!passed->object.empty() || !kind.uncached) {
-    const std::optional<ObjectId> object = read_whole<ObjectId>(passed->object, 16);
+    const std::optional<ObjectId> object = protocol::read_hex<ObjectId>(passed->object);
     if (!object || passed->object.size() != kHexDigits) {
       return fault("X-Entity");
     }
@@ -152,7 +142,7 @@
   }
   passed->part = field(read.parameters, "HTTP_X_NTH");
   if (!passed->part.empty()) {
-    const std::optional<std::uint32_t> part = read_whole<std::uint32_t>(passed->part);
+    const std::optional<std::uint32_t> part = protocol::read_number<std::uint32_t>(passed->part);
     if (!part) {
       return fault("X-Nth");
     }
@@ -160,7 +150,7 @@
   }
   const std::string group_text = field(read.parameters, "HTTP_X_BATCH");
   if (!group_text.empty()) {
-    const std::optional<std::uint64_t> group = read_whole<std::uint64_t>(group_text);
+    const std::optional<std::uint64_t> group = protocol::read_number<std::uint64_t>(group_text);
     if (!group || *group > kMostGroup) {
       return fault("X-Batch");
     }
@@ -168,14 +158,8 @@
   }
   const std::string size_text = field(read.parameters, "HTTP_X_HEAP_KB");
   if (!size_text.empty()) {
-    const std::optional<double> size = [&size_text]() -> std::optional<double> {
-      double value = 0.0;
-      const char* const end = size_text.data() + size_text.size();
-      const auto [stop, error] = std::from_chars(size_text.data(), end, value);
-      const bool good = error == std::errc() && stop == end && std::isfinite(value) && value >= 0.0;
-      return good ? std::optional<double>(value) : std::nullopt;
-    }();
-    if (!size) {
+    const std::optional<double> size = protocol::read_number<double>(size_text);
+    if (!size || *size < 0.0) {
       return fault("X-Heap-Kb");
     }
     told.size_kb = *size;
--- a/src/routing/front.h
+++ b/src/routing/front.h
@@ -36,7 +36,8 @@
   void on_drained() override { pump(); }
   void on_end(transport::ConnectionEnd end) override;
 
-  // Parts of answers; each request's own.
+  // A whole answer, or parts of one and its end.
+  void answer(protocol::fastcgi::RequestKey key, std::string text);
   void append(protocol::fastcgi::RequestKey key, std::string bytes);
   void end(protocol::fastcgi::RequestKey key, protocol::fastcgi::ProtocolStatus status,
            std::uint32_t application_status);
@@ -53,7 +54,6 @@
   void take(protocol::fastcgi::RequestRejected&& rejected);
   void take(protocol::fastcgi::SendBack&& back);
   void take(protocol::fastcgi::Unreadable&& unreadable);
-  void answer(protocol::fastcgi::RequestKey key, std::string text);
   void pump();
   void pump_later();
   void count();
@@ -103,7 +103,6 @@
   bool quiet() const;
   // Of a request; health checks do not count.
   transport::Clock::time_point last_arrival() const { return last_arrival_; }
-  std::size_t waiting() const { return waiting_; }
   void close_all();
 
  private:
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -36,6 +36,12 @@
   }
 }
 
+// Of a connect: what has no end of its own did not get there.
+ConnectionEnd connect_end_of(int error) {
+  const ConnectionEnd end = end_of(error);
+  return end == ConnectionEnd::kBroken ? ConnectionEnd::kUnreachable : end;
+}
+
 bool would_block(int error) { return error == EAGAIN || error == EWOULDBLOCK; }
 
 }  // namespace
@@ -64,8 +70,7 @@
 void Connection::start(std::shared_ptr<Handler> handler) {
   handler_ = std::move(handler);
   if (!socket_.valid()) {
-    const ConnectionEnd end = end_of(open_error_);
-    finish(end == ConnectionEnd::kBroken ? ConnectionEnd::kUnreachable : end);
+    finish(connect_end_of(open_error_));
     return;
   }
   if (bounds_.send_buffer > 0) {
@@ -81,17 +86,15 @@
       finish(ConnectionEnd::kConnectTimeout);
     }
   });
-  bool open = true;
   watch_->blocked_writing();  // a connect in progress is told as writable
-  open = co_await watch_->writable();
+  const bool open = co_await watch_->writable();
   scheduler_.cancel(timer);
   if (!open || ended_) {
     co_return false;
   }
   const int error = pending_error(socket_.get());
   if (error != 0) {
-    const ConnectionEnd end = end_of(error);
-    finish(end == ConnectionEnd::kBroken ? ConnectionEnd::kUnreachable : end);
+    finish(connect_end_of(error));
     co_return false;
   }
   up_ = true;
@@ -122,7 +125,7 @@
       self->watch_->blocked_reading();
       co_await self->watch_->readable();
     } else if (errno != EINTR) {
-      self->finish_by_error(errno);
+      self->finish(end_of(errno));
     }
   }
 }
@@ -206,7 +209,7 @@
         return;
       }
       if (errno != EINTR) {
-        finish_by_error(errno);
+        finish(end_of(errno));
       }
       continue;
     }
@@ -224,15 +227,18 @@
   }
 }
 
+std::deque<Connection::Piece>::const_iterator Connection::find_piece(std::uint64_t token) const {
+  return std::find_if(pieces_.begin(), pieces_.end(),
+                      [token](const Piece& one) { return one.token == token; });
+}
+
 bool Connection::begun(std::uint64_t token) const {
-  const auto piece =
-      std::find_if(pieces_.begin(), pieces_.end(), [token](const Piece& one) { return one.token == token; });
+  const auto piece = find_piece(token);
   return piece == pieces_.end() ? token <= last_token_ : piece->written > 0;
 }
 
 bool Connection::withdraw(std::uint64_t token) {
-  const auto piece =
-      std::find_if(pieces_.begin(), pieces_.end(), [token](const Piece& one) { return one.token == token; });
+  const auto piece = find_piece(token);
   if (piece == pieces_.end() || piece->written > 0) {
     return false;
   }
@@ -246,8 +252,6 @@
   work_.notify();
 }
 
-void Connection::finish_by_error(int error) { finish(end_of(error)); }
-
 void Connection::finish(ConnectionEnd end) {
   if (ended_) {
     return;
--- a/src/transport/connection.h
+++ b/src/transport/connection.h
@@ -73,9 +73,9 @@
   static Task<void> write_loop(std::shared_ptr<Connection> self);
   Task<bool> come_up();
   void hand_on(std::string_view bytes);
+  std::deque<Piece>::const_iterator find_piece(std::uint64_t token) const;
   void flush();
   void finish(ConnectionEnd end);
-  void finish_by_error(int error);
 
   Scheduler& scheduler_;
   Descriptor socket_;
--- a/src/transport/connection_pool.h
+++ b/src/transport/connection_pool.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -29,7 +30,7 @@
     std::shared_ptr<Connection> connection;
     std::shared_ptr<Link> link;
     int streams = 0;
-    bool retired = false;  // nothing new goes over it
+    std::optional<ConnectionEnd> retired;  // nothing new goes over it; how it ends with its last stream
     Clock::time_point used = Clock::now();
   };
   using SlotPtr = std::shared_ptr<Slot>;
@@ -68,15 +69,15 @@
     --slot->streams;
     slot->used = Clock::now();
     if (slot->retired && slot->streams <= 0) {
-      slot->connection->close(ConnectionEnd::kSilent);
+      slot->connection->close(*slot->retired);
     }
   }
 
   // Nothing new goes over it; it closes with its last stream.
-  void retire(const SlotPtr& slot) {
-    slot->retired = true;
+  void retire(const SlotPtr& slot, ConnectionEnd end) {
+    slot->retired = end;
     if (slot->streams <= 0) {
-      slot->connection->close(ConnectionEnd::kSilent);
+      slot->connection->close(end);
     }
   }
 
@@ -91,14 +92,11 @@
     return latest;
   }
 
-  // Nothing new goes over the connections to this peer that there are now; they close with their last stream.
+  // Retires the connections to this peer that there are now.
   void drop(const std::string& peer, ConnectionEnd end) {
-    const auto found = peers_.find(peer);
-    for (std::size_t i = 0; found != peers_.end() && i < found->second.size(); ++i) {
-      Slot& slot = *found->second[i];
-      slot.retired = true;
-      if (slot.streams <= 0) {
-        slot.connection->close(end);
+    if (const auto found = peers_.find(peer); found != peers_.end()) {
+      for (const SlotPtr& slot : found->second) {
+        retire(slot, end);
       }
     }
   }
@@ -131,8 +129,6 @@
     return oldest != nullptr;
   }
 
-  int size() const { return count_; }
-
  private:
   static std::pair<int, bool> rank(const Slot& slot) { return {slot.streams, !slot.connection->up()}; }
 
--- a/tests/transport_test.cpp
+++ b/tests/transport_test.cpp
@@ -362,7 +362,7 @@
   Pool pool(scheduler_, bounds(), make());
   const auto first = pool.take("a", address_, any);
   bring_up(first);
-  pool.retire(first);
+  pool.retire(first, ConnectionEnd::kSilent);
   EXPECT_FALSE(first->connection->ended()) << "its streams go on";
   const auto second = pool.take("a", address_, any);
   EXPECT_NE(second, first);
