Take in a new configuration on SIGHUP; bound open requests by the bytes they hold

Now: signals are read in a loop; SIGHUP rereads the whole file by the one reader, takes in known by number and moves the board watcher, which breaks off its call and asks at once; a bad file changes nothing. The time to drain follows the longest deadline of the settings. 12 MB are kept for the program, open requests count with what they hold. Tests: four of SIGHUP, the smallest memory, the drain time, the byte bound; on the text before, the program ended on SIGHUP and the two configuration tests failed.

--- a/src/program/command_line.cpp
+++ b/src/program/command_line.cpp
@@ -90,7 +90,8 @@
       return 0;
     }
     if (command == "serve") {
-      return serve(read_configuration(sources_of(parsed)));
+      const Sources sources = sources_of(parsed);
+      return serve(read_configuration(sources), [sources] { return read_configuration(sources); });
     }
     errors << "trailcourse: " << (command.empty() ? "a sub-command is needed" : "no sub-command " + command)
            << '\n'
--- a/src/program/configuration.cpp
+++ b/src/program/configuration.cpp
@@ -15,22 +15,17 @@
 namespace trailcourse::program {
 
 using nlohmann::json;
+using std::chrono::milliseconds;
 
 namespace {
 
 constexpr std::int64_t kLeastSockets = 64;
 constexpr std::int64_t kLeastMemoryMb = 32;
-constexpr std::int64_t kBaseMemoryMb = 32;     // of the program itself, its tables and the allocator's slack
 constexpr std::int64_t kReservedSockets = 16;  // standard streams, epoll, listener, board, spare
 constexpr std::size_t kOpenWithoutLimit = 4096;
 
-constexpr std::int64_t kOpenPart = 2;  // one half of the memory for open requests
 constexpr std::size_t kPartWithoutLimit = 256U << 20U;
 
-std::int64_t memory_room(std::int64_t memory_mb) {
-  return std::max<std::int64_t>(1, memory_mb - kBaseMemoryMb) * 1'048'576;
-}
-
 [[noreturn]] void fail(const std::string& key, const std::string& why) {
   throw ConfigurationError(key + ": " + why);
 }
@@ -165,32 +160,40 @@
       {"board_pause_ms", "ms", 1, 60'000, &Tuning::board_pause_ms,
        "first pause after a failed call; it doubles"},
       {"board_most_pause_ms", "ms", 1, 60'000, &Tuning::board_most_pause_ms,
-       "longest pause between failed calls"},
+       "longest pause between failed calls: what the notice board has to tell counts as told 2 s after a "
+       "break"},
       {"drain_linger_ms", "ms", 0, 60'000, &Tuning::drain_linger_ms,
        "arrivals go on for up to 0.6 s after SIGTERM"},
       {"drain_quiet_ms", "ms", 0, 60'000, &Tuning::drain_quiet_ms,
        "and so long since the last request: what is late on its way is still taken"},
       {"drain_answer_ms", "ms", 100, 600'000, &Tuning::drain_answer_ms,
-       "after SIGTERM; what is open then is failed, since SIGKILL may come after 3.7 s"},
+       "after SIGTERM requests are answered for the longest deadline of the settings, at most for so long"},
+      {"drain_late_ms", "ms", 0, 60'000, &Tuning::drain_late_ms,
+       "and so much longer for what came late; SIGKILL comes 0.7 s after the longest deadline"},
+      {"base_memory_mb", "MB", 1, 1'024, &Tuning::base_memory_mb,
+       "of the program itself, its tables and the allocator's slack; the rest is shared out by the bounds"},
       {"open_request_bytes", "bytes", 1'024, 67'108'864, &Tuning::open_request_bytes,
-       "memory set aside for each open request: a body of 48,000 and its records; answers are counted apart"},
+       "memory counted for each open request beside its body; answers are counted apart"},
   };
   return kKeys;
 }
 
 std::size_t Configuration::most_open_requests() const {
-  const std::size_t told =
-      profile.most_open > 0 ? static_cast<std::size_t>(profile.most_open) : kOpenWithoutLimit;
-  if (memory_mb == 0) {
-    return told;
-  }
-  const std::int64_t room = memory_room(memory_mb) / kOpenPart;
-  return std::min(told,
-                  static_cast<std::size_t>(std::max<std::int64_t>(8, room / tuning.open_request_bytes)));
+  return profile.most_open > 0 ? static_cast<std::size_t>(profile.most_open) : kOpenWithoutLimit;
 }
 
 std::size_t Configuration::part_of_memory(std::int64_t part) const {
-  return memory_mb == 0 ? kPartWithoutLimit : static_cast<std::size_t>(memory_room(memory_mb) / part);
+  const std::int64_t room = std::max<std::int64_t>(1, memory_mb - tuning.base_memory_mb) * 1'048'576;
+  return memory_mb == 0 ? kPartWithoutLimit : static_cast<std::size_t>(room / part);
+}
+
+milliseconds Configuration::drain_answer() const {
+  milliseconds longest(0);
+  for (const ClassSettings& one : profile.settings.classes) {
+    longest = std::max(longest, std::chrono::ceil<milliseconds>(one.give_up));
+  }
+  const milliseconds most(tuning.drain_answer_ms);
+  return (longest.count() > 0 ? std::min(longest, most) : most) + milliseconds(tuning.drain_late_ms);
 }
 
 // Clients hold a third at most; the rest, less what the program itself needs, is for caches.
@@ -232,6 +235,11 @@
 
   out.board = address_of("board", text_or_empty(source, "board"));
   out.seed = read_seed(source);
+  json fixed = source;
+  for (const char* key : {"board", "known", "seed"}) {
+    fixed.erase(key);
+  }
+  out.fixed = fixed.dump();
   read_limits(source, out);
   read_tuning(source, sources.sets, out.tuning);
   if (protocol::find(source, "settings") == nullptr) {
--- a/src/program/configuration.h
+++ b/src/program/configuration.h
@@ -1,6 +1,7 @@
 // The one place where configuration is read, checked and given defaults.
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -35,11 +36,13 @@
   std::int64_t board_linger_ms = 2'000;
   std::int64_t board_grace_ms = 1'000;
   std::int64_t board_pause_ms = 50;
-  std::int64_t board_most_pause_ms = 2'000;
+  std::int64_t board_most_pause_ms = 400;
   std::int64_t drain_linger_ms = 650;
   std::int64_t drain_quiet_ms = 150;
-  std::int64_t drain_answer_ms = 3'300;
-  std::int64_t open_request_bytes = 98'304;
+  std::int64_t drain_answer_ms = 3'000;
+  std::int64_t drain_late_ms = 350;
+  std::int64_t base_memory_mb = 12;
+  std::int64_t open_request_bytes = 4'096;
 };
 
 struct Configuration {
@@ -52,14 +55,17 @@
   protocol::Profile profile;
   protocol::NoticePage known;
   Tuning tuning;
+  std::string fixed;  // the file but for what a router that serves can take in: a change needs a restart
 
-  // Derived from the limits.
+  // Derived from the limits and settings.
   std::size_t most_open_requests() const;
+  std::size_t most_open_bytes() const { return part_of_memory(3); }
   std::size_t most_waiting_bytes() const { return part_of_memory(4); }  // answers their clients are to take
   std::size_t most_answer_bytes() const { return part_of_memory(4); }   // answers that have come in part
   std::size_t most_partial_bytes() const { return part_of_memory(8); }  // requests that have come in part
   std::size_t part_of_memory(std::int64_t part) const;
   int most_cache_connections() const;
+  std::chrono::milliseconds drain_answer() const;  // after SIGTERM; what is open then is failed
 };
 
 // One line of the table of tuning keys, for help and for the check.
--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -54,6 +54,14 @@
   return bounds;
 }
 
+routing::Router::Bounds router_bounds(const Configuration& configuration) {
+  routing::Router::Bounds bounds;
+  bounds.open = configuration.most_open_requests();
+  bounds.bytes = configuration.most_open_bytes();
+  bounds.request_bytes = static_cast<std::size_t>(configuration.tuning.open_request_bytes);
+  return bounds;
+}
+
 routing::Front::Bounds front_bounds(const Configuration& configuration) {
   const Tuning& tuning = configuration.tuning;
   routing::Front::Bounds bounds;
@@ -87,6 +95,7 @@
     sigemptyset(&set);
     sigaddset(&set, SIGTERM);
     sigaddset(&set, SIGINT);
+    sigaddset(&set, SIGHUP);
     if (::sigprocmask(SIG_BLOCK, &set, nullptr) != 0) {
       throw std::system_error(errno, std::generic_category(), "sigprocmask");
     }
@@ -97,7 +106,7 @@
     watch_ = std::make_unique<transport::Watch>(scheduler, descriptor_.get());
   }
 
-  // Waits for the first one.
+  // Waits for the next one.
   transport::Task<int> next() {
     for (;;) {
       signalfd_siginfo info{};
@@ -115,16 +124,13 @@
 };
 
 // Serves on until arrivals have ceased and all is answered.
-transport::Task<void> end_when_asked(transport::Scheduler& scheduler, Signals& signals, routing::Front& front,
-                                     routing::Router& router, const Tuning& tuning) {
-  const int signal = co_await signals.next();
-  log_line(Level::kInfo) << "signal " << signal << ": draining, " << router.open_requests()
-                         << " requests open";
+transport::Task<void> drain(transport::Scheduler& scheduler, routing::Front& front, routing::Router& router,
+                            const Configuration& configuration) {
   front.start_draining();
   const Clock::time_point asked = Clock::now();
-  const milliseconds linger(tuning.drain_linger_ms);
-  const milliseconds quiet(tuning.drain_quiet_ms);
-  const milliseconds longest(tuning.drain_answer_ms);
+  const milliseconds linger(configuration.tuning.drain_linger_ms);
+  const milliseconds quiet(configuration.tuning.drain_quiet_ms);
+  const milliseconds longest = configuration.drain_answer();
   for (;;) {
     const Clock::duration since = Clock::now() - asked;
     if (since >= longest && router.open_requests() > 0) {
@@ -143,6 +149,43 @@
   scheduler.stop();
 }
 
+// What a new configuration file changes in a router that serves: the address of the notice board, and what
+// `known` tells beyond the events taken in. All else needs a restart, which the log says; a file that cannot
+// be used changes nothing. It must never cost a request.
+void reload(const Reread& reread, const Configuration& running, routing::BoardWatcher& board,
+            routing::NoticeTaker& taker) {
+  try {
+    const Configuration next = reread();
+    taker.take(next.known);
+    const bool moved = board.move(next.board);
+    log_line(Level::kInfo) << "configuration read again: notice board " << to_string(next.board)
+                           << (moved ? " from now on" : " as before") << ", event " << taker.last();
+    if (next.fixed != running.fixed) {
+      log_line(Level::kWarning) << "other keys have changed too: they need a restart";
+    }
+  } catch (const std::exception& error) {
+    log_line(Level::kError) << "the configuration stays as it was: " << error.what();
+  }
+}
+
+// SIGHUP reads the configuration again, also while draining; SIGTERM and SIGINT begin the end, once.
+transport::Task<void> heed_signals(transport::Scheduler& scheduler, Signals& signals, routing::Front& front,
+                                   routing::Router& router, routing::BoardWatcher& board,
+                                   routing::NoticeTaker& taker, const Configuration& configuration,
+                                   const Reread& reread) {
+  bool draining = false;
+  for (;;) {
+    const int signal = co_await signals.next();
+    if (signal == SIGHUP) {
+      reload(reread, configuration, board, taker);
+    } else if (!std::exchange(draining, true)) {
+      log_line(Level::kInfo) << "signal " << signal << ": draining, " << router.open_requests()
+                             << " requests open";
+      scheduler.spawn(drain(scheduler, front, router, configuration));
+    }
+  }
+}
+
 // The limit told is kept by the system: beyond it calls fail, and are handled as such.
 void limit_descriptors(std::int64_t most) {
   rlimit limit{};
@@ -154,7 +197,7 @@
 
 }  // namespace
 
-int serve(const Configuration& configuration) {
+int serve(const Configuration& configuration, const Reread& reread) {
   limit_descriptors(configuration.sockets);
   const protocol::Profile& profile = configuration.profile;
   transport::Scheduler scheduler;
@@ -166,7 +209,7 @@
       [&decider](Micros now, const Event& event, std::vector<Action>& out) {
         decider.handle(now, event, out);
       },
-      configuration.most_open_requests());
+      router_bounds(configuration));
   routing::Directory directory;
   routing::CacheClient caches(scheduler, router, directory, profile.report_fields,
                               cache_bounds(configuration));
@@ -180,7 +223,7 @@
   routing::BoardWatcher board(scheduler, configuration.board, taker, profile, configuration.seed,
                               board_bounds(configuration.tuning));
   board.start();
-  scheduler.spawn(end_when_asked(scheduler, signals, front, router, configuration.tuning));
+  scheduler.spawn(heed_signals(scheduler, signals, front, router, board, taker, configuration, reread));
   log_line(Level::kInfo) << "router " << configuration.name << " listens on "
                          << to_string(configuration.listen) << ", " << configuration.most_open_requests()
                          << " open requests and " << configuration.most_cache_connections()
--- a/src/routing/board_watcher.cpp
+++ b/src/routing/board_watcher.cpp
@@ -47,6 +47,7 @@
                            const Bounds& bounds)
     : scheduler_(scheduler),
       board_(board),
+      moved_(scheduler),
       taker_(taker),
       profile_(profile),
       random_(seed),
@@ -56,17 +57,36 @@
   for (;;) {
     const Clock::time_point asked = Clock::now();
     const std::uint64_t had = taker_.last();
+    const transport::Address at = board_;
     const bool good = co_await poll();
+    if (at != board_) {
+      continue;  // the call was broken off to ask elsewhere: no failure
+    }
     note(good);
-    if (!good) {
-      const Clock::duration wait = pause();
-      co_await scheduler_.sleep(wait);
-    } else if (taker_.last() == had && Clock::now() - asked < bounds_.least_pause) {
-      co_await scheduler_.sleep(bounds_.least_pause);  // a board that does not hold calls back is not flooded
+    // A board that does not hold calls back is not flooded.
+    const bool hasty = taker_.last() == had && Clock::now() - asked < bounds_.least_pause;
+    const Clock::duration wait = !good ? pause() : hasty ? bounds_.least_pause : Clock::duration::zero();
+    if (wait > Clock::duration::zero()) {
+      co_await moved_.wait(wait);
     }
   }
 }
 
+// The call in flight and a pause both end: the old board tells nothing more, and what the new one has to
+// tell is late already. Events taken in before are known by their number.
+bool BoardWatcher::move(const transport::Address& board) {
+  if (board == board_) {
+    return false;
+  }
+  board_ = board;
+  failures_ = 0;
+  if (connection_) {
+    connection_->close(ConnectionEnd::kDropped);
+  }
+  moved_.notify();
+  return true;
+}
+
 // One call; a connection that broke between two calls is not yet a failure of the board.
 transport::Task<bool> BoardWatcher::poll() {
   if (!connection_ || connection_->ended()) {
--- a/src/routing/board_watcher.h
+++ b/src/routing/board_watcher.h
@@ -32,6 +32,8 @@
                const protocol::Profile& profile, std::uint64_t seed, const Bounds& bounds);
 
   void start() { scheduler_.spawn(watch()); }
+  // The board is to be asked at this address from now on, at once; false where that is the one in use.
+  bool move(const transport::Address& board);
 
  private:
   class Link;
@@ -44,6 +46,7 @@
 
   transport::Scheduler& scheduler_;
   transport::Address board_;
+  transport::Signal moved_;
   NoticeTaker& taker_;
   const protocol::Profile& profile_;
   std::mt19937_64 random_;
--- a/src/routing/front.cpp
+++ b/src/routing/front.cpp
@@ -175,6 +175,7 @@
   }
   told.is_retry = field(read.parameters, "HTTP_X_REPEAT") == "1";
   passed->body = std::move(read.body);
+  out.request.body_bytes = passed->body.size();
   out.request.passed = std::move(passed);
   return out;
 }
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -13,9 +13,9 @@
 using transport::log_line;
 
 RequestId Router::arrive(ClientRequest request, std::shared_ptr<Reply> reply) {
-  // Each open request may hold a whole answer: beyond the bound memory is not safe. Nothing was sent for this
-  // one, so trying again is harmless.
-  if (open_ >= most_open_) {
+  // Beyond the bounds memory is not safe. Nothing was sent for this one, so trying again is harmless.
+  const std::size_t bytes = request.body_bytes + bounds_.request_bytes;
+  if (open_ >= bounds_.open || held_bytes_ + bytes > bounds_.bytes) {
     reply->refused(Micros(0));
     return 0;
   }
@@ -24,6 +24,8 @@
   held.passed = std::move(request.passed);
   held.reply = std::move(reply);
   held.request_class = request.told.request_class;
+  held.bytes = bytes;
+  held_bytes_ += bytes;
   ++open_;
   request.told.id = id;
   request.told.due = now() + request.patience;
@@ -260,6 +262,7 @@
 void Router::forget_if_over(RequestId id) {
   const Held* held = find(id);
   if (held != nullptr && !held->reply && held->out == 0) {
+    held_bytes_ -= held->bytes;
     held_.erase(id);
   }
 }
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -25,6 +25,7 @@
   RequestArrived told;  // without id and due
   Micros patience{0};   // from now
   std::shared_ptr<const void> passed;
+  std::size_t body_bytes = 0;  // held in `passed`
 };
 
 // Where the final answer of a request goes. One call of served, refused or failed; or begin, pieces, finish.
@@ -75,14 +76,21 @@
  public:
   using Handler = std::function<void(Micros, const Event&, std::vector<Action>&)>;
 
+  // What may be open at once. Each counts with its body and so much beside it.
+  struct Bounds {
+    std::size_t open = 4096;
+    std::size_t bytes = 64U << 20U;
+    std::size_t request_bytes = 4096;
+  };
+
   Router(transport::Scheduler& scheduler, const ModuleClock& clock, const Settings& settings, Handler handler,
-         std::size_t most_open)
+         const Bounds& bounds)
       : scheduler_(scheduler),
         clock_(clock),
         classes_(settings.classes),
         attempts_cap_(static_cast<std::size_t>(settings.attempts_cap)),
         handler_(std::move(handler)),
-        most_open_(most_open) {}
+        bounds_(bounds) {}
 
   void use(Upstream& upstream) { upstream_ = &upstream; }
 
@@ -119,6 +127,7 @@
     std::size_t out = 0;
     int streaming = -1;  // the attempt whose answer is being passed on
     int request_class = 0;
+    std::size_t bytes = 0;
   };
 
   void tell(Event event);
@@ -143,7 +152,8 @@
   std::vector<ClassSettings> classes_;
   std::size_t attempts_cap_;
   Handler handler_;
-  std::size_t most_open_;
+  Bounds bounds_;
+  std::size_t held_bytes_ = 0;
   Upstream* upstream_ = nullptr;
   RequestId last_id_ = 0;
   std::size_t open_ = 0;
--- a/tests/configuration_test.cpp
+++ b/tests/configuration_test.cpp
@@ -10,6 +10,7 @@
 #include <nlohmann/json.hpp>
 #include <sstream>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "program/command_line.h"
@@ -82,17 +83,39 @@
   const Configuration small = read(config);
   EXPECT_LE(small.most_cache_connections() + 256 / 3, 256) << "clients hold a third";
   const auto held = [](const Configuration& one) {
-    return one.most_open_requests() * static_cast<std::size_t>(one.tuning.open_request_bytes) +
-           one.most_waiting_bytes() + one.most_answer_bytes();
+    return one.most_open_bytes() + one.most_waiting_bytes() + one.most_answer_bytes() +
+           one.most_partial_bytes();
   };
   EXPECT_LE(held(small), 192U << 20U);
   config["limits"]["memory_mb"] = 64;
   EXPECT_LE(held(read(config)), 64U << 20U);
-  EXPECT_LT(read(config).most_open_requests(), small.most_open_requests());
+  EXPECT_LT(read(config).most_open_bytes(), small.most_open_bytes());
   config["settings"]["Limits"]["MaxOpen"] = 5;
   EXPECT_EQ(read(config).most_open_requests(), 5U);
 }
 
+// At the smallest limits some hundreds of requests and dozens of answers still fit at once.
+TEST_F(ConfigurationTest, TheSmallestMemoryStillServes) {
+  json config = good_config();
+  config["limits"]["memory_mb"] = 32;
+  const Configuration least = read(config);
+  EXPECT_GE(least.most_open_bytes() / static_cast<std::size_t>(least.tuning.open_request_bytes), 500U);
+  EXPECT_GE(least.most_answer_bytes(), 16U * 240'000U);
+  EXPECT_GE(least.most_waiting_bytes(), 16U * 240'000U);
+}
+
+// SIGKILL follows 0.7 s after the longest deadline, which counts as 3 s where it is longer.
+TEST_F(ConfigurationTest, TheTimeToDrainFollowsTheLongestDeadline) {
+  json config = good_config();
+  for (const auto& [give_up, least, most] : {std::tuple(1.2, 1'300, 1'600), std::tuple(9.0, 3'100, 3'400)}) {
+    for (json& one : config["settings"]["Classes"]) {
+      one["GiveUpS"] = give_up;
+    }
+    EXPECT_GE(read(config).drain_answer().count(), least);
+    EXPECT_LE(read(config).drain_answer().count(), most);
+  }
+}
+
 TEST_F(ConfigurationTest, EachFaultNamesItsKey) {
   const std::vector<std::pair<std::string, json>> faults{{"/listen", "nowhere"},
                                                          {"/listen", 5},
--- a/tests/integration_test.cpp
+++ b/tests/integration_test.cpp
@@ -507,7 +507,8 @@
 TEST_F(IntegrationTest, BeyondTheBoundOnAnswersNotTakenTheRestIsRefused) {
   script_all(CacheStandIn::serving(std::string(240'000, 'z')));
   list_all();
-  start({{"limits", {{"memory_mb", 36}}}});  // a quarter of the 4 MB over its base
+  start({{"limits", {{"memory_mb", 36}}},
+         {"router", {{"base_memory_mb", 32}}}});  // a quarter of the 4 MB over its base
   Client stalled(program_->port(), true);
   std::string bytes;
   for (std::uint16_t key = 1; key <= 32; ++key) {
@@ -540,7 +541,9 @@
     return "*4\r\n$16\r\n" + request.id + "\r\n$2\r\nOK\r\n$1\r\n-\r\n$500000\r\npart";
   });
   list_all();
-  start({{"limits", {{"memory_mb", 36}}}});  // a quarter of the 4 MB over its base holds two such answers
+  start(
+      {{"limits", {{"memory_mb", 36}}},
+       {"router", {{"base_memory_mb", 32}}}});  // a quarter of the 4 MB over its base holds two such answers
   Client client = connect();
   const Fields patient{{"HTTP_X_PATIENCE_MS", "60000"}, {"HTTP_X_HEAP_KB", "5000"}};
   std::string bytes;
@@ -561,7 +564,8 @@
 
 TEST_F(IntegrationTest, BeyondTheBoundOnRequestsInPartTheirConnectionsEnd) {
   list_all();
-  start({{"limits", {{"memory_mb", 36}}}});  // an eighth of the 4 MB over its base
+  start({{"limits", {{"memory_mb", 36}}},
+         {"router", {{"base_memory_mb", 32}}}});  // an eighth of the 4 MB over its base
   const std::string part = begin_record(1) + record(4, 1, "") + record(5, 1, std::string(60'000, 'x'));
   std::vector<std::unique_ptr<Client>> partial;
   for (int i = 0; i < 16; ++i) {
@@ -644,6 +648,86 @@
   EXPECT_EQ(program_->await_exit(), 0);
 }
 
+// The operators replace the file and send SIGHUP: the notice board has moved, its numbers go on.
+TEST_F(IntegrationTest, OnSighupItAsksTheNoticeBoardAtItsNewAddress) {
+  list_all();
+  start();
+  BoardStandIn moved;
+  moved.post(pool({listed("cache-a", a_.address(), "std"), listed("cache-b", b_.address(), "std"),
+                   listed("origin-o", origin_.address(), "origin")},
+                  true));
+  json config = plain_config(board_);
+  config["board"] = moved.address();
+  program_->reconfigure(config);
+  program_->signal(SIGHUP);
+  ASSERT_TRUE(moved.await_calls(1)) << program_->log();
+  moved.post(pool({listed("cache-a", a_.address(), "std", "draining"),
+                   listed("cache-b", b_.address(), "std", "draining")},
+                  false));
+  ASSERT_TRUE(moved.await_caught_up());
+  const auto answer = connect().ask(1, read_fields(id_of(1)));
+  ASSERT_TRUE(answer.has_value()) << "it serves on";
+  EXPECT_EQ(a_.count("serve") + b_.count("serve"), 0U) << "what the moved board told is in force";
+}
+
+// A file that is missing, broken or unchanged must cost nothing; the next good one is taken in.
+TEST_F(IntegrationTest, OnSighupAFileThatCannotBeUsedChangesNothing) {
+  list_all();
+  start();
+  json faulty = plain_config(board_);
+  faulty["board"] = "nowhere";
+  program_->reconfigure(faulty);
+  program_->signal(SIGHUP);
+  ASSERT_TRUE(program_->await_log("the configuration stays as it was: board: 'nowhere'"));
+  program_->reconfigure("{ half");
+  program_->signal(SIGHUP);
+  ASSERT_TRUE(program_->await_log("is not a JSON object"));
+  program_->reconfigure(plain_config(board_));
+  program_->signal(SIGHUP);
+  ASSERT_TRUE(program_->await_log("as before"));
+  json other = plain_config(board_);
+  other["router"]["client_stall_ms"] = 5000;
+  program_->reconfigure(other);
+  program_->signal(SIGHUP);
+  ASSERT_TRUE(program_->await_log("need a restart"));
+  const auto answer = connect().ask(1, read_fields(id_of(1)));
+  ASSERT_TRUE(answer.has_value());
+  EXPECT_EQ(answer->status, 200);
+}
+
+// What `known` tells beyond what was taken in binds at once, also where the board stays silent.
+TEST_F(IntegrationTest, OnSighupItTakesInWhatTheFileKnowsByNumber) {
+  list_all();
+  start();
+  board_.say("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+  BoardStandIn ahead;
+  ahead.post(pool({}, true));
+  ahead.post(pool(
+      {listed("cache-a", a_.address(), "std", "removed"), listed("cache-b", b_.address(), "std", "removed"),
+       listed("origin-o", origin_.address(), "origin", "removed")},
+      false));
+  json config = plain_config(board_);
+  config["known"] = ahead.known();
+  program_->reconfigure(config);
+  program_->signal(SIGHUP);
+  EXPECT_TRUE(program_->await_health(503)) << "the first event was in before, the second removes all";
+}
+
+TEST_F(IntegrationTest, SighupWhileDrainingDoesNotStopTheEnd) {
+  script_all(silence);
+  list_all();
+  start({{"router", {{"drain_answer_ms", 600}, {"drain_linger_ms", 200}}}});
+  Client client = connect();
+  client.send(request_bytes(1, read_fields(id_of(1)), ""));
+  await_send();
+  program_->signal(SIGTERM);
+  ASSERT_TRUE(program_->await_health(503));
+  program_->signal(SIGHUP);
+  program_->signal(SIGTERM);
+  EXPECT_TRUE(client.read(1, milliseconds(4000)).has_value());
+  EXPECT_EQ(program_->await_exit(), 0);
+}
+
 TEST_F(IntegrationTest, AFaultyConfigurationIsOneLineAndANonZeroExit) {
   json config = plain_config(board_);
   config["board"] = "nowhere";
--- a/tests/notice_board_test.cpp
+++ b/tests/notice_board_test.cpp
@@ -164,7 +164,7 @@
                 purges_.push_back(*purge);
               }
             },
-            10),
+            routing::Router::Bounds()),
         taker_(router_, directory_, [this](const std::string& name) { unwanted_.push_back(name); }) {}
 
   static json entry(const std::string& name, const std::string& address, const std::string& status = "up",
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -58,8 +58,15 @@
  protected:
   using Script = std::function<void(const Event&, std::vector<Action>&)>;
 
-  RouterTest() : router_(scheduler_, clock_, settings(), handler(), 3) { router_.use(upstream_); }
+  RouterTest() : router_(scheduler_, clock_, settings(), handler(), bounds()) { router_.use(upstream_); }
 
+  static Router::Bounds bounds() {
+    Router::Bounds out;
+    out.open = 3;
+    out.bytes = 10'000;
+    out.request_bytes = 100;
+    return out;
+  }
   static Settings settings() {
     Settings out;
     out.classes.resize(2);
@@ -89,8 +96,9 @@
     send.limit = limit;
     return send;
   }
-  RequestId arrive(int request_class = 0) {
+  RequestId arrive(int request_class = 0, std::size_t body_bytes = 0) {
     ClientRequest request;
+    request.body_bytes = body_bytes;
     request.told.request_class = request_class;
     request.patience = milliseconds(2000);
     return router_.arrive(std::move(request), std::make_shared<NotedReply>(answers_));
@@ -121,6 +129,16 @@
   Router router_;
 };
 
+// A body counts for what it holds: few large ones must not shut out many small requests for good.
+TEST_F(RouterTest, OpenRequestsAreBoundedByWhatTheyHold) {
+  const RequestId large = arrive(0, 9'850);
+  ASSERT_NE(large, 0U);
+  EXPECT_EQ(arrive(), 0U) << "50 bytes are left";
+  EXPECT_EQ(answers_->said, std::vector<std::string>{"refused 0"});
+  router_.attempt_ended(upstream_.sent.at(0), result(Status::kOk));
+  EXPECT_NE(arrive(), 0U) << "and free again once it is over";
+}
+
 TEST_F(RouterTest, ARequestIsToldWithItsDueTimeAndServedOnce) {
   const Micros before = router_.now();
   const RequestId id = arrive();
--- a/tests/stand_ins.cpp
+++ b/tests/stand_ins.cpp
@@ -396,9 +396,7 @@
   const char* folder = std::getenv("TMPDIR");
   base_ = std::string(folder != nullptr ? folder : "/tmp") + "/trailcourse-" + std::to_string(::getpid()) +
           "-" + std::to_string(port_);
-  json whole = config;
-  whole["listen"] = "127.0.0.1:" + std::to_string(port_);
-  std::ofstream(base_ + ".json") << whole.dump();
+  reconfigure(config);
   std::vector<std::string> words{TRAILCOURSE_PROGRAM, "serve", "--config", base_ + ".json"};
   words.insert(words.end(), flags.begin(), flags.end());
   std::vector<char*> raw;
@@ -463,6 +461,25 @@
   return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
 }
 
+void Program::reconfigure(const json& config) const {
+  if (config.is_string()) {
+    std::ofstream(base_ + ".next") << config.get<std::string>();
+  } else {
+    json whole = config;
+    whole["listen"] = "127.0.0.1:" + std::to_string(port_);
+    std::ofstream(base_ + ".next") << whole.dump();
+  }
+  std::rename((base_ + ".next").c_str(), (base_ + ".json").c_str());
+}
+
+bool Program::await_log(const std::string& words) const {
+  const Clock::time_point until = Clock::now() + kPatience;
+  while (log().find(words) == std::string::npos && Clock::now() < until) {
+    std::this_thread::sleep_for(milliseconds(5));
+  }
+  return log().find(words) != std::string::npos;
+}
+
 json listed(const std::string& name, const std::string& address, const std::string& type,
             const std::string& status) {
   return {{"name", name}, {"address", address}, {"zone", type == "std" ? "edge" : "hub"},
--- a/tests/stand_ins.h
+++ b/tests/stand_ins.h
@@ -175,6 +175,10 @@
   // Waits for its end: the exit status, or nothing where it did not end or was killed.
   std::optional<int> await_exit();
   std::string log() const;
+  // Waits until the log holds this.
+  bool await_log(const std::string& words) const;
+  // Replaces its configuration file, keeping where it listens; a text is written as it is.
+  void reconfigure(const nlohmann::json& config) const;
 
  private:
   std::uint16_t port_;
