Share descriptors between clients and caches; close silent and half-said clients

An open X-Call-Id is not taken twice, CONTENT_LENGTH has to be right. On the side of caches: an answer that stops short for 0.4 s ends its connection (so far it held all others up until their time was over), one of any other form than the agreed ends it unserved (one of 2 or 3 words was served empty before), an id that was answered otherwise than OK is not used again on that connection, and a bound of our own is told as a cancel.

--- a/src/program/configuration.cpp
+++ b/src/program/configuration.cpp
@@ -21,6 +21,7 @@
 
 constexpr std::int64_t kLeastSockets = 64;
 constexpr std::int64_t kLeastMemoryMb = 32;
+constexpr std::int64_t kClientTenths = 4;      // of the descriptors
 constexpr std::int64_t kReservedSockets = 16;  // standard streams, epoll, listener, board, spare
 constexpr std::size_t kOpenWithoutLimit = 4096;
 
@@ -137,7 +138,9 @@
       {"listen_backlog", "connections", 1, 65'535, &Tuning::listen_backlog,
        "connections that may wait to be accepted; one that the system accepts is ours to answer"},
       {"client_idle_ms", "ms", 1'000, 3'600'000, &Tuning::client_idle_ms,
-       "clients close after 4 s; this only reclaims those that vanished"},
+       "clients close after 4 s; this reclaims those that vanished or hold on"},
+      {"client_request_ms", "ms", 100, 3'600'000, &Tuning::client_request_ms,
+       "for a connection's first usable request, and for the rest of a message that has begun"},
       {"client_lead_ms", "ms", 0, 1'000, &Tuning::client_lead_ms,
        "patience counts from when the client sent the request; so much of it was used on the way here"},
       {"client_stall_ms", "ms", 100, 3'600'000, &Tuning::client_stall_ms,
@@ -152,6 +155,8 @@
        "to one cache: a large answer holds up what comes behind it on its connection"},
       {"cache_silent_ms", "ms", 10, 600'000, &Tuning::cache_silent_ms,
        "nothing came from a cache for so long after a request that was given up: its connections are, too"},
+      {"cache_stall_ms", "ms", 10, 600'000, &Tuning::cache_stall_ms,
+       "an answer of a cache that has begun and brings nothing for so long: its connection is given up"},
       {"answer_bytes", "bytes", 1'024, 67'108'864, &Tuning::answer_bytes,
        "one answer of a cache; objects hold 240,000 at most"},
       {"board_linger_ms", "ms", 0, 5'000, &Tuning::board_linger_ms,
@@ -196,9 +201,15 @@
   return (longest.count() > 0 ? std::min(longest, most) : most) + milliseconds(tuning.drain_late_ms);
 }
 
-// Clients hold a third at most; the rest, less what the program itself needs, is for caches.
+// Clients hold a third at most, and some more are let in for those that hold theirs idle; the rest, less what
+// the program itself needs, is for caches.
+std::size_t Configuration::most_clients() const {
+  return static_cast<std::size_t>(std::max<std::int64_t>(8, sockets * kClientTenths / 10));
+}
+
 int Configuration::most_cache_connections() const {
-  return static_cast<int>(std::max<std::int64_t>(8, sockets - sockets / 3 - kReservedSockets));
+  return static_cast<int>(
+      std::max<std::int64_t>(8, sockets - static_cast<std::int64_t>(most_clients()) - kReservedSockets));
 }
 
 Configuration read_configuration(const Sources& sources) {
--- a/src/program/configuration.h
+++ b/src/program/configuration.h
@@ -24,7 +24,8 @@
 // Matters of sockets and memory; the decision module knows none of them. Milliseconds, bytes and counts.
 struct Tuning {
   std::int64_t listen_backlog = 1024;
-  std::int64_t client_idle_ms = 60'000;
+  std::int64_t client_idle_ms = 15'000;
+  std::int64_t client_request_ms = 2'000;
   std::int64_t client_lead_ms = 10;
   std::int64_t client_stall_ms = 10'000;
   std::int64_t client_send_buffer = 0;
@@ -32,6 +33,7 @@
   std::int64_t write_low_mark = 65'536;
   std::int64_t cache_connections = 16;
   std::int64_t cache_silent_ms = 400;
+  std::int64_t cache_stall_ms = 400;
   std::int64_t answer_bytes = 524'288;
   std::int64_t board_linger_ms = 2'000;
   std::int64_t board_grace_ms = 1'000;
@@ -64,6 +66,7 @@
   std::size_t most_answer_bytes() const { return part_of_memory(4); }   // answers that have come in part
   std::size_t most_partial_bytes() const { return part_of_memory(8); }  // requests that have come in part
   std::size_t part_of_memory(std::int64_t part) const;
+  std::size_t most_clients() const;  // connections
   int most_cache_connections() const;
   std::chrono::milliseconds drain_answer() const;  // after SIGTERM; what is open then is failed
 };
--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -1,5 +1,6 @@
 #include "program/serve.h"
 
+#include <malloc.h>
 #include <sys/resource.h>
 #include <sys/signalfd.h>
 #include <unistd.h>
@@ -49,6 +50,7 @@
   bounds.pool.connection.connect_timeout =
       profile.connect_timeout.count() > 0 ? profile.connect_timeout : Micros(kDefaultConnect);
   bounds.silent_after = milliseconds(tuning.cache_silent_ms);
+  bounds.stall_after = milliseconds(tuning.cache_stall_ms);
   bounds.most_partial = configuration.most_answer_bytes();
   bounds.answers.last_bytes = static_cast<std::size_t>(tuning.answer_bytes);
   return bounds;
@@ -70,7 +72,9 @@
   bounds.most_waiting = configuration.most_waiting_bytes();
   bounds.most_partial = configuration.most_partial_bytes();
   bounds.record_bytes = static_cast<std::size_t>(tuning.answer_record_bytes);
+  bounds.most_clients = configuration.most_clients();
   bounds.client_idle = milliseconds(tuning.client_idle_ms);
+  bounds.client_request = milliseconds(tuning.client_request_ms);
   bounds.connection.stall_timeout = milliseconds(tuning.client_stall_ms);
   bounds.connection.low_mark = static_cast<std::size_t>(tuning.write_low_mark);
   bounds.connection.send_buffer = static_cast<int>(tuning.client_send_buffer);
@@ -195,9 +199,19 @@
   }
 }
 
+// Large buffers come from the system and go back to it, whatever lies between them, and a free end of the
+// heap does too: else days of changing sizes leave more and more memory in pieces.
+void keep_heap_small() {
+  constexpr int kOwnPages = 128 << 10;
+  constexpr int kFreeEnd = 512 << 10;
+  mallopt(M_MMAP_THRESHOLD, kOwnPages);
+  mallopt(M_TRIM_THRESHOLD, kFreeEnd);
+}
+
 }  // namespace
 
 int serve(const Configuration& configuration, const Reread& reread) {
+  keep_heap_small();
   limit_descriptors(configuration.sockets);
   const protocol::Profile& profile = configuration.profile;
   transport::Scheduler scheduler;
--- a/src/protocol/fastcgi.cpp
+++ b/src/protocol/fastcgi.cpp
@@ -129,6 +129,11 @@
   partial_ = failed_ ? std::string() : std::string(bytes);
 }
 
+bool Parser::partial() const {
+  return !partial_.empty() || std::any_of(open_.begin(), open_.end(),
+                                          [](const auto& one) { return one.second.stage != Stage::kWhole; });
+}
+
 void Parser::take_record(std::uint8_t type, RequestKey key, std::string_view content,
                          std::vector<Event>& out) {
   if (key == 0) {
--- a/src/protocol/fastcgi.h
+++ b/src/protocol/fastcgi.h
@@ -74,6 +74,8 @@
 
   // Bytes held of requests that have not come whole.
   std::size_t held() const { return held_ + partial_.size(); }
+  // Whether a part of a message has come whose rest is still awaited.
+  bool partial() const;
   // The final answer of a request has been given: its number may be used again.
   void release(RequestKey key) { open_.erase(key); }
 
--- a/src/protocol/resp.h
+++ b/src/protocol/resp.h
@@ -44,6 +44,9 @@
     }
   }
 
+  // Whether a part of an array has come whose rest is still awaited.
+  bool partial() const { return stage_ != Stage::kArray || !line_.empty(); }
+
  private:
   enum class Stage { kArray, kBulk, kWord, kWordEnd, kLast, kLastEnd, kFailed };
 
--- a/src/routing/cache_client.cpp
+++ b/src/routing/cache_client.cpp
@@ -59,10 +59,7 @@
   transport::Connection& connection = *slot->connection;
   if (!connection.ended() && !connection.withdraw(call.token)) {
     connection.write(protocol::write_cancel(id));
-    given_up_.insert(id);
-    if (given_up_.size() > client_.bounds_.most_given_up) {
-      client_.pool_.retire(slot, ConnectionEnd::kOverflow);
-    }
+    spend(id);
     // Nothing has come from there since this was sent, over any connection: the machine may have vanished,
     // and what else goes over these would vanish with it. A new one shows whether it is there.
     if (Clock::now() - call.sent >= client_.bounds_.silent_after &&
@@ -74,6 +71,45 @@
   client_.pool_.give_back(slot);
 }
 
+// From now on no new try goes out under this id here: what still comes for it must not be taken for its
+// answer.
+void CacheLink::spend(const std::string& id) {
+  spent_.insert(id);
+  if (spent_.size() > client_.bounds_.most_spent) {
+    if (const std::shared_ptr<Pool::Slot> slot = slot_.lock()) {
+      client_.pool_.retire(slot, ConnectionEnd::kOverflow);
+    }
+  }
+}
+
+// An answer that has begun and goes no further holds up all that comes behind it: the connection is of no
+// more use, and what is out on it goes on elsewhere. This also ends one to a machine that vanished in
+// mid-answer. It would harm a cache that pauses for longer within an answer and then goes on.
+void CacheLink::watch_progress() {
+  if (stall_timer_set_ || !parser_.partial()) {
+    return;
+  }
+  const std::shared_ptr<Pool::Slot> slot = slot_.lock();
+  if (!slot || slot->connection->ended()) {
+    return;
+  }
+  stall_timer_set_ = true;
+  const Clock::time_point due = slot->connection->last_received() + client_.bounds_.stall_after;
+  stall_timer_ = client_.scheduler_.at(due, [this] {
+    stall_timer_set_ = false;
+    const std::shared_ptr<Pool::Slot> late = slot_.lock();
+    const bool stalled =
+        late && late->connection->last_received() + client_.bounds_.stall_after <= Clock::now();
+    if (stalled && parser_.partial()) {
+      log_line(Level::kDebug) << "cache " << late->peer << " stopped within an answer, " << calls_.size()
+                              << " out";
+      late->connection->close(ConnectionEnd::kSilent);
+    } else {
+      watch_progress();
+    }
+  });
+}
+
 void CacheLink::on_bytes(std::string_view bytes) {
   const std::shared_ptr<Pool::Slot> slot = slot_.lock();
   parser_.feed(bytes, [this, &slot](const protocol::resp::Event& event) {
@@ -82,6 +118,7 @@
     }
     std::visit([this](const auto& one) { take(one); }, event);
   });
+  watch_progress();
 }
 
 void CacheLink::take(const protocol::resp::ArrayHead& head) {
@@ -119,33 +156,25 @@
   }
 }
 
+// Whatever is not of the one form that answers have may be the middle of something spoilt: nothing that it
+// says is believed, and nothing behind it.
 void CacheLink::take(const protocol::resp::ArrayEnd&) {
-  constexpr std::size_t kWithoutFields = 1;  // words before the last string
-  constexpr std::size_t kWithoutBody = 2;
-  constexpr std::size_t kWhole = 3;
+  constexpr std::size_t kWithoutBody = 3;
   count(0);
-  const std::size_t size = words_.size();
-  const std::string* word = size == kWithoutFields ? &body_ : size > kWithoutFields ? &words_[1] : nullptr;
-  const std::optional<AnswerWord> known = word != nullptr ? protocol::answer_word(*word) : std::nullopt;
-  if (!known || size > kWhole) {
-    const std::shared_ptr<Pool::Slot> slot = slot_.lock();
-    log_line(Level::kWarning) << "cache " << (slot ? slot->peer : "") << " answered in unknown words";
-    if (size > 0) {
-      finish(words_[0], AnswerWord::kError, AnswerFields());
-    }
+  const std::optional<AnswerWord> word =
+      words_.size() == kWithoutBody ? protocol::answer_word(words_[1]) : std::nullopt;
+  if (!word || (*word == AnswerWord::kSame && !body_.empty())) {
+    end_unreadable("an answer in unknown words");
     return;
   }
-  const std::string fields = size == kWithoutBody ? std::exchange(body_, {})
-                             : size == kWhole     ? words_[2]
-                                                  : "-";
-  finish(words_[0], *known, protocol::read_answer_fields(fields, client_.report_fields_));
+  finish(words_[0], *word, protocol::read_answer_fields(words_[2], client_.report_fields_));
 }
 
 void CacheLink::finish(const std::string& id, AnswerWord word, const AnswerFields& fields) {
   const auto found = calls_.find(id);
   const std::shared_ptr<Pool::Slot> slot = slot_.lock();
   if (found == calls_.end()) {
-    if (given_up_.erase(id) == 0) {
+    if (!spent_.contains(id)) {
       log_line(Level::kDebug) << "cache " << (slot ? slot->peer : "") << " answered an unknown id";
     }
     return;
@@ -153,6 +182,9 @@
   const AttemptKey key = found->second.key;
   calls_.erase(found);
   client_.places_.erase(key);
+  if (word != AnswerWord::kOk && word != AnswerWord::kSame) {
+    spend(id);  // a further try may follow, and so may a second copy of this answer
+  }
   if (slot) {
     client_.pool_.give_back(slot);
   }
@@ -166,15 +198,19 @@
   client_.router_.attempt_ended(key, std::move(result));
 }
 
-void CacheLink::take(const protocol::resp::Unreadable& unreadable) {
-  const std::shared_ptr<Pool::Slot> slot = slot_.lock();
-  if (slot) {
-    log_line(Level::kWarning) << "cache " << slot->peer << " sent what cannot be read: " << unreadable.why;
+void CacheLink::take(const protocol::resp::Unreadable& unreadable) { end_unreadable(unreadable.why); }
+
+void CacheLink::end_unreadable(std::string_view why) {
+  if (const std::shared_ptr<Pool::Slot> slot = slot_.lock()) {
+    log_line(Level::kWarning) << "cache " << slot->peer << " sent what cannot be read: " << why;
     slot->connection->close(ConnectionEnd::kMalformed);
   }
 }
 
 void CacheLink::on_end(ConnectionEnd end) {
+  if (stall_timer_set_) {
+    client_.scheduler_.cancel(stall_timer_);
+  }
   const std::shared_ptr<Pool::Slot> slot = slot_.lock();
   if (!slot) {
     return;
--- a/src/routing/cache_client.h
+++ b/src/routing/cache_client.h
@@ -28,8 +28,8 @@
 
   CacheLink(CacheClient& client, const std::weak_ptr<Pool::Slot>& slot);
 
-  // Whether the id is in use here, or was given up and may still be answered.
-  bool knows(const std::string& id) const { return calls_.contains(id) || given_up_.contains(id); }
+  // Whether the id is in use here, or may still be answered: it was given up, or an answer may come twice.
+  bool knows(const std::string& id) const { return calls_.contains(id) || spent_.contains(id); }
   void send(const AttemptKey& key, const std::string& id, std::string command, bool streaming);
   void cancel(const std::string& id);
 
@@ -45,6 +45,9 @@
   };
 
   void count(std::size_t bytes);
+  void spend(const std::string& id);
+  void watch_progress();
+  void end_unreadable(std::string_view why);
   void take(const protocol::resp::ArrayHead& head);
   void take(const protocol::resp::ArrayPiece& piece);
   void take(const protocol::resp::ArrayEnd&);
@@ -55,7 +58,9 @@
   std::weak_ptr<Pool::Slot> slot_;
   protocol::resp::Parser parser_;
   std::map<std::string, Call> calls_;
-  std::set<std::string> given_up_;
+  std::set<std::string> spent_;
+  transport::Scheduler::TimerKey stall_timer_;
+  bool stall_timer_set_ = false;
   // The answer that is being read.
   std::vector<std::string> words_;
   std::string body_;
@@ -68,7 +73,8 @@
   struct Bounds {
     CacheLink::Pool::Bounds pool;
     transport::Clock::duration silent_after = std::chrono::seconds(1);
-    std::size_t most_given_up = 512;        // ids of one connection that may still be answered
+    transport::Clock::duration stall_after = std::chrono::milliseconds(400);  // within an answer
+    std::size_t most_spent = 512;           // ids of one connection that may still be answered
     std::size_t most_partial = 64U << 20U;  // bytes of answers that have come in part, in all
     protocol::resp::Bounds answers;
   };
--- a/src/routing/front.cpp
+++ b/src/routing/front.cpp
@@ -28,6 +28,8 @@
 constexpr std::int64_t kMostPatienceMs = 3'600'000;
 constexpr std::uint32_t kCutShort = 1;  // the application status of an answer that could not be finished
 constexpr Clock::duration kAcceptPause = std::chrono::milliseconds(5);  // with no descriptor left
+constexpr int kAcceptsInTurn = 16;                                      // before the others go on
+constexpr Clock::duration kYoung = std::chrono::milliseconds(100);      // its first request may be on its way
 
 bool all_of(std::string_view text, bool (*good)(char)) {
   return !text.empty() && std::all_of(text.begin(), text.end(), good);
@@ -126,6 +128,11 @@
   if (passed->id.size() != kHexDigits || !all_of(passed->id, is_hex)) {
     return fault("X-Call-Id");
   }
+  out.call = protocol::read_hex<std::uint64_t>(passed->id).value_or(0);
+  const std::string length_text = field(read.parameters, "CONTENT_LENGTH");
+  if (!length_text.empty() && protocol::read_number<std::size_t>(length_text) != read.body.size()) {
+    return fault("CONTENT_LENGTH");
+  }
   const std::string patience_text = field(read.parameters, "HTTP_X_PATIENCE_MS");
   const std::optional<std::int64_t> patience = protocol::read_number<std::int64_t>(patience_text);
   if (!patience || *patience <= 0 || *patience > kMostPatienceMs) {
@@ -189,17 +196,21 @@
 }
 
 void FrontSession::on_bytes(std::string_view bytes) {
+  const bool awaited = parser_.partial() || !useful_;
   std::vector<fastcgi::Event> events;
   parser_.feed(bytes, events);
+  // What completes one message is no half one, however much of the next has come with it.
+  const bool whole = std::any_of(events.begin(), events.end(), [](const fastcgi::Event& event) {
+    return std::holds_alternative<fastcgi::RequestRead>(event);
+  });
+  if (whole || !awaited) {
+    awaited_since_ = front_.scheduler_.turn_time();
+  }
   for (fastcgi::Event& event : events) {
     std::visit([this](auto& one) { take(std::move(one)); }, event);
   }
   count();
-  if (front_.partial_ > front_.bounds_.most_partial && parser_.held() > 0) {
-    log_line(Level::kWarning) << "connection from " << to_string(connection_.peer())
-                              << " closed: too much is held of requests that are not whole";
-    connection_.close(ConnectionEnd::kOverflow);
-  }
+  front_.shed_partial();
 }
 
 // Keeps the sums over all connections.
@@ -218,15 +229,27 @@
   ended_ = true;
   count();
   front_.sessions_.erase(this);
-  for (const auto& [key, id] : std::exchange(open_, {})) {
-    front_.router_.leave(id);
+  while (!open_.empty()) {
+    front_.router_.leave(close_request(open_.begin()->first));
   }
 }
 
+RequestId FrontSession::close_request(fastcgi::RequestKey key) {
+  const auto found = open_.find(key);
+  if (found == open_.end()) {
+    return 0;
+  }
+  const Open open = found->second;
+  front_.calls_.erase(open.call);
+  open_.erase(found);
+  return open.id;
+}
+
 void FrontSession::take(fastcgi::RequestRead&& read) {
   const fastcgi::RequestKey key = read.key;
   keep_ = keep_ && read.keep_connection;
   if (field(read.parameters, "SCRIPT_NAME") == kHealthPath) {
+    useful_ = true;
     const bool ready = front_.ready_() && !front_.draining_;
     answer(key, ready ? cgi_head(200, "OK") + "Content-Type: text/plain\r\n\r\nok\n"
                       : cgi_head(503, "Service Unavailable") + "\r\n");
@@ -240,6 +263,7 @@
     answer(key, cgi_head(400, "Bad Request") + "\r\n");
     return;
   }
+  useful_ = true;
   request.request.patience -= std::min(front_.bounds_.client_lead, request.request.patience / 2);
   // Clients that do not take their answers fill the memory that the next ones need. Nothing was sent for this
   // request, so trying again is harmless.
@@ -247,20 +271,25 @@
     FrontReply(weak_from_this(), key).refused(Micros(0));
     return;
   }
+  // An id is new with every request: a second one under it can be told from the first neither by a cache nor
+  // in its answer. The first goes on unharmed.
+  if (!front_.calls_.insert(request.call).second) {
+    log_line(Level::kWarning) << "request from " << to_string(connection_.peer())
+                              << " cannot be used: its X-Call-Id is that of an open one";
+    answer(key, cgi_head(400, "Bad Request") + "\r\n");
+    return;
+  }
   // Entered first: the answer may come from within the call.
-  open_[key] = 0;
+  open_[key] = Open{0, request.call};
   const RequestId id =
       front_.router_.arrive(std::move(request.request), std::make_shared<FrontReply>(weak_from_this(), key));
   if (const auto found = open_.find(key); found != open_.end()) {
-    found->second = id;
+    found->second.id = id;
   }
 }
 
 void FrontSession::take(fastcgi::RequestAborted&& aborted) {
-  const auto found = open_.find(aborted.key);
-  if (found != open_.end()) {
-    const RequestId id = found->second;
-    open_.erase(found);
+  if (const RequestId id = close_request(aborted.key); id != 0) {
     front_.router_.leave(id);
   }
   answers_.drop(aborted.key);
@@ -300,7 +329,7 @@
 void FrontSession::end(fastcgi::RequestKey key, fastcgi::ProtocolStatus status,
                        std::uint32_t application_status) {
   if (!ended_) {
-    open_.erase(key);
+    close_request(key);
     answers_.end(key, status, application_status);
     pump_later();
   }
@@ -359,13 +388,22 @@
 }
 
 transport::Task<void> Front::accept_loop() {
+  int accepts = 0;
   for (;;) {
+    // Descriptors are shared out beforehand, so that clients never leave too few for caches.
+    if (sessions_.size() >= bounds_.most_clients && !free_client()) {
+      co_await scheduler_.sleep(kAcceptPause);
+      continue;
+    }
     transport::Opened opened = transport::accept_from(listener_.get());
     if (opened.descriptor.valid()) {
       const auto connection =
           transport::Connection::adopt(scheduler_, std::move(opened.descriptor), bounds_.connection);
       auto session = std::make_shared<FrontSession>(*this, *connection);
       connection->start(std::move(session));
+      if (++accepts % kAcceptsInTurn == 0) {
+        co_await scheduler_.yield();
+      }
     } else if (opened.error == EAGAIN || opened.error == EWOULDBLOCK) {
       watch_->blocked_reading();
       const bool open = co_await watch_->readable();
@@ -374,7 +412,7 @@
       }
     } else if (opened.error != ECONNABORTED && opened.error != EINTR) {
       // What waits in the backlog is already ours to answer: a descriptor is freed, or becomes free soon.
-      if (!free_descriptor_() && !free_descriptor()) {
+      if (!free_client() && !free_descriptor_()) {
         log_line(Level::kWarning) << "a client cannot be accepted: "
                                   << std::generic_category().message(opened.error);
       }
@@ -383,28 +421,46 @@
   }
 }
 
-// Gives up the idle client connection that was used least lately.
-bool Front::free_descriptor() {
-  FrontSession* oldest = nullptr;
+// Gives up the client connection that is worth least, for its descriptor; false where none can go.
+bool Front::free_client() {
+  const Clock::time_point young = Clock::now() - kYoung;
+  FrontSession* least = nullptr;
   for (FrontSession* session : sessions_) {
-    const bool older =
-        oldest == nullptr || session->connection().last_received() < oldest->connection().last_received();
-    oldest = session->idle() && older ? session : oldest;
+    const bool can_go = session->closable() && session->since() < young;
+    least = can_go && (least == nullptr || session->worth() < least->worth()) ? session : least;
   }
-  if (oldest != nullptr) {
-    oldest->connection().close(ConnectionEnd::kIdle);
+  if (least != nullptr) {
+    least->connection().close(ConnectionEnd::kIdle);
+  }
+  return least != nullptr;
+}
+
+// Over the bound on requests that have come in part, the connection that holds most of them pays, not the one
+// that happens to bring the next bytes.
+void Front::shed_partial() {
+  if (partial_ <= bounds_.most_partial) {
+    return;
   }
-  return oldest != nullptr;
+  const auto most = std::max_element(
+      sessions_.begin(), sessions_.end(),
+      [](const auto* one, const auto* two) { return one->partial_bytes() < two->partial_bytes(); });
+  log_line(Level::kWarning) << "connection from " << to_string((*most)->connection().peer())
+                            << " closed: too much is held of requests that are not whole";
+  (*most)->connection().close(ConnectionEnd::kOverflow);
 }
 
-// Clients close idle connections by themselves; one that has vanished does not.
+// Ends connections that say nothing or only half of something: they are owed a close before long, and hold
+// descriptors and memory that others need. Those that have asked and are idle go later; clients close these
+// by themselves, but some vanish or hold on for good. It would harm a client that takes longer for one
+// message.
 transport::Task<void> Front::reap() {
   for (;;) {
-    co_await scheduler_.sleep(bounds_.client_idle / 4);
-    const Clock::time_point before = Clock::now() - bounds_.client_idle;
+    co_await scheduler_.sleep(bounds_.client_request / 8);
+    const Clock::time_point now = Clock::now();
     for (FrontSession* session : sessions_) {
-      if (session->quiet() && !session->connection().ended() &&
-          session->connection().last_received() < before) {
+      const bool unused =
+          session->closable() && session->connection().last_received() < now - bounds_.client_idle;
+      if (unused || session->overdue(now - bounds_.client_request)) {
         session->connection().close(ConnectionEnd::kIdle);
       }
     }
--- a/src/routing/front.h
+++ b/src/routing/front.h
@@ -8,6 +8,8 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
+#include <utility>
 
 #include "protocol/cache_answer.h"
 #include "protocol/fastcgi.h"
@@ -21,7 +23,8 @@
 // A request as its parameters describe it, or why it cannot be taken.
 struct ReadRequest {
   ClientRequest request;
-  std::string fault;  // empty: usable
+  std::uint64_t call = 0;  // X-Call-Id
+  std::string fault;       // empty: usable
 };
 ReadRequest read_request(protocol::fastcgi::RequestRead&& read,
                          const std::unordered_map<std::string, int>& class_index, const Settings& settings);
@@ -44,8 +47,19 @@
 
   // Nothing is owed to the client.
   bool quiet() const { return open_.empty() && answers_.empty() && connection_.waiting() == 0; }
-  // Nothing is owed, nor has a part of a request come.
-  bool idle() const { return quiet() && parser_.held() == 0 && !connection_.ended(); }
+  // Nothing is owed, and either a whole message has come and no part of another, or none ever came that could
+  // be used: closing it costs no request that could be served.
+  bool closable() const { return quiet() && (!useful_ || !parser_.partial()) && !connection_.ended(); }
+  // Nothing is owed, and since `before` it has neither brought its first usable request nor the rest of one.
+  bool overdue(transport::Clock::time_point before) const {
+    return quiet() && (!useful_ || parser_.partial()) && awaited_since_ < before && !connection_.ended();
+  }
+  // Those that never brought a usable request come first, then those unused for longest.
+  std::pair<bool, transport::Clock::time_point> worth() const {
+    return {useful_, connection_.last_received()};
+  }
+  transport::Clock::time_point since() const { return since_; }
+  std::size_t partial_bytes() const { return counted_partial_; }
   transport::Connection& connection() { return connection_; }
 
  private:
@@ -57,15 +71,24 @@
   void pump();
   void pump_later();
   void count();
+  // Nothing is owed for it any more; its number for the router, 0 where it was not open.
+  RequestId close_request(protocol::fastcgi::RequestKey key);
 
   Front& front_;
   transport::Connection& connection_;
   protocol::fastcgi::Parser parser_;
   protocol::fastcgi::AnswerQueue answers_;
-  std::map<protocol::fastcgi::RequestKey, RequestId> open_;
+  struct Open {
+    RequestId id = 0;
+    std::uint64_t call = 0;
+  };
+  std::map<protocol::fastcgi::RequestKey, Open> open_;
   bool keep_ = true;
   bool ended_ = false;
   bool pumping_ = false;
+  bool useful_ = false;  // it has brought a request that could be used
+  transport::Clock::time_point since_ = transport::Clock::now();
+  transport::Clock::time_point awaited_since_ = since_;  // the rest of a message, or the first one
   std::size_t counted_waiting_ = 0;
   std::size_t counted_partial_ = 0;
 };
@@ -78,8 +101,10 @@
     std::size_t most_waiting = 64U << 20U;  // bytes of answers that clients have not taken yet, in all
     std::size_t most_partial = 16U << 20U;  // bytes of requests that have not come whole yet, in all
     std::size_t record_bytes = 16U << 10U;
-    Micros client_lead{0};  // of a client's patience, used on the way here
-    transport::Clock::duration client_idle = std::chrono::seconds(60);
+    Micros client_lead{0};            // of a client's patience, used on the way here
+    std::size_t most_clients = 4096;  // connections
+    transport::Clock::duration client_idle = std::chrono::seconds(15);
+    transport::Clock::duration client_request = std::chrono::seconds(2);  // for a message to come whole
     transport::Connection::Bounds connection;
     protocol::fastcgi::Bounds requests;
   };
@@ -108,7 +133,8 @@
  private:
   friend class FrontSession;
 
-  bool free_descriptor();
+  bool free_client();
+  void shed_partial();
 
   transport::Task<void> accept_loop();
   transport::Task<void> reap();
@@ -125,6 +151,7 @@
   transport::Descriptor listener_;
   std::unique_ptr<transport::Watch> watch_;
   std::set<FrontSession*> sessions_;
+  std::unordered_set<std::uint64_t> calls_;  // the ids of open requests
   std::size_t waiting_ = 0;
   std::size_t partial_ = 0;
 };
--- a/src/routing/outcome.cpp
+++ b/src/routing/outcome.cpp
@@ -12,11 +12,12 @@
       return Status::kConnectFailed;  // it never came up, so nothing can have been written
     case ConnectionEnd::kNoDescriptor:
       return Status::kMoot;  // not sent, for a want of our own: that says nothing of the cache
+    case ConnectionEnd::kOverflow:
+      return written ? Status::kCancelled : Status::kMoot;  // given up for a want of our own
     case ConnectionEnd::kPeerClosed:
     case ConnectionEnd::kPeerReset:
     case ConnectionEnd::kBroken:
     case ConnectionEnd::kMalformed:
-    case ConnectionEnd::kOverflow:
     case ConnectionEnd::kIdle:
     case ConnectionEnd::kSilent:
     case ConnectionEnd::kStalled:
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -15,7 +15,7 @@
 namespace {
 
 constexpr std::size_t kReadBytes = 64U << 10U;  // read at once
-constexpr int kReadsInTurn = 8;                 // before the others go on
+constexpr int kReadsInTurn = 2;                 // before the others go on
 constexpr std::size_t kPiecesAtOnce = 16;       // handed to the system in one call
 
 // One thread reads, and what is read is taken in before the next read.
--- a/tests/integration_test.cpp
+++ b/tests/integration_test.cpp
@@ -395,6 +395,9 @@
                                    {{"HTTP_X_HEAP_KB", "nan"}},
                                    {{"HTTP_X_HEAP_KB", "-1"}},
                                    {{"HTTP_X_GOT", "a,next=evil"}},
+                                   {{"CONTENT_LENGTH", "5"}},
+                                   {{"CONTENT_LENGTH", "-1"}},
+                                   {{"CONTENT_LENGTH", "99999999999999999999"}},
                                    {{"HTTP_X_DEDUPE_KEY", "a=b"}},
                                    {{"SCRIPT_NAME", "/v1/entry"}}};
   std::uint16_t key = 0;
@@ -648,6 +651,136 @@
   EXPECT_EQ(program_->await_exit(), 0);
 }
 
+// A client that says nothing, or half of something, is closed before long; one that has asked may stay.
+TEST_F(IntegrationTest, SilentAndHalfSaidClientsAreClosedSoon) {
+  list_all();
+  start({{"router", {{"client_request_ms", 300}}}});
+  Client asked = connect();
+  ASSERT_TRUE(asked.ask(1, read_fields(id_of(1))).has_value());
+  Client silent = connect();
+  Client half = connect();
+  half.send(request_bytes(1, read_fields(id_of(2)), "").substr(0, 60));
+  Client endless = connect();  // a whole answer is owed to what it asked before, and then its end
+  endless.send(request_bytes(1, {{"SCRIPT_NAME", "/v1/nowhere"}}, "") + begin_record(2));
+  EXPECT_TRUE(silent.await_close());
+  EXPECT_TRUE(half.await_close());
+  EXPECT_TRUE(endless.await_close());
+  const auto again = asked.ask(2, read_fields(id_of(3)));
+  ASSERT_TRUE(again.has_value()) << "it has asked before, and may hold on";
+  EXPECT_EQ(again->status, 200);
+}
+
+// The body that never ends is answered early, read past and not kept.
+TEST_F(IntegrationTest, AnEndlessBodyIsAnsweredEarlyAndThenClosed) {
+  list_all();
+  start({{"router", {{"client_request_ms", 1000}}}});
+  Client client = connect();
+  client.send(begin_record(1) + record(4, 1, pair("SCRIPT_NAME", "/v1/entry")) + record(4, 1, ""));
+  for (int i = 0; i < 4; ++i) {
+    client.send(record(5, 1, std::string(60'000, 'x')));
+  }
+  const auto answer = client.read(1, milliseconds(800));
+  ASSERT_TRUE(answer.has_value()) << "it is not held back until the end of the body";
+  EXPECT_EQ(answer->status, 400);
+  EXPECT_TRUE(client.await_close());
+}
+
+// The id of an open request with another object: the second is turned away, the first goes on unharmed.
+TEST_F(IntegrationTest, AnIdThatIsOpenIsNotTakenTwice) {
+  std::atomic<bool> held{true};
+  script_all([&held](const CacheRequest& request) -> std::optional<std::string> {
+    if (held) {
+      return std::nullopt;
+    }
+    return CacheStandIn::answer(request, "OK", "-", request.fields.at("item"));
+  });
+  list_all();
+  start({{"settings", {{"Limits", {{"ParallelTries", true}}}}}});
+  Client first = connect();
+  first.send(request_bytes(1, read_fields(id_of(1)), ""));
+  await_send();
+  const auto second = connect().ask(1, read_fields(id_of(1), {{"HTTP_X_ENTITY", id_of(77)}}));
+  ASSERT_TRUE(second.has_value());
+  EXPECT_EQ(second->status, 400);
+  for (const CacheRequest& seen : all_seen()) {
+    EXPECT_NE(seen.fields.at("item"), id_of(77)) << "it reached a cache";
+  }
+  held = false;
+  first.send(record(2, 1, ""));  // taken back: the id is free again
+  const auto freed = first.ask(2, read_fields(id_of(1), {{"HTTP_X_ENTITY", id_of(78)}}));
+  ASSERT_TRUE(freed.has_value());
+  EXPECT_EQ(freed->body, id_of(78)) << "and no late answer to the first is taken for its own";
+}
+
+// After an answer that stops short nothing more moves on that connection: what is out on it goes on
+// elsewhere.
+TEST_F(IntegrationTest, AnAnswerThatStopsShortEndsItsConnection) {
+  std::atomic<int> asked{0};
+  script_all([&asked](const CacheRequest& request) -> std::optional<std::string> {
+    const std::string whole = CacheStandIn::answer(request, "OK", "-", "whole");
+    return ++asked == 1 ? whole.substr(0, whole.size() - 3) : whole;
+  });
+  list_all();
+  start(json::object(), {"--log-level", "debug"});
+  const auto answer = connect().ask(1, read_fields(id_of(1)));
+  ASSERT_TRUE(answer.has_value());
+  EXPECT_EQ(answer->status, 200);
+  EXPECT_EQ(answer->body, "whole");
+  EXPECT_TRUE(program_->await_log("stopped within an answer, "));
+}
+
+// Answers are of one form: what says OK in another may be the middle of something spoilt.
+TEST_F(IntegrationTest, AnAnswerOfAnotherFormIsNeverServed) {
+  for (const std::string& form : {std::string("*3\r\n$16\r\nID\r\n$2\r\nOK\r\n$1\r\n-\r\n"),
+                                  std::string("*2\r\n$16\r\nID\r\n$2\r\nOK\r\n"),
+                                  std::string("*4\r\n$16\r\nID\r\n$4\r\nSAME\r\n$1\r\n-\r\n$1\r\nx\r\n"),
+                                  std::string("*4\r\n$16\r\nID\r\n$2\r\nUP\r\n$1\r\n-\r\n$1\r\nx\r\n")}) {
+    script_all([form](const CacheRequest& request) {
+      std::string text = form;
+      return text.replace(text.find("ID"), 2, request.id);
+    });
+    list_all();
+    start();
+    const auto answer = connect().ask(1, read_fields(id_of(1)));
+    ASSERT_TRUE(answer.has_value());
+    EXPECT_NE(answer->status, 200) << form;
+  }
+}
+
+// A second copy of a miss must not end the next try of the same request on that connection.
+TEST_F(IntegrationTest, ASecondCopyOfAnAnswerAnswersNoLaterTry) {
+  std::atomic<int> asked{0};
+  b_.stop();
+  a_.set_script([&asked](const CacheRequest& request) -> std::optional<std::string> {
+    const std::string miss = CacheStandIn::answer(request, "MISS", "tell=bounced");
+    return ++asked == 1 ? miss + miss : CacheStandIn::answer(request, "OK", "-", "filled");
+  });
+  CacheStandIn parent(CacheStandIn::serving("from parent"));
+  board_.post(pool({listed("cache-a", a_.address(), "std"), listed("parent-p", parent.address(), "parent"),
+                    listed("origin-o", origin_.address(), "origin")},
+                   true));
+  start();
+  const auto answer = connect().ask(1, read_fields(id_of(1)));
+  ASSERT_TRUE(answer.has_value());
+  EXPECT_EQ(answer->body, "filled");
+  EXPECT_EQ(asked, 2);
+}
+
+// Clients get their share of the descriptors and no more: hundreds that hold on leave caches theirs.
+TEST_F(IntegrationTest, ClientsThatHoldOnLeaveTheCachesTheirDescriptors) {
+  list_all();
+  start({{"limits", {{"sockets", 64}}}});
+  std::vector<std::unique_ptr<Client>> holding;
+  for (int i = 0; i < 40; ++i) {
+    holding.push_back(std::make_unique<Client>(program_->port()));
+    const auto answer = holding.back()->ask(1, read_fields(id_of(i + 1), {{"HTTP_X_ENTITY", id_of(i + 1)}}));
+    ASSERT_TRUE(answer.has_value()) << i;
+    ASSERT_EQ(answer->status, 200) << i;
+  }
+  EXPECT_TRUE(holding.front()->await_close()) << "the one unused for longest went first";
+  EXPECT_EQ(program_->log().find("no connection left"), std::string::npos);
+}
+
 // The operators replace the file and send SIGHUP: the notice board has moved, its numbers go on.
 TEST_F(IntegrationTest, OnSighupItAsksTheNoticeBoardAtItsNewAddress) {
   list_all();
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -415,5 +415,12 @@
   EXPECT_EQ(status_of(ConnectionEnd::kPeerReset, true), Status::kReset);
 }
 
+// Nor must a bound of our own; but what was written may have run.
+TEST(Outcome, OurOwnBoundsAreNoBreakOfTheCaches) {
+  EXPECT_EQ(status_of(ConnectionEnd::kOverflow, true), Status::kCancelled);
+  EXPECT_FALSE(proves_unrun(status_of(ConnectionEnd::kOverflow, true)));
+  EXPECT_EQ(status_of(ConnectionEnd::kOverflow, false), Status::kMoot);
+}
+
 }  // namespace
 }  // namespace trailcourse::routing
