Leave dead caches out though they are most; blame resets alone less

A refused connection is no symptom but proof: such a cache is now left out but for its trials, however many they are. Also seen: healthy caches ejected for a second, about every other second, for two resets in a row (1.5 each, limit 3). A reset now counts 0.5: what died refuses the next connection. And a size that the client's time cannot hold is not learnt. Ruled out: lost connections or descriptors (62 of 384), CPU (0.05), the glue's outcomes (all proven ones as such).

--- a/src/decision/decide.cpp
+++ b/src/decision/decide.cpp
@@ -1,6 +1,5 @@
 // The decision module: every decision, table and tuned value of trailcourse.
 // Its interface (settings, events, actions) is include/trailcourse/decider.h.
-//
 // It reads from the rules (drains, cold budgets, purges, effects) over the ordinary path (the Criteria
 // Weighted score, its rank, the hash companion) to load, failures and further attempts.
 #include <trailcourse/decider.h>
@@ -83,7 +82,8 @@
 constexpr double kPatienceBase = 0.3;     // seconds beyond the expected answer before silence counts
 constexpr double kPatienceStretch = 2.0;  // and so many times the expected answer
 constexpr double kStreakLimit = 3.0;      // consecutive blames that eject
-constexpr double kBreakBlame = 1.5;       // of a connection that broke or was not to be had
+constexpr double kConnectBlame = 1.5;     // of a connection that was not to be had
+constexpr double kResetBlame = 0.5;       // of one that broke: what died is not to be had next
 constexpr double kFailGain = 0.1;         // smoothing of the share of failures
 constexpr double kFailLimit = 0.4;        // share of failures that ejects
 constexpr double kDeadShare = 0.75;       // of refusals that only a dead parent shows: one that runs has hits
@@ -279,9 +279,10 @@
     attempt_or_give_up(request);
   }
 
+  // A size that the client's time cannot hold is none to learn from.
   void note_work(Request& request) {
     const double size = request.told.size_kb;
-    const bool told = std::isfinite(size) && size > 0.0 && settings_.stream_kb_per_s > 0.0;
+    const bool told = size > 0.0 && size <= settings_.stream_kb_per_s * to_seconds(request.told.due - now_);
     request.work = told ? size / settings_.stream_kb_per_s : class_work(request);
     request.told.size_kb = told ? size : 0.0;
     if (told) {
@@ -340,8 +341,8 @@
     int looked_at = 0;
     for (const int index : order) {
       Node& node = at(index);
-      if (request.avoids(index) || (heed_health && !healthy(node)) || !cold_budget_allows(node, cost) ||
-          !may_send(request, node)) {
+      const bool ill = !healthy(node) && (heed_health || node.unreachable);
+      if (request.avoids(index) || ill || !cold_budget_allows(node, cost) || !may_send(request, node)) {
         continue;
       }
       if (best < 0 || load(node) < kSpreadGain * load(at(best))) {
@@ -607,6 +608,7 @@
     Node& node = at(attempt.node);
     Node& source = at(attempt.source);
     node.in_flight = std::max(0, node.in_flight - 1);
+    node.unreachable = ended.status == Status::kConnectFailed;
     node.trial_out &= !attempt.trial;
     source.trial_out &= !attempt.source_trial;
     source.cold_tokens += shows_hit(ended.note) ? attempt.cold_cost : 0.0;
@@ -687,7 +689,7 @@
     return trial;
   }
 
-  // A general symptom points elsewhere: with most of the nodes ejected, none is avoided.
+  // A general symptom points elsewhere: with most of them ejected, none is avoided but those not to be had.
   bool mostly_ejected(const std::vector<int>& order) const {
     const auto out =
         std::count_if(order.begin(), order.end(), [this](int index) { return !healthy(at(index)); });
@@ -761,14 +763,13 @@
       return;
     }
     const bool refused = ended.status == Status::kFull || ended.status == Status::kMiss;
-    const bool broke = ended.status == Status::kReset || ended.status == Status::kConnectFailed;
     attempt.avoid_source = attempt.fills() && refused && ended.note != Note::kNoFillPlace;
     attempt.avoid_node = ended.status != Status::kReset && (attempt.fills() || !refused);
     if (attempt.avoid_source && ended.note == Note::kNone) {
       suspect(source);
     }
-    if (broke) {
-      blame(node, kBreakBlame);
+    if (ended.status == Status::kConnectFailed || ended.status == Status::kReset) {
+      blame(node, ended.status == Status::kReset ? kResetBlame : kConnectBlame);
     } else if (ended.status == Status::kError || ended.status == Status::kTimeout) {
       blame(node, 1.0);
     }
--- a/src/decision/state.h
+++ b/src/decision/state.h
@@ -28,6 +28,7 @@
   Micros ejected_until{-1};
   bool silent = false;  // ejected for silence alone: the next good answer ends that
   bool trial_out = false;
+  bool unreachable = false;  // the last attempt there found no connection
   double cold_tokens = 0.0;  // below 0: its drawn start, a share of one turn
   Micros cold_at{0};
 };
--- a/src/protocol/fastcgi.h
+++ b/src/protocol/fastcgi.h
@@ -121,6 +121,7 @@
 
   bool empty() const { return turns_.empty(); }
   std::size_t waiting() const { return waiting_; }
+  std::size_t size() const { return answers_.size(); }
   // The next record. `ended` is set to the request that it ends, if any.
   std::string next(RequestKey& ended_key, bool& ended);
 
--- a/src/routing/front.cpp
+++ b/src/routing/front.cpp
@@ -25,11 +25,13 @@
 constexpr std::string_view kHealthPath = "/healthz";
 constexpr std::size_t kHexDigits = 16;
 constexpr std::uint64_t kMostGroup = 255;
-constexpr std::int64_t kMostPatienceMs = 3'600'000;
+constexpr std::int64_t kMostPatienceMs = 120'000;
 constexpr std::uint32_t kCutShort = 1;  // the application status of an answer that could not be finished
 constexpr Clock::duration kAcceptPause = std::chrono::milliseconds(5);  // with no descriptor left
-constexpr int kAcceptsInTurn = 16;                                      // before the others go on
-constexpr Clock::duration kYoung = std::chrono::milliseconds(100);      // its first request may be on its way
+constexpr std::size_t kUntakenAnswers = 16;  // times the open requests of a connection, 64
+constexpr std::size_t kUntakenMarks = 4;     // times the low mark of a connection
+constexpr int kAcceptsInTurn = 16;           // before the others go on
+constexpr Clock::duration kYoung = std::chrono::milliseconds(100);  // its first request may be on its way
 
 bool all_of(std::string_view text, bool (*good)(char)) {
   return !text.empty() && std::all_of(text.begin(), text.end(), good);
@@ -191,9 +193,7 @@
     : front_(front),
       connection_(connection),
       parser_(front.bounds_.requests),
-      answers_(front.bounds_.record_bytes) {
-  front_.sessions_.insert(this);
-}
+      answers_(front.bounds_.record_bytes) {}
 
 void FrontSession::on_bytes(std::string_view bytes) {
   const bool awaited = parser_.partial() || !useful_;
@@ -303,10 +303,23 @@
   } else {
     answers_.end(rejected.key, rejected.status, 0);
     pump_later();
+    end_if_untaken();
   }
 }
 
-void FrontSession::take(fastcgi::SendBack&& back) { connection_.write(std::move(back.bytes)); }
+void FrontSession::take(fastcgi::SendBack&& back) {
+  connection_.write(std::move(back.bytes));
+  end_if_untaken();
+}
+
+// Rejections and management records are answered without end; whoever sends them and takes no answer would
+// fill the memory with these. What is served is bounded by the number of open requests.
+void FrontSession::end_if_untaken() {
+  const bool many = answers_.size() > kUntakenAnswers * front_.bounds_.requests.open_requests;
+  if (many || connection_.waiting() > kUntakenMarks * front_.bounds_.connection.low_mark) {
+    connection_.close(ConnectionEnd::kOverflow);
+  }
+}
 
 void FrontSession::take(fastcgi::Unreadable&& unreadable) {
   log_line(Level::kWarning) << "connection from " << to_string(connection_.peer())
@@ -397,10 +410,7 @@
     }
     transport::Opened opened = transport::accept_from(listener_.get());
     if (opened.descriptor.valid()) {
-      const auto connection =
-          transport::Connection::adopt(scheduler_, std::move(opened.descriptor), bounds_.connection);
-      auto session = std::make_shared<FrontSession>(*this, *connection);
-      connection->start(std::move(session));
+      take_in(std::move(opened.descriptor));
       if (++accepts % kAcceptsInTurn == 0) {
         co_await scheduler_.yield();
       }
@@ -421,6 +431,18 @@
   }
 }
 
+// What fails for one connection, as for want of memory, must not end the loop that accepts all others.
+void Front::take_in(transport::Descriptor socket) {
+  try {
+    const auto connection = transport::Connection::adopt(scheduler_, std::move(socket), bounds_.connection);
+    const auto session = std::make_shared<FrontSession>(*this, *connection);
+    connection->start(session);
+    sessions_.insert(session.get());
+  } catch (const std::exception& error) {
+    log_line(Level::kError) << "a client was accepted and dropped: " << error.what();
+  }
+}
+
 // Gives up the client connection that is worth least, for its descriptor; false where none can go.
 bool Front::free_client() {
   const Clock::time_point young = Clock::now() - kYoung;
@@ -444,6 +466,9 @@
   const auto most = std::max_element(
       sessions_.begin(), sessions_.end(),
       [](const auto* one, const auto* two) { return one->partial_bytes() < two->partial_bytes(); });
+  if (most == sessions_.end()) {
+    return;
+  }
   log_line(Level::kWarning) << "connection from " << to_string((*most)->connection().peer())
                             << " closed: too much is held of requests that are not whole";
   (*most)->connection().close(ConnectionEnd::kOverflow);
--- a/src/routing/front.h
+++ b/src/routing/front.h
@@ -70,6 +70,7 @@
   void take(protocol::fastcgi::Unreadable&& unreadable);
   void pump();
   void pump_later();
+  void end_if_untaken();
   void count();
   // Nothing is owed for it any more; its number for the router, 0 where it was not open.
   RequestId close_request(protocol::fastcgi::RequestKey key);
@@ -133,6 +134,7 @@
  private:
   friend class FrontSession;
 
+  void take_in(transport::Descriptor socket);
   bool free_client();
   void shed_partial();
 
--- a/tests/decider_test.cpp
+++ b/tests/decider_test.cpp
@@ -174,6 +174,27 @@
   return text.str();
 }
 
+// A size that nothing could send within the client's time must not shift what is thought of all others.
+TEST(BadInput, AnAbsurdSizeIsNotLearnt) {
+  const auto ranks_after = [](double size_kb) {
+    Router router;
+    router.list(plain_list());
+    for (RequestId id = 1; id <= 20; ++id) {
+      router.ask(id, kVideo, 1000 + id, size_kb);
+      router.end(id, 0, Status::kError);
+      router.handle(ClientLeft{id});
+    }
+    router.now += seconds(30);
+    std::vector<int> ranks;
+    for (RequestId id = 100; id < 140; ++id) {
+      router.now += milliseconds(20);
+      ranks.push_back(router.serve(id, kVideo, id % 7, 100.0 + 10.0 * static_cast<double>(id % 7)).keep);
+    }
+    return ranks;
+  };
+  EXPECT_EQ(ranks_after(1e12), ranks_after(0.0)) << "it counts as one that was not told";
+}
+
 // ---- Rule 1: one final answer, in time, and nothing after it. ----
 
 TEST(OneAnswer, GuardAnswersBeforeTheClientGivesUp) {
@@ -828,6 +849,58 @@
   EXPECT_NE(router.serve(20).cache, home);
 }
 
+// On days of resets every cache breaks some connections off; two in a row say nothing against one that
+// answers.
+TEST(Failures, AFewResetsInARowLeaveACacheInUse) {
+  Router router;
+  router.list(plain_list());
+  const std::string home = router.serve(1).cache;
+  for (RequestId id = 10; id < 13; ++id) {
+    router.ask(id);
+    router.end(id, 0, Status::kReset);
+    router.handle(ClientLeft{id});
+    router.now += milliseconds(20);
+  }
+  EXPECT_EQ(router.serve(20).cache, home);
+}
+
+TEST(Failures, ACacheThatBreaksEveryConnectionIsStillLeft) {
+  Router router;
+  router.list(plain_list());
+  const std::string home = router.serve(1).cache;
+  for (RequestId id = 10; id < 20; ++id) {
+    router.ask(id);
+    router.end(id, 0, Status::kReset);
+    router.handle(ClientLeft{id});
+    router.now += milliseconds(20);
+  }
+  EXPECT_NE(router.serve(30).cache, home);
+}
+
+// Most caches of the zone are dead at once: those that are not to be had are left out all the same, or each
+// request would be tried there, refused and its further attempts used up.
+TEST(Failures, DeadCachesAreLeftOutEvenWhereTheyAreMost) {
+  Router router;
+  router.list(plain_list());
+  RequestId id = 0;
+  const auto ask_all = [&](int requests) {
+    int at_dead = 0;
+    for (int i = 0; i < requests; ++i) {
+      router.now += milliseconds(5);
+      ++id;
+      router.ask(id, kVideo, id);
+      for (std::size_t n = 0; n < router.sends[id].size() && n < 4; ++n) {
+        const bool dead = router.sends[id][n].cache != "c1";
+        at_dead += dead ? 1 : 0;
+        router.end(id, static_cast<int>(n), dead ? Status::kConnectFailed : Status::kOk);
+      }
+    }
+    return at_dead;
+  };
+  ask_all(40);
+  EXPECT_LE(ask_all(40), 8) << "only trials go there";
+}
+
 TEST(Failures, AGeneralSymptomEjectsNobody) {
   Router router;
   router.list(plain_list());
--- a/tests/integration_test.cpp
+++ b/tests/integration_test.cpp
@@ -781,6 +781,22 @@
   EXPECT_EQ(program_->log().find("no connection left"), std::string::npos);
 }
 
+// Records that are answered without end, to a client that takes no answer, must not fill the memory.
+TEST_F(IntegrationTest, AClientThatFloodsAndTakesNoAnswerIsClosed) {
+  list_all();
+  start();
+  Client client(program_->port(), true);
+  std::string flood;
+  for (int i = 0; i < 2000; ++i) {
+    flood += record(9, 0, pair("FCGI_MAX_REQS", "") + pair("FCGI_MPXS_CONNS", ""));
+  }
+  for (int i = 0; i < 400; ++i) {
+    client.send(flood);
+  }
+  EXPECT_TRUE(client.await_close());
+  EXPECT_TRUE(connect().ask(1, read_fields(id_of(1))).has_value());
+}
+
 // The operators replace the file and send SIGHUP: the notice board has moved, its numbers go on.
 TEST_F(IntegrationTest, OnSighupItAsksTheNoticeBoardAtItsNewAddress) {
   list_all();
