Read past answers that nobody awaits instead of holding them

A second copy, a late answer or one under an unknown id counted against the bound on answers in part, and could end a good connection there. cache_client.cpp reads past it.

--- a/src/routing/cache_client.cpp
+++ b/src/routing/cache_client.cpp
@@ -125,8 +125,13 @@
   words_ = head.words;
   body_.clear();
   const auto found = words_.empty() ? calls_.end() : calls_.find(words_[0]);
+  // A second copy, a late answer, one that nobody asked for: read past, and not held.
+  wanted_ = found != calls_.end();
   const bool ok = words_.size() == 3 && protocol::answer_word(words_[1]) == AnswerWord::kOk;
-  streaming_ = ok && found != calls_.end() && found->second.streaming;
+  streaming_ = wanted_ && ok && found->second.streaming;
+  if (!wanted_) {
+    return;
+  }
   if (streaming_) {
     client_.router_.stream_started(found->second.key, false);
     return;
@@ -149,6 +154,9 @@
 }
 
 void CacheLink::take(const protocol::resp::ArrayPiece& piece) {
+  if (!wanted_) {
+    return;
+  }
   if (!streaming_) {
     body_ += piece.bytes;
   } else if (const auto found = calls_.find(words_[0]); found != calls_.end()) {
--- a/src/routing/cache_client.h
+++ b/src/routing/cache_client.h
@@ -65,6 +65,7 @@
   std::vector<std::string> words_;
   std::string body_;
   std::size_t counted_ = 0;  // of it in the client's sum
+  bool wanted_ = false;
   bool streaming_ = false;
 };
 
