Ask elsewhere for an overdue answer of a cache that is neither silent nor crowded

These answers never come. decide.cpp, check_silence: 'the cache answered, so it is slow; waiting is best', which held such a request until it failed. Ruled out: connections (each lost answer alone on its own, the rest of the connection goes on), load (0.6 to 2), the source (any), crowding. Now, with a load under 2 and fills sound, the next cache is asked; nobody is blamed for it.

--- a/src/decision/decide.cpp
+++ b/src/decision/decide.cpp
@@ -35,10 +35,9 @@
 constexpr double kTopShare = 0.25;  // of the bytes asked for that may hold the top rank
 enum Rank { kLowestRank = 1, kMiddleRank = 2, kTopRank = 3 };
 constexpr std::size_t kMaxEntries = 50'000;
-constexpr Micros kHalving = seconds(60);     // a request count halves
-constexpr Micros kHolderSpan = seconds(60);  // a holder is forgotten
-constexpr Micros kIdleCap = seconds(30);     // tmax of a class without a fresh time
-constexpr double kByteDecay = 0.9995;        // a request; the byte shares look back over some thousands
+constexpr Micros kHalving = seconds(60);  // a request count halves, a holder is forgotten
+constexpr Micros kIdleCap = seconds(30);  // tmax of a class without a fresh time
+constexpr double kByteDecay = 0.9995;     // a request; the byte shares look back over some thousands
 
 // The rules.
 constexpr std::size_t kMaxNodes = 4096;         // slots for addresses; beyond, those gone and idle are reused
@@ -298,7 +297,7 @@
     const double tmax = fresh > 0.0 ? fresh : to_seconds(kIdleCap);
     const double idle = entry.count > 0.0 ? std::min(1.0, to_seconds(now_ - entry.last) / tmax) : 1.0;
     entry.halve(now_, kHalving);
-    entry.forget_holders(now_ - kHolderSpan);
+    entry.forget_holders(now_ - kHalving);
     entry.count += request.told.is_retry && entry.count > 0.0 ? 0.0 : 1.0;
     entry.last = now_;
     largest_kb_ = std::max(largest_kb_, request.told.size_kb);
@@ -447,12 +446,11 @@
     attempt.source_trial = attempt.fills() && start_trial(source);
     ++node.in_flight;
     fill_out_ += attempt.fill_work;
-    const Micros patience = from_seconds(kPatienceBase + kPatienceStretch * expected(request, node));
-    attempt.overdue_at = now_ + patience;
+    attempt.overdue_at = now_ + from_seconds(kPatienceBase + kPatienceStretch * expected(request, node));
     out_->push_back(order_for(request, attempt));
     request.attempts.push_back(attempt);
     if (class_of(request).effect == Effect::kSafe) {
-      set_timer(request, kPatience, patience);
+      set_timer(request, kPatience, attempt.overdue_at - now_);
     }
   }
 
@@ -789,8 +787,9 @@
     }
   }
 
-  // An attempt is overdue. Nothing good came from its cache since the send: the machine is silent, whatever
-  // the cause. The cache answered but no fill came: the source is silent. Else it is slow; waiting is best.
+  // An attempt is overdue. Nothing good came from its cache since: the machine is silent, whatever the cause.
+  // It answered, but no fill came: the source is silent. With neither, and no crowd, this answer is lost,
+  // which is nobody's blame: the next cache is asked. Else it is slow; waiting is best.
   void check_silence(Request& request) {
     Attempt& attempt = request.attempts.back();
     if (attempt.done || now_ < attempt.overdue_at) {
@@ -802,14 +801,15 @@
     }
     Node& node = at(attempt.node);
     Node& source = at(attempt.source);
-    attempt.avoid_node = node.last_good < attempt.sent;
-    attempt.avoid_source = !attempt.avoid_node && attempt.fills() && source.last_good < attempt.sent;
-    if (attempt.avoid_node) {
+    const bool silent = node.last_good < attempt.sent;
+    attempt.avoid_source = !silent && attempt.fills() && source.last_good < attempt.sent;
+    attempt.avoid_node = silent || (!attempt.avoid_source && !fills_fail() && load(node) < kSpreadLoad);
+    if (silent) {
       eject(node, true);
     } else if (attempt.avoid_source) {
       judge_source(source, false, true);
       blame(source, 1.0);
-    } else {
+    } else if (!attempt.avoid_node) {
       return;
     }
     if (!settings_.parallel_tries && settings_.may_cancel) {
--- a/tests/decider_test.cpp
+++ b/tests/decider_test.cpp
@@ -849,6 +849,34 @@
   EXPECT_NE(router.serve(20).cache, home);
 }
 
+// An answer that never comes from a cache that answers others: the next one is asked before the client's time
+// is up, and nobody is blamed. Where the cache is crowded the answer is only slow, and asking twice adds to
+// that.
+TEST(Failures, AnAnswerThatIsLostIsAskedForElsewhere) {
+  for (const double crowd : {2.0, 200.0}) {
+    Router router;
+    router.list(plain_list());
+    const std::string home = router.serve(1).cache;
+    const auto asked = router.ask(2);
+    router.now += seconds(2);
+    router.ask(3);
+    LoadReport load;
+    load.concurrent = crowd;
+    router.end(3, 0, Status::kOk, Note::kFilled,
+               load);  // it goes on answering others, and so does its source
+    for (const SetTimer& timer : all<SetTimer>(asked)) {
+      if (timer.delay < seconds(4)) {
+        router.handle(TimerFired{timer.token});
+      }
+    }
+    ASSERT_EQ(router.sends[2].size(), crowd > 100.0 ? 1U : 2U);
+    if (crowd < 100.0) {
+      EXPECT_NE(router.sends[2][1].cache, home);
+      EXPECT_EQ(router.serve(4).cache, home) << "it is not left out for it";
+    }
+  }
+}
+
 // On days of resets every cache breaks some connections off; two in a row say nothing against one that
 // answers.
 TEST(Failures, AFewResetsInARowLeaveACacheInUse) {
