Tell an end before anything was written as moot, not as a failed connect

outcome.cpp told a connection that had come up and was reset or closed before anything was written (when new, when idle, closed here) as a failed connect, which counts 1.5 against the cache and now also marks it as not to be had. It proves that nothing ran and says nothing of the cache. Refused, timed out and unreachable stay failed connects. The board's watcher goes on after any exception; the front's new bounds are keys.

--- a/src/program/configuration.cpp
+++ b/src/program/configuration.cpp
@@ -21,7 +21,6 @@
 
 constexpr std::int64_t kLeastSockets = 64;
 constexpr std::int64_t kLeastMemoryMb = 32;
-constexpr std::int64_t kClientTenths = 4;      // of the descriptors
 constexpr std::int64_t kReservedSockets = 16;  // standard streams, epoll, listener, board, spare
 constexpr std::size_t kOpenWithoutLimit = 4096;
 
@@ -141,6 +140,14 @@
        "clients close after 4 s; this reclaims those that vanished or hold on"},
       {"client_request_ms", "ms", 100, 3'600'000, &Tuning::client_request_ms,
        "for a connection's first usable request, and for the rest of a message that has begun"},
+      {"client_young_ms", "ms", 0, 60'000, &Tuning::client_young_ms,
+       "a connection that was just accepted is not closed for its descriptor: its request may be on its way"},
+      {"client_share_percent", "percent", 5, 80, &Tuning::client_share_percent,
+       "of the descriptors that clients may hold; they hold a third, and some hold on for good"},
+      {"client_untaken_answers", "answers", 64, 65'535, &Tuning::client_untaken_answers,
+       "on one connection; a client that floods and takes no answer ends its connection"},
+      {"client_untaken_bytes", "bytes", 4'096, 16'777'216, &Tuning::client_untaken_bytes,
+       "the same, of records that are answered at once"},
       {"client_lead_ms", "ms", 0, 1'000, &Tuning::client_lead_ms,
        "patience counts from when the client sent the request; so much of it was used on the way here"},
       {"client_stall_ms", "ms", 100, 3'600'000, &Tuning::client_stall_ms,
@@ -204,7 +211,7 @@
 // Clients hold a third at most, and some more are let in for those that hold theirs idle; the rest, less what
 // the program itself needs, is for caches.
 std::size_t Configuration::most_clients() const {
-  return static_cast<std::size_t>(std::max<std::int64_t>(8, sockets * kClientTenths / 10));
+  return static_cast<std::size_t>(std::max<std::int64_t>(8, sockets * tuning.client_share_percent / 100));
 }
 
 int Configuration::most_cache_connections() const {
--- a/src/program/configuration.h
+++ b/src/program/configuration.h
@@ -26,6 +26,10 @@
   std::int64_t listen_backlog = 1024;
   std::int64_t client_idle_ms = 15'000;
   std::int64_t client_request_ms = 2'000;
+  std::int64_t client_young_ms = 100;
+  std::int64_t client_share_percent = 40;
+  std::int64_t client_untaken_answers = 1'024;
+  std::int64_t client_untaken_bytes = 262'144;
   std::int64_t client_lead_ms = 10;
   std::int64_t client_stall_ms = 10'000;
   std::int64_t client_send_buffer = 0;
--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -73,6 +73,9 @@
   bounds.most_partial = configuration.most_partial_bytes();
   bounds.record_bytes = static_cast<std::size_t>(tuning.answer_record_bytes);
   bounds.most_clients = configuration.most_clients();
+  bounds.most_untaken = static_cast<std::size_t>(tuning.client_untaken_answers);
+  bounds.most_untaken_bytes = static_cast<std::size_t>(tuning.client_untaken_bytes);
+  bounds.client_young = milliseconds(tuning.client_young_ms);
   bounds.client_idle = milliseconds(tuning.client_idle_ms);
   bounds.client_request = milliseconds(tuning.client_request_ms);
   bounds.connection.stall_timeout = milliseconds(tuning.client_stall_ms);
--- a/src/routing/board_watcher.cpp
+++ b/src/routing/board_watcher.cpp
@@ -1,6 +1,7 @@
 #include "routing/board_watcher.h"
 
 #include <algorithm>
+#include <exception>
 #include <utility>
 
 #include "protocol/json_fields.h"
@@ -129,7 +130,7 @@
   try {
     taker_.take(protocol::parse_notices(response.body, profile_));
     return true;
-  } catch (const protocol::FormatError& error) {
+  } catch (const std::exception& error) {  // whatever fails, the board is asked again
     why_ = error.what();
     return false;
   }
--- a/src/routing/front.cpp
+++ b/src/routing/front.cpp
@@ -28,10 +28,7 @@
 constexpr std::int64_t kMostPatienceMs = 120'000;
 constexpr std::uint32_t kCutShort = 1;  // the application status of an answer that could not be finished
 constexpr Clock::duration kAcceptPause = std::chrono::milliseconds(5);  // with no descriptor left
-constexpr std::size_t kUntakenAnswers = 16;  // times the open requests of a connection, 64
-constexpr std::size_t kUntakenMarks = 4;     // times the low mark of a connection
-constexpr int kAcceptsInTurn = 16;           // before the others go on
-constexpr Clock::duration kYoung = std::chrono::milliseconds(100);  // its first request may be on its way
+constexpr int kAcceptsInTurn = 16;                                      // before the others go on
 
 bool all_of(std::string_view text, bool (*good)(char)) {
   return !text.empty() && std::all_of(text.begin(), text.end(), good);
@@ -315,8 +312,8 @@
 // Rejections and management records are answered without end; whoever sends them and takes no answer would
 // fill the memory with these. What is served is bounded by the number of open requests.
 void FrontSession::end_if_untaken() {
-  const bool many = answers_.size() > kUntakenAnswers * front_.bounds_.requests.open_requests;
-  if (many || connection_.waiting() > kUntakenMarks * front_.bounds_.connection.low_mark) {
+  const bool many = answers_.size() > front_.bounds_.most_untaken;
+  if (many || connection_.waiting() > front_.bounds_.most_untaken_bytes) {
     connection_.close(ConnectionEnd::kOverflow);
   }
 }
@@ -445,7 +442,7 @@
 
 // Gives up the client connection that is worth least, for its descriptor; false where none can go.
 bool Front::free_client() {
-  const Clock::time_point young = Clock::now() - kYoung;
+  const Clock::time_point young = Clock::now() - bounds_.client_young;
   FrontSession* least = nullptr;
   for (FrontSession* session : sessions_) {
     const bool can_go = session->closable() && session->since() < young;
--- a/src/routing/front.h
+++ b/src/routing/front.h
@@ -104,6 +104,9 @@
     std::size_t record_bytes = 16U << 10U;
     Micros client_lead{0};            // of a client's patience, used on the way here
     std::size_t most_clients = 4096;  // connections
+    std::size_t most_untaken = 1024;  // answers on one connection, of which the client takes none
+    std::size_t most_untaken_bytes = 256U << 10U;
+    transport::Clock::duration client_young = std::chrono::milliseconds(100);  // its request is on its way
     transport::Clock::duration client_idle = std::chrono::seconds(15);
     transport::Clock::duration client_request = std::chrono::seconds(2);  // for a message to come whole
     transport::Connection::Bounds connection;
--- a/src/routing/outcome.cpp
+++ b/src/routing/outcome.cpp
@@ -25,7 +25,8 @@
     case ConnectionEnd::kShutdown:
       break;
   }
-  return written ? Status::kReset : Status::kConnectFailed;
+  // It had come up: where nothing was written, that it ended since says nothing of the cache.
+  return written ? Status::kReset : Status::kMoot;
 }
 
 }  // namespace trailcourse::routing
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -415,6 +415,18 @@
   EXPECT_EQ(status_of(ConnectionEnd::kPeerReset, true), Status::kReset);
 }
 
+// Nor must it count that a connection ended which had come up, before anything was written to it.
+TEST(Outcome, AnEndBeforeAnythingWasWrittenIsNoConnectFailure) {
+  for (const ConnectionEnd end : {ConnectionEnd::kPeerReset, ConnectionEnd::kPeerClosed, ConnectionEnd::kIdle,
+                                  ConnectionEnd::kDropped, ConnectionEnd::kBroken}) {
+    EXPECT_EQ(status_of(end, false), Status::kMoot) << to_string(end);
+  }
+  for (const ConnectionEnd end :
+       {ConnectionEnd::kRefused, ConnectionEnd::kConnectTimeout, ConnectionEnd::kUnreachable}) {
+    EXPECT_EQ(status_of(end, false), Status::kConnectFailed) << to_string(end);
+  }
+}
+
 // Nor must a bound of our own; but what was written may have run.
 TEST(Outcome, OurOwnBoundsAreNoBreakOfTheCaches) {
   EXPECT_EQ(status_of(ConnectionEnd::kOverflow, true), Status::kCancelled);
