Take no further requests of a connection that one of them has closed

Read in front.cpp: where a flood of records ends its own connection, the requests read with it were still sent to caches and then taken back.

--- a/src/routing/front.cpp
+++ b/src/routing/front.cpp
@@ -204,6 +204,9 @@
     awaited_since_ = front_.scheduler_.turn_time();
   }
   for (fastcgi::Event& event : events) {
+    if (connection_.ended()) {
+      break;  // closed by one of them: what came behind it has no one to be answered
+    }
     std::visit([this](auto& one) { take(std::move(one)); }, event);
   }
   count();
