--- a/tests/integration_test.cpp
+++ b/tests/integration_test.cpp
@@ -801,6 +801,42 @@
   EXPECT_TRUE(connect().ask(1, read_fields(id_of(1))).has_value());
 }
 
+// Hundreds of requests at once on one connection, all taken back, and half of one before a close: a usual
+// client notices nothing, nothing stays open, and what is over the bound of a connection is told so.
+TEST_F(IntegrationTest, FloodsAbortsAndHalfRequestsCostOnlyTheirOwnConnection) {
+  script_all(silence);
+  list_all();
+  start();
+  for (int round = 0; round < 5; ++round) {
+    Client flood = connect();
+    std::string bytes;
+    for (std::uint16_t key = 1; key <= 300; ++key) {
+      const int number = round * 1000 + key;
+      bytes += request_bytes(key, read_fields(id_of(number), {{"HTTP_X_ENTITY", id_of(number)}}), "");
+    }
+    flood.send(bytes);
+    const auto over = flood.read(300);
+    ASSERT_TRUE(over.has_value());
+    EXPECT_EQ(over->protocol_status, 2) << "OVERLOADED";
+    std::string aborts;
+    for (std::uint16_t key = 1; key <= 300; ++key) {
+      aborts += record(2, key, "");
+    }
+    flood.send(aborts);
+    Client half = connect();
+    half.send(request_bytes(1, read_fields(id_of(90'000 + round)), "").substr(0, 100));
+  }
+  script_all(CacheStandIn::serving("well"));
+  Client usual = connect();
+  int served = 0;
+  for (std::uint16_t key = 1; key <= 20; ++key) {
+    const auto answer = usual.ask(key, read_fields(id_of(80'000 + key), {{"HTTP_X_ENTITY", id_of(key)}}));
+    ASSERT_TRUE(answer.has_value());
+    served += answer->status == 200 ? 1 : 0;
+  }
+  EXPECT_GT(served, 15);
+}
+
 // The operators replace the file and send SIGHUP: the notice board has moved, its numbers go on.
 TEST_F(IntegrationTest, OnSighupItAsksTheNoticeBoardAtItsNewAddress) {
   list_all();
@@ -835,10 +871,14 @@
   program_->reconfigure("{ half");
   program_->signal(SIGHUP);
   ASSERT_TRUE(program_->await_log("is not a JSON object"));
+  program_->remove_configuration();
+  program_->signal(SIGHUP);
+  ASSERT_TRUE(program_->await_log("cannot read"));
   program_->reconfigure(plain_config(board_));
   program_->signal(SIGHUP);
   ASSERT_TRUE(program_->await_log("as before"));
   json other = plain_config(board_);
+  other["name"] = "another";
   other["router"]["client_stall_ms"] = 5000;
   program_->reconfigure(other);
   program_->signal(SIGHUP);
--- a/tests/stand_ins.cpp
+++ b/tests/stand_ins.cpp
@@ -472,6 +472,8 @@
   std::rename((base_ + ".next").c_str(), (base_ + ".json").c_str());
 }
 
+void Program::remove_configuration() const { std::remove((base_ + ".json").c_str()); }
+
 bool Program::await_log(const std::string& words) const {
   const Clock::time_point until = Clock::now() + kPatience;
   while (log().find(words) == std::string::npos && Clock::now() < until) {
--- a/tests/stand_ins.h
+++ b/tests/stand_ins.h
@@ -179,6 +179,7 @@
   bool await_log(const std::string& words) const;
   // Replaces its configuration file, keeping where it listens; a text is written as it is.
   void reconfigure(const nlohmann::json& config) const;
+  void remove_configuration() const;
 
  private:
   std::uint16_t port_;
