--- a/tests/integration_test.cpp
+++ b/tests/integration_test.cpp
@@ -1,6 +1,7 @@
 // The program itself, started as the operators do and spoken to over sockets.
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <csignal>
@@ -801,6 +802,22 @@
   EXPECT_TRUE(connect().ask(1, read_fields(id_of(1))).has_value());
 }
 
+// Caches that close each connection once it is idle are sound: every request is served, at the same home.
+TEST_F(IntegrationTest, ConnectionsThatEndWhenIdleCostNothing) {
+  script_all([](const CacheRequest& request) {
+    return CacheStandIn::answer(request, "OK", "-", "well") + CacheStandIn::kThenClose;
+  });
+  list_all();
+  start();
+  Client client = connect();
+  for (std::uint16_t key = 1; key <= 30; ++key) {
+    const auto answer = client.ask(key, read_fields(id_of(key)));
+    ASSERT_TRUE(answer.has_value());
+    EXPECT_EQ(answer->status, 200) << key;
+  }
+  EXPECT_EQ(std::max(a_.count("serve"), b_.count("serve")), sends()) << "one home, never left";
+}
+
 // Hundreds of requests at once on one connection, all taken back, and half of one before a close: a usual
 // client notices nothing, nothing stays open, and what is over the bound of a connection is told so.
 TEST_F(IntegrationTest, FloodsAbortsAndHalfRequestsCostOnlyTheirOwnConnection) {
