Turn unusable requests away in one place; hold the stall timer as an optional

Found on rereading the change: the 400 for a request that cannot be used was logged and answered in two copies (front.cpp), and the timer of a stopped answer was kept with a flag beside its key (cache_client).

--- a/src/routing/cache_client.cpp
+++ b/src/routing/cache_client.cpp
@@ -86,17 +86,16 @@
 // more use, and what is out on it goes on elsewhere. This also ends one to a machine that vanished in
 // mid-answer. It would harm a cache that pauses for longer within an answer and then goes on.
 void CacheLink::watch_progress() {
-  if (stall_timer_set_ || !parser_.partial()) {
+  if (stall_timer_ || !parser_.partial()) {
     return;
   }
   const std::shared_ptr<Pool::Slot> slot = slot_.lock();
   if (!slot || slot->connection->ended()) {
     return;
   }
-  stall_timer_set_ = true;
   const Clock::time_point due = slot->connection->last_received() + client_.bounds_.stall_after;
   stall_timer_ = client_.scheduler_.at(due, [this] {
-    stall_timer_set_ = false;
+    stall_timer_.reset();
     const std::shared_ptr<Pool::Slot> late = slot_.lock();
     const bool stalled =
         late && late->connection->last_received() + client_.bounds_.stall_after <= Clock::now();
@@ -216,8 +215,8 @@
 }
 
 void CacheLink::on_end(ConnectionEnd end) {
-  if (stall_timer_set_) {
-    client_.scheduler_.cancel(stall_timer_);
+  if (stall_timer_) {
+    client_.scheduler_.cancel(*stall_timer_);
   }
   const std::shared_ptr<Pool::Slot> slot = slot_.lock();
   if (!slot) {
--- a/src/routing/cache_client.h
+++ b/src/routing/cache_client.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -59,8 +60,7 @@
   protocol::resp::Parser parser_;
   std::map<std::string, Call> calls_;
   std::set<std::string> spent_;
-  transport::Scheduler::TimerKey stall_timer_;
-  bool stall_timer_set_ = false;
+  std::optional<transport::Scheduler::TimerKey> stall_timer_;
   // The answer that is being read.
   std::vector<std::string> words_;
   std::string body_;
--- a/src/routing/front.cpp
+++ b/src/routing/front.cpp
@@ -258,9 +258,7 @@
   front_.last_arrival_ = front_.scheduler_.turn_time();
   ReadRequest request = read_request(std::move(read), front_.class_index_, front_.settings_);
   if (!request.fault.empty()) {
-    log_line(Level::kWarning) << "request from " << to_string(connection_.peer())
-                              << " cannot be used: " << request.fault;
-    answer(key, cgi_head(400, "Bad Request") + "\r\n");
+    turn_away(key, request.fault);
     return;
   }
   useful_ = true;
@@ -274,9 +272,7 @@
   // An id is new with every request: a second one under it can be told from the first neither by a cache nor
   // in its answer. The first goes on unharmed.
   if (!front_.calls_.insert(request.call).second) {
-    log_line(Level::kWarning) << "request from " << to_string(connection_.peer())
-                              << " cannot be used: its X-Call-Id is that of an open one";
-    answer(key, cgi_head(400, "Bad Request") + "\r\n");
+    turn_away(key, "its X-Call-Id is that of an open one");
     return;
   }
   // Entered first: the answer may come from within the call.
@@ -288,6 +284,11 @@
   }
 }
 
+void FrontSession::turn_away(fastcgi::RequestKey key, std::string_view why) {
+  log_line(Level::kWarning) << "request from " << to_string(connection_.peer()) << " cannot be used: " << why;
+  answer(key, cgi_head(400, "Bad Request") + "\r\n");
+}
+
 void FrontSession::take(fastcgi::RequestAborted&& aborted) {
   if (const RequestId id = close_request(aborted.key); id != 0) {
     front_.router_.leave(id);
--- a/src/routing/front.h
+++ b/src/routing/front.h
@@ -68,6 +68,8 @@
   void take(protocol::fastcgi::RequestRejected&& rejected);
   void take(protocol::fastcgi::SendBack&& back);
   void take(protocol::fastcgi::Unreadable&& unreadable);
+  // Whole, but no request as agreed: it reaches no cache.
+  void turn_away(protocol::fastcgi::RequestKey key, std::string_view why);
   void pump();
   void pump_later();
   void end_if_untaken();
