--- /dev/null
+++ b/tests/cache_node_test.cpp
@@ -0,0 +1,1 @@
+// placeholder
--- /dev/null
+++ b/tests/config_record_test.cpp
@@ -0,0 +1,162 @@
+// Typed records and the operator's file: values, faults that name section and key, the schema, and the page.
+#include <gtest/gtest.h>
+
+#include <fstream>
+#include <iterator>
+#include <sstream>
+#include <string>
+
+#include "program/command_line.h"
+#include "program/operator_file.h"
+
+namespace trailcourse::program {
+namespace {
+
+using nlohmann::json;
+
+constexpr const char* kGood = R"({
+  // comments are allowed
+  "store": {"folder": "/tmp/x", "disk_mb": 64, "segment_mb": 4, "most_share": 0.5, "compress": false},
+  "cache": {"name": "a", "listen": "127.0.0.1:5001", "sources": ["origin=127.0.0.1:5002"]},
+  "classes": {"media": {"fresh_ms": 100}, "entry": {"use": "passed"}},
+  "router": {"listen_backlog": 7}
+})";
+
+std::string fault(const std::string& text) {
+  try {
+    parse_operator_file(text, "file", {});
+  } catch (const ConfigurationError& error) {
+    return error.what();
+  }
+  return "";
+}
+
+TEST(OperatorFile, ReadsItsSectionsOverTheDefaults) {
+  const OperatorFile file = parse_operator_file(kGood, "file", {"cache", "classes"});
+  EXPECT_EQ(file.store.disk_mb, 64);
+  EXPECT_EQ(file.store.most_share, 0.5);
+  EXPECT_FALSE(file.store.compress);
+  EXPECT_EQ(file.store.memory_mb, store::Options{}.memory_mb);
+  EXPECT_EQ(file.cache.sources, std::vector<std::string>{"origin=127.0.0.1:5002"});
+  EXPECT_EQ(file.classes.at("media").fresh_ms, 100);
+  EXPECT_EQ(file.classes.at("entry").use, "passed");
+  EXPECT_EQ(file.router.listen_backlog, 7);
+}
+
+TEST(OperatorFile, EachFaultNamesSectionKeyAndWhatIsAllowed) {
+  const auto expect = [](const std::string& text, const std::vector<std::string>& words) {
+    const std::string told = fault(text);
+    for (const std::string& word : words) {
+      EXPECT_NE(told.find(word), std::string::npos) << text << ": '" << told << "' lacks " << word;
+    }
+    EXPECT_EQ(told.find('\n'), std::string::npos);
+  };
+  expect(R"({"store": {"disk_mb": 3}})", {"store.disk_mb", "3", "16", "16777216"});
+  expect(R"({"store": {"disk_mb": "much"}})", {"store.disk_mb", "much", "whole number"});
+  expect(R"({"store": {"disk_mb": 99999999999999999999}})", {"store.disk_mb"});
+  expect(R"({"store": {"disk_mb": 1.5}})", {"store.disk_mb", "1.5"});
+  expect(R"({"store": {"most_share": 2}})", {"store.most_share", "0.001 to 1"});
+  expect(R"({"store": {"compress": 1}})", {"store.compress", "true nor false"});
+  expect(R"({"store": {"folder": 1}})", {"store.folder", "not a text"});
+  expect(R"({"store": {"disk_mv": 64}})", {"store.disk_mv", "no such key", "disk_mb"});
+  expect(R"({"store": []})", {"store", "not an object"});
+  expect(R"({"store": {"folder": "x", "disk_mb": 16, "segment_mb": 8}})", {"store.segment_mb", "quarter"});
+  expect(R"({"classes": {"media": {"use": "odd"}}})", {"classes.media.use", "one of kept, passed"});
+  expect(R"({"cache": {"listen": "127.0.0.1:1"}})", {"cache.name", "missing"});
+  expect(R"({"cache": {"name": "", "listen": "127.0.0.1:1"}})", {"cache.name", "empty"});
+  expect(R"({"cache": {"name": "a", "listen": "nowhere"}})", {"cache.listen", "nowhere"});
+  expect(R"({"cache": {"name": "a", "listen": "127.0.0.1:1"}})", {"classes"});
+  expect(R"({"cache": {"name": "a", "listen": "127.0.0.1:1", "sources": ["x"]}, "classes": {"m": {}}})",
+         {"cache.sources", "NAME=IP:PORT"});
+  expect(R"({"cache": {"name": "a", "listen": "127.0.0.1:1", "sources": [1]}})",
+         {"cache.sources", "list of texts"});
+  expect(R"({"shop": {}})", {"shop", "no such section"});
+  expect("{", {"file"});
+  expect("[]", {"not a JSON object"});
+}
+
+TEST(OperatorFile, ASectionThatIsNeededMustBeThere) {
+  EXPECT_THROW(parse_operator_file(kGood, "file", {"origin"}), ConfigurationError);
+}
+
+TEST(OperatorFile, TheSchemaHoldsEveryKeyWithItsRangeAndDefault) {
+  const json schema = operator_schema();
+  const json& disk = schema["properties"]["store"]["properties"]["disk_mb"];
+  EXPECT_EQ(disk["type"], "integer");
+  EXPECT_EQ(disk["minimum"], 16);
+  EXPECT_EQ(disk["default"], 1'024);
+  EXPECT_EQ(schema["properties"]["classes"]["additionalProperties"]["properties"]["use"]["enum"],
+            json::array({"kept", "passed"}));
+  EXPECT_EQ(schema["properties"]["cache"]["required"], json::array({"name", "listen"}));
+  for (const char* section : {"store", "cache", "origin", "board", "router"}) {
+    for (const auto& [name, key] : schema["properties"][section]["properties"].items()) {
+      EXPECT_GT(key["description"].get<std::string>().size(), 5U) << section << "." << name;
+    }
+  }
+}
+
+std::string page(const std::string& name) {
+  std::ifstream file(std::string(TRAILCOURSE_SOURCE_DIR) + "/" + name);
+  return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+}
+
+// The page is written by `trailcourse config docs`: what it lists is what is declared.
+TEST(OperatorFile, ThePageListsEveryKeyAsItIsDeclared) {
+  const std::string text = page("docs/configuration.md");
+  std::istringstream lines(operator_documentation());
+  int rows = 0;
+  for (std::string line; std::getline(lines, line);) {
+    if (line.starts_with("| `")) {
+      ++rows;
+      EXPECT_NE(text.find(line), std::string::npos) << line;
+    }
+  }
+  EXPECT_GT(rows, 50);
+}
+
+TEST(OperatorFile, TheOneInDeployIsGood) {
+  const std::string text = page("deploy/operator.json");
+  EXPECT_EQ(fault(text), "");
+  EXPECT_FALSE(parse_operator_file(text, "deploy/operator.json", {"cache", "store"}).store.folder.empty());
+}
+
+struct Ran {
+  int status;
+  std::string out;
+  std::string errors;
+};
+Ran run(std::vector<const char*> words) {
+  words.insert(words.begin(), "trailcourse");
+  std::ostringstream out;
+  std::ostringstream errors;
+  const int status = run_command(static_cast<int>(words.size()), words.data(), out, errors);
+  return {status, out.str(), errors.str()};
+}
+
+TEST(Commands, EachHasHelpWithAnExample) {
+  for (const char* name :
+       {"serve", "check-config", "cache", "store", "config", "get", "origin", "board", "notice", "version"}) {
+    const Ran help = run({name, "--help"});
+    EXPECT_EQ(help.status, 0) << name;
+    EXPECT_NE(help.out.find(std::string("Example: trailcourse ") + name), std::string::npos) << name;
+    EXPECT_NE(run({"--help"}).out.find(name), std::string::npos) << name;
+  }
+}
+
+TEST(Commands, WrongUseAndFaultsHaveTheirStatus) {
+  EXPECT_EQ(run({"cache"}).status, 2);
+  EXPECT_EQ(run({"cache", "--config", "/no/such/file"}).status, 1);
+  EXPECT_EQ(run({"store"}).status, 2);
+  EXPECT_EQ(run({"store", "dance", "/tmp"}).status, 2);
+  EXPECT_EQ(run({"store", "verify"}).status, 2);
+  EXPECT_EQ(run({"store", "stat", "/no/such/folder"}).status, 1);
+  EXPECT_EQ(run({"store", "drop", "/tmp"}).status, 1) << "without --yes";
+  EXPECT_EQ(run({"get", "xyz"}).status, 2);
+  EXPECT_EQ(run({"get", "7f3a9c21e0b4d655", "--router", "nowhere"}).status, 2);
+  EXPECT_EQ(run({"get", "7f3a9c21e0b4d655", "--router", "127.0.0.1:1"}).status, 6);
+  EXPECT_EQ(run({"config", "dance"}).status, 2);
+  EXPECT_EQ(run({"config", "schema"}).status, 0);
+}
+
+}  // namespace
+}  // namespace trailcourse::program
--- /dev/null
+++ b/tests/node_core_test.cpp
@@ -0,0 +1,717 @@
+// The core of a cache node, driven event by event: who is served what, who shares a fill, what is turned
+// away.
+#include "cache_node/node_core.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "store/format.h"
+
+namespace trailcourse::cache_node {
+namespace {
+
+using protocol::AnswerWord;
+using protocol::ServeFields;
+using store::Copy;
+
+constexpr std::int64_t kNow = 1'764'000'000'000;
+
+std::shared_ptr<const std::string> bytes(const std::string& text) {
+  return std::make_shared<const std::string>(text);
+}
+
+class NodeCoreTest : public testing::Test {
+ protected:
+  NodeCoreTest()
+      : core_(
+            rules(), [this](const store::Name&, int group) { return floor(group); },
+            [this](const std::string& name) { return sources_.contains(name); }) {}
+
+  static NodeRules rules() {
+    NodeRules out;
+    out.classes["media"] = ClassRule{0, true};
+    out.classes["menu"] = ClassRule{10'000, true};
+    out.classes["entry"] = ClassRule{0, false};
+    out.origin = "origin";
+    out.most_open = 50;
+    out.most_fills = 4;
+    out.most_bytes = 1U << 20U;
+    return out;
+  }
+  std::int64_t floor(int group) const {
+    const auto found = group_floor_.find(group);
+    return std::max(floor_, found == group_floor_.end() ? INT64_MIN : found->second);
+  }
+
+  static ServeFields fields(const std::string& item, const std::string& next = "parent") {
+    ServeFields out;
+    out.request_class = "media";
+    out.item = item;
+    out.chunk = "0";
+    out.next = next;
+    out.limit_ms = 1'000;
+    out.admit = 2;
+    return out;
+  }
+  Moment now() const { return Moment{steady_, kNow + steady_, waiting_}; }
+
+  // Arrives and is looked up: nothing is held.
+  void miss(RequestNumber number, const ServeFields& asked) {
+    core_.arrive(now(), number, asked, "", out_);
+    core_.looked_up(now(), number, store::ReadResult{}, out_);
+  }
+  void hold(RequestNumber number, const ServeFields& asked, const Copy& copy) {
+    core_.arrive(now(), number, asked, "", out_);
+    store::ReadResult result;
+    result.status = store::ReadStatus::kWhole;
+    result.copy = copy;
+    core_.looked_up(now(), number, result, out_);
+  }
+  static FetchResult answer(AnswerWord word, const std::string& body = "", std::int64_t t0 = kNow,
+                            Note note = Note::kHit) {
+    FetchResult out;
+    out.word = word;
+    out.fields.tag = "tag-" + body;
+    out.fields.t0_ms = t0;
+    out.fields.group = 1;
+    out.fields.note = note;
+    out.body = bytes(body);
+    return out;
+  }
+  void fetched(FillNumber fill, const FetchResult& result) { core_.fetched(now(), fill, result, out_); }
+
+  template <typename Kind>
+  std::vector<Kind> all() const {
+    std::vector<Kind> found;
+    for (const Action& action : out_) {
+      if (const auto* one = std::get_if<Kind>(&action)) {
+        found.push_back(*one);
+      }
+    }
+    return found;
+  }
+  Answer answer_to(RequestNumber number) const {
+    std::vector<Answer> found;
+    for (const Answer& one : all<Answer>()) {
+      if (one.request == number) {
+        found.push_back(one);
+      }
+    }
+    EXPECT_EQ(found.size(), 1U) << "request " << number;
+    return found.empty() ? Answer{} : found.front();
+  }
+
+  std::set<std::string> sources_{"parent", "origin"};
+  std::int64_t floor_ = INT64_MIN;
+  std::map<int, std::int64_t> group_floor_;
+  std::int64_t steady_ = 5'000;
+  std::size_t waiting_ = 0;
+  NodeCore core_;
+  std::vector<Action> out_;
+};
+
+TEST_F(NodeCoreTest, AHeldCopyIsServedWithItsTagAndTime) {
+  hold(1, fields("a"), Copy{"t", kNow, 4, bytes("body")});
+  const Answer got = answer_to(1);
+  EXPECT_EQ(got.word, AnswerWord::kOk);
+  EXPECT_EQ(*got.body, "body");
+  EXPECT_EQ(got.fields.tag, "t");
+  EXPECT_EQ(got.fields.t0_ms, kNow);
+  EXPECT_EQ(got.fields.note, Note::kHit);
+  EXPECT_TRUE(all<Fetch>().empty());
+}
+
+TEST_F(NodeCoreTest, TheClientsOwnCopyIsToldToHold) {
+  ServeFields asked = fields("a");
+  asked.cached = "t";
+  hold(1, asked, Copy{"t", kNow, 4, bytes("body")});
+  EXPECT_EQ(answer_to(1).word, AnswerWord::kSame);
+  EXPECT_EQ(answer_to(1).body, nullptr);
+  asked.cached = "other";
+  hold(2, asked, Copy{"t", kNow, 4, bytes("body")});
+  EXPECT_EQ(answer_to(2).word, AnswerWord::kOk);
+}
+
+TEST_F(NodeCoreTest, AMissIsFilledKeptAndServed) {
+  miss(1, fields("a"));
+  ASSERT_EQ(all<Fetch>().size(), 1U);
+  const Fetch fetch = all<Fetch>()[0];
+  EXPECT_EQ(fetch.source, "parent");
+  EXPECT_TRUE(fetch.fields.next.empty()) << "the parent fills by itself";
+  EXPECT_EQ(fetch.fields.admit, 2);
+  steady_ += 30;
+  fetched(fetch.fill, answer(AnswerWord::kOk, "body", kNow, Note::kFilled));
+  EXPECT_EQ(*answer_to(1).body, "body");
+  EXPECT_EQ(answer_to(1).fields.note, Note::kFilledFromOrigin);
+  EXPECT_EQ(answer_to(1).fields.waited_ms, 30);
+  ASSERT_EQ(all<Keep>().size(), 1U);
+  EXPECT_EQ(all<Keep>()[0].rank, 2);
+  EXPECT_EQ(core_.open(), 0U);
+  EXPECT_EQ(core_.fills(), 0U);
+}
+
+TEST_F(NodeCoreTest, WithoutARankNothingIsKeptAndASourceToldSoKeepsNoCopy) {
+  ServeFields asked = fields("a");
+  asked.admit = 0;
+  miss(1, asked);
+  fetched(all<Fetch>()[0].fill, answer(AnswerWord::kOk, "body"));
+  EXPECT_TRUE(all<Keep>().empty());
+  out_.clear();
+  asked = fields("b");
+  asked.no_copy = true;
+  miss(2, asked);
+  EXPECT_TRUE(all<Fetch>()[0].fields.no_copy) << "the word goes on to the source";
+  fetched(all<Fetch>()[0].fill, answer(AnswerWord::kOk, "body"));
+  EXPECT_EQ(all<Keep>().size(), 1U) << "a cache keeps its own";
+}
+
+TEST_F(NodeCoreTest, WithoutASourceItIsAMiss) {
+  miss(1, fields("a", ""));
+  EXPECT_EQ(answer_to(1).word, AnswerWord::kMiss);
+  EXPECT_TRUE(all<Fetch>().empty());
+}
+
+// Hundreds of requests for one missing object: one fill, and every one of them is served by it.
+TEST_F(NodeCoreTest, ManyRequestsForOneMissingObjectShareOneFill) {
+  ServeFields asked = fields("a");
+  asked.join = true;
+  for (RequestNumber number = 1; number <= 40; ++number) {
+    miss(number, asked);
+  }
+  ASSERT_EQ(all<Fetch>().size(), 1U);
+  fetched(all<Fetch>()[0].fill, answer(AnswerWord::kOk, "body"));
+  for (RequestNumber number = 1; number <= 40; ++number) {
+    EXPECT_EQ(*answer_to(number).body, "body");
+    EXPECT_EQ(answer_to(number).fields.note, number == 1 ? Note::kFilled : Note::kJoined);
+  }
+  EXPECT_EQ(all<Keep>().size(), 1U);
+}
+
+TEST_F(NodeCoreTest, WithoutTheWordAFillIsNotJoined) {
+  miss(1, fields("a"));
+  miss(2, fields("a"));
+  EXPECT_EQ(all<Fetch>().size(), 2U);
+}
+
+TEST_F(NodeCoreTest, WhenTheFillersClientLeavesTheOthersAreServed) {
+  ServeFields asked = fields("a");
+  asked.join = true;
+  miss(1, asked);
+  miss(2, asked);
+  core_.cancel(now(), 1, out_);
+  EXPECT_TRUE(all<StopFetch>().empty());
+  fetched(all<Fetch>()[0].fill, answer(AnswerWord::kOk, "body"));
+  EXPECT_EQ(*answer_to(2).body, "body");
+  for (const Answer& one : all<Answer>()) {
+    EXPECT_NE(one.request, 1U) << "who has left gets no answer";
+  }
+}
+
+TEST_F(NodeCoreTest, TheLastOneToLeaveEndsTheFill) {
+  ServeFields asked = fields("a");
+  asked.join = true;
+  miss(1, asked);
+  miss(2, asked);
+  core_.cancel(now(), 1, out_);
+  core_.cancel(now(), 2, out_);
+  ASSERT_EQ(all<StopFetch>().size(), 1U);
+  EXPECT_EQ(core_.fills(), 0U);
+  const std::size_t before = out_.size();
+  fetched(all<Fetch>()[0].fill, answer(AnswerWord::kOk, "body"));
+  EXPECT_EQ(out_.size(), before) << "what comes later is not heard";
+}
+
+TEST_F(NodeCoreTest, AnAgeLimitExcludesOlderCopies) {
+  ServeFields asked = fields("a");
+  asked.age_limit_ms = 1'000;
+  hold(1, asked, Copy{"t", kNow + steady_ - 1'000, 1, bytes("old enough")});
+  EXPECT_EQ(answer_to(1).word, AnswerWord::kOk);
+  hold(2, asked, Copy{"t", kNow + steady_ - 1'001, 1, bytes("too old")});
+  ASSERT_EQ(all<Fetch>().size(), 1U);
+  EXPECT_EQ(all<Fetch>()[0].fields.age_limit_ms, 1'000);
+  EXPECT_EQ(all<Fetch>()[0].fields.cached, "t") << "its source may say that it is the one";
+}
+
+TEST_F(NodeCoreTest, WithoutAnAgeLimitTheFreshTimeOfTheClassBinds) {
+  ServeFields asked = fields("a");
+  asked.request_class = "menu";
+  hold(1, asked, Copy{"t", kNow + steady_ - 10'000, 1, bytes("x")});
+  EXPECT_EQ(answer_to(1).word, AnswerWord::kOk);
+  hold(2, asked, Copy{"t", kNow + steady_ - 10'001, 1, bytes("x")});
+  EXPECT_EQ(all<Fetch>().size(), 1U);
+}
+
+TEST_F(NodeCoreTest, ACopyPastItsFreshTimeIsToldAsAgedAndRenewedBehindOnce) {
+  ServeFields asked = fields("a");
+  asked.request_class = "menu";
+  asked.age_limit_ms = 60'000;
+  asked.renew = true;
+  const Copy copy{"t", kNow + steady_ - 20'000, 1, bytes("x")};
+  hold(1, asked, copy);
+  hold(2, asked, copy);
+  EXPECT_EQ(answer_to(1).fields.note, Note::kStale);
+  EXPECT_EQ(answer_to(2).fields.note, Note::kStale);
+  ASSERT_EQ(all<Fetch>().size(), 1U);
+  FetchResult same = answer(AnswerWord::kSame, "", kNow + steady_);
+  fetched(all<Fetch>()[0].fill, same);
+  ASSERT_EQ(all<Keep>().size(), 1U);
+  EXPECT_EQ(all<Keep>()[0].copy.t0_ms, kNow + steady_);
+  EXPECT_EQ(*all<Keep>()[0].copy.bytes, "x");
+}
+
+// A fill begun before a purge and ended after: what it brings is not served and not kept; one more try
+// excludes it.
+TEST_F(NodeCoreTest, AFillThatAPurgeOvertookIsDoneAgainWithAnAgeLimitThatExcludesIt) {
+  miss(1, fields("a"));
+  floor_ = kNow + steady_ + 5;
+  steady_ += 20;
+  fetched(all<Fetch>()[0].fill, answer(AnswerWord::kOk, "old", kNow + steady_ - 20));
+  EXPECT_TRUE(all<Answer>().empty());
+  EXPECT_TRUE(all<Keep>().empty());
+  ASSERT_EQ(all<Fetch>().size(), 2U);
+  EXPECT_EQ(all<Fetch>()[1].fields.age_limit_ms, 14);
+  // A parent that hands on the old copy all the same: a miss, and its source is told as lacking.
+  fetched(all<Fetch>()[1].fill, answer(AnswerWord::kOk, "old", kNow + steady_ - 20));
+  EXPECT_EQ(answer_to(1).word, AnswerWord::kMiss);
+  EXPECT_EQ(answer_to(1).fields.note, Note::kSourceLacks);
+  EXPECT_TRUE(all<Keep>().empty());
+}
+
+TEST_F(NodeCoreTest, APurgeWhileTheDiskWasReadBindsAndSoDoesThatOfItsGroup) {
+  core_.arrive(now(), 1, fields("a"), "", out_);
+  group_floor_[4] = kNow + 10;
+  store::ReadResult result;
+  result.status = store::ReadStatus::kWhole;
+  result.copy = Copy{"t", kNow, 4, bytes("old")};
+  core_.looked_up(now(), 1, result, out_);
+  EXPECT_TRUE(all<Answer>().empty());
+  EXPECT_EQ(all<Fetch>().size(), 1U);
+}
+
+TEST_F(NodeCoreTest, WaitersOfOneFillAreJudgedByTheirOwnAgeLimits) {
+  ServeFields asked = fields("a");
+  asked.join = true;
+  miss(1, asked);
+  asked.age_limit_ms = 50;
+  miss(2, asked);
+  steady_ += 100;
+  fetched(all<Fetch>()[0].fill, answer(AnswerWord::kOk, "body", kNow + steady_ - 100));
+  EXPECT_EQ(answer_to(1).word, AnswerWord::kOk);
+  ASSERT_EQ(all<Fetch>().size(), 2U) << "a fill of its own for the one that may not have it";
+  fetched(all<Fetch>()[1].fill, answer(AnswerWord::kOk, "body", kNow + steady_));
+  EXPECT_EQ(answer_to(2).word, AnswerWord::kOk);
+}
+
+TEST_F(NodeCoreTest, BeforeTheBoardWasHeardOldCopiesGoOnlyToThoseThatSayHowOldTheyMayBe) {
+  core_.unheard_before(kNow + steady_);
+  hold(1, fields("a"), Copy{"t", kNow, 1, bytes("from before the start")});
+  EXPECT_TRUE(all<Answer>().empty());
+  EXPECT_EQ(all<Fetch>().size(), 1U);
+  ServeFields asked = fields("a");
+  asked.age_limit_ms = 3'600'000;
+  hold(2, asked, Copy{"t", kNow, 1, bytes("from before the start")});
+  EXPECT_EQ(answer_to(2).word, AnswerWord::kOk);
+  core_.caught_up();
+  hold(3, fields("a"), Copy{"t", kNow, 1, bytes("from before the start")});
+  EXPECT_EQ(answer_to(3).word, AnswerWord::kOk);
+}
+
+TEST_F(NodeCoreTest, OutcomesOfTheSourceAreToldApart) {
+  struct Case {
+    FetchResult result;
+    AnswerWord word;
+    Note note;
+  };
+  FetchResult unreachable;
+  unreachable.end = FetchResult::End::kUnreachable;
+  FetchResult broken;
+  broken.end = FetchResult::End::kBroken;
+  FetchResult spoilt;
+  spoilt.end = FetchResult::End::kSpoilt;
+  const std::vector<Case> cases{{answer(AnswerWord::kMiss), AnswerWord::kMiss, Note::kSourceLacks},
+                                {answer(AnswerWord::kBusy), AnswerWord::kMiss, Note::kSourceRefused},
+                                {answer(AnswerWord::kError), AnswerWord::kError, Note::kSourceRefused},
+                                {unreachable, AnswerWord::kMiss, Note::kSourceUnreachable},
+                                {broken, AnswerWord::kMiss, Note::kSourceUnreachable},
+                                {spoilt, AnswerWord::kMiss, Note::kSourceRefused}};
+  RequestNumber number = 0;
+  for (const Case& one : cases) {
+    out_.clear();
+    miss(++number, fields("a"));
+    fetched(all<Fetch>()[0].fill, one.result);
+    EXPECT_EQ(answer_to(number).word, one.word) << number;
+    EXPECT_EQ(answer_to(number).fields.note, one.note) << number;
+    EXPECT_EQ(all<Fetch>().size(), 1U) << "whether to go elsewhere is for the router to choose";
+  }
+  out_.clear();
+  miss(100, fields("a", "origin"));
+  fetched(all<Fetch>()[0].fill, answer(AnswerWord::kError));
+  EXPECT_EQ(answer_to(100).fields.note, Note::kOriginFailed);
+}
+
+// Writes go through once: never shared, never kept, and only a proof that nothing ran is told as a miss.
+TEST_F(NodeCoreTest, AClassThatIsNotKeptGoesOnOnceWithItsKeyAndBody) {
+  ServeFields asked;
+  asked.request_class = "entry";
+  asked.limit_ms = 500;
+  asked.next = "origin";
+  asked.nonce = "key";
+  asked.join = true;
+  for (RequestNumber number = 1; number <= 2; ++number) {
+    core_.arrive(now(), number, asked, "payload", out_);
+  }
+  ASSERT_EQ(all<Fetch>().size(), 2U);
+  EXPECT_EQ(all<Fetch>()[0].body, "payload");
+  EXPECT_EQ(all<Fetch>()[0].fields.nonce, "key");
+  fetched(all<Fetch>()[0].fill, answer(AnswerWord::kOk, "done"));
+  EXPECT_EQ(*answer_to(1).body, "done");
+  EXPECT_TRUE(all<Keep>().empty());
+  FetchResult broken;
+  broken.end = FetchResult::End::kBroken;
+  fetched(all<Fetch>()[1].fill, broken);
+  EXPECT_EQ(answer_to(2).word, AnswerWord::kError) << "it may have run";
+  core_.arrive(now(), 3, asked, "payload", out_);
+  FetchResult unreachable;
+  unreachable.end = FetchResult::End::kUnreachable;
+  fetched(all<Fetch>()[2].fill, unreachable);
+  EXPECT_EQ(answer_to(3).word, AnswerWord::kMiss) << "it never ran";
+  core_.arrive(now(), 4, asked, "payload", out_);
+  steady_ += 600;
+  core_.tick(now(), out_);
+  EXPECT_EQ(answer_to(4).word, AnswerWord::kError) << "out of time, and it may have run";
+  EXPECT_EQ(all<Fetch>().size(), 4U) << "nothing was asked twice";
+}
+
+TEST_F(NodeCoreTest, AtEachBoundItShedsAtOnce) {
+  for (RequestNumber number = 1; number <= 4; ++number) {
+    miss(number, fields("item" + std::to_string(number)));
+  }
+  miss(5, fields("item5"));
+  EXPECT_EQ(answer_to(5).word, AnswerWord::kBusy);
+  EXPECT_EQ(answer_to(5).fields.note, Note::kNoFillPlace);
+  hold(6, fields("held"), Copy{"t", kNow, 1, bytes("x")});
+  EXPECT_EQ(answer_to(6).word, AnswerWord::kOk) << "what is held needs no place";
+  for (RequestNumber number = 10; number < 56; ++number) {
+    core_.arrive(now(), number, fields("x"), "", out_);
+  }
+  core_.arrive(now(), 60, fields("x"), "", out_);
+  EXPECT_EQ(answer_to(60).word, AnswerWord::kBusy);
+  EXPECT_GE(core_.utilisation(0), 1.0);
+}
+
+TEST_F(NodeCoreTest, AnswersThatArePeersToTakeCountAgainstTheBound) {
+  waiting_ = 1U << 20U;
+  core_.arrive(now(), 1, fields("a"), "", out_);
+  EXPECT_EQ(answer_to(1).word, AnswerWord::kBusy);
+}
+
+TEST_F(NodeCoreTest, WhatCannotBeUsedIsAnErrorInPlainWords) {
+  ServeFields asked = fields("a");
+  asked.request_class = "odd";
+  core_.arrive(now(), 1, asked, "", out_);
+  EXPECT_EQ(answer_to(1).fields.why, "unknown_class");
+  core_.arrive(now(), 2, fields("a", "nobody"), "", out_);
+  EXPECT_EQ(answer_to(2).fields.why, "unknown_source");
+  core_.arrive(now(), 3, fields(""), "", out_);
+  EXPECT_EQ(answer_to(3).fields.why, "no_item");
+  core_.arrive(now(), 4, fields("a"), "a body", out_);
+  EXPECT_EQ(answer_to(4).fields.why, "a_body_for_a_kept_class");
+  for (RequestNumber number = 1; number <= 4; ++number) {
+    EXPECT_EQ(answer_to(number).word, AnswerWord::kError);
+  }
+  EXPECT_EQ(core_.open(), 0U);
+}
+
+TEST_F(NodeCoreTest, ALookUpThatIsLateIsAMissAndItsResultIsNotHeard) {
+  core_.arrive(now(), 1, fields("a"), "", out_);
+  EXPECT_EQ(core_.next_due(), steady_ + 150);
+  steady_ += 150;
+  core_.tick(now(), out_);
+  ASSERT_EQ(all<GiveUpLookUp>().size(), 1U);
+  EXPECT_TRUE(all<GiveUpLookUp>()[0].late);
+  ASSERT_EQ(all<Fetch>().size(), 1U);
+  store::ReadResult result;
+  result.status = store::ReadStatus::kWhole;
+  result.copy = Copy{"t", kNow, 1, bytes("late")};
+  core_.looked_up(now(), 1, result, out_);
+  EXPECT_TRUE(all<Answer>().empty());
+  fetched(all<Fetch>()[0].fill, answer(AnswerWord::kOk, "body"));
+  EXPECT_EQ(*answer_to(1).body, "body");
+}
+
+TEST_F(NodeCoreTest, OutOfTimeEachRequestIsAnsweredOnceAndItsFillEnds) {
+  ServeFields asked = fields("a");
+  asked.join = true;
+  miss(1, asked);
+  asked.limit_ms = 3'000;
+  miss(2, asked);
+  steady_ += 1'000;
+  core_.tick(now(), out_);
+  EXPECT_EQ(answer_to(1).word, AnswerWord::kVoid);
+  EXPECT_EQ(all<Fetch>().size(), 2U)
+      << "the fill had the first one's time; the other has more, and gets one more";
+  steady_ += 2'000;
+  core_.tick(now(), out_);
+  EXPECT_EQ(answer_to(2).word, AnswerWord::kVoid);
+  EXPECT_EQ(core_.fills(), 0U);
+  EXPECT_EQ(core_.open(), 0U);
+  EXPECT_FALSE(core_.next_due().has_value());
+}
+
+TEST_F(NodeCoreTest, HeldOnlyAsksASourceForWhatItHoldsAndDoesNotFillByItself) {
+  ServeFields asked = fields("a");
+  asked.held = true;
+  miss(1, asked);
+  EXPECT_TRUE(all<Fetch>()[0].fields.held);
+  fetched(all<Fetch>()[0].fill, answer(AnswerWord::kMiss));
+  EXPECT_EQ(answer_to(1).fields.note, Note::kSourceLacks);
+}
+
+// A parent fills from its own source what a cache asks it for, unless it is to give only what it holds.
+TEST(NodeCoreParent, FillsFromItsOwnSource) {
+  NodeRules rules;
+  rules.classes["media"] = ClassRule{0, true};
+  rules.fill_from = "origin";
+  rules.origin = "origin";
+  NodeCore core(
+      rules, [](const store::Name&, int) { return INT64_MIN; }, [](const std::string&) { return true; });
+  std::vector<Action> out;
+  ServeFields asked;
+  asked.request_class = "media";
+  asked.item = "a";
+  asked.limit_ms = 100;
+  core.arrive(Moment{}, 1, asked, "", out);
+  core.looked_up(Moment{}, 1, {}, out);
+  ASSERT_EQ(out.size(), 2U);
+  EXPECT_EQ(std::get<Fetch>(out[1]).source, "origin");
+  out.clear();
+  asked.held = true;
+  core.arrive(Moment{}, 2, asked, "", out);
+  core.looked_up(Moment{}, 2, {}, out);
+  EXPECT_EQ(std::get<Answer>(out[1]).word, AnswerWord::kMiss);
+}
+
+class PartialFill : public NodeCoreTest {
+ protected:
+  // Twelve bytes in parts of four; the middle one is missing.
+  std::shared_ptr<store::PartialCopy> partial() {
+    auto out = std::make_shared<store::PartialCopy>();
+    out->tag = "tag-whole";
+    out->t0_ms = kNow;
+    out->part_bytes = 4;
+    out->whole_sum = store::sum_of("aaaabbbbcccc");
+    out->bytes = std::string("aaaa\0\0\0\0cccc", 12);
+    out->have = {true, false, true};
+    return out;
+  }
+  Fetch begin() {
+    core_.arrive(now(), 1, fields("a"), "", out_);
+    store::ReadResult result;
+    result.status = store::ReadStatus::kPartial;
+    result.partial = partial();
+    core_.looked_up(now(), 1, result, out_);
+    EXPECT_EQ(all<Fetch>().size(), 1U);
+    return all<Fetch>().at(0);
+  }
+  static FetchResult part(const std::string& body) {
+    FetchResult out = answer(AnswerWord::kOk, body);
+    out.fields.tag = "tag-whole";
+    out.fields.span = protocol::Span{4, 4};
+    out.fields.whole = 12;
+    return out;
+  }
+};
+
+TEST_F(PartialFill, WhatIsMissingIsFetchedAlone) {
+  const Fetch fetch = begin();
+  EXPECT_EQ(fetch.fields.span, (protocol::Span{4, 4}));
+  EXPECT_EQ(fetch.fields.match, "tag-whole");
+  fetched(fetch.fill, part("bbbb"));
+  EXPECT_EQ(*answer_to(1).body, "aaaabbbbcccc");
+  ASSERT_EQ(all<Complete>().size(), 1U);
+  EXPECT_EQ(all<Complete>()[0].had, (std::vector<bool>{true, false, true}));
+}
+
+TEST_F(PartialFill, PartsThatDoNotMakeUpTheWholeAreNotServed) {
+  const Fetch fetch = begin();
+  fetched(fetch.fill, part("xxxx"));
+  EXPECT_TRUE(all<Answer>().empty());
+  EXPECT_EQ(all<Drop>().size(), 1U);
+  ASSERT_EQ(all<Fetch>().size(), 2U);
+  EXPECT_FALSE(all<Fetch>()[1].fields.span.has_value()) << "all of it is fetched";
+  fetched(fetch.fill, answer(AnswerWord::kOk, "another whole"));
+  EXPECT_EQ(*answer_to(1).body, "another whole");
+}
+
+TEST_F(PartialFill, ASourceWithAnotherCopyGivesTheWholeOfIt) {
+  const Fetch fetch = begin();
+  fetched(fetch.fill, answer(AnswerWord::kMiss));
+  ASSERT_EQ(all<Fetch>().size(), 2U);
+  fetched(fetch.fill, answer(AnswerWord::kOk, "new"));
+  EXPECT_EQ(*answer_to(1).body, "new");
+  EXPECT_TRUE(all<Complete>().empty());
+  EXPECT_EQ(all<Keep>().size(), 1U);
+}
+
+TEST_F(PartialFill, ASourceThatKnowsNoSpansGivesTheWholeAtOnce) {
+  const Fetch fetch = begin();
+  fetched(fetch.fill, answer(AnswerWord::kOk, "aaaabbbbcccc"));
+  EXPECT_EQ(*answer_to(1).body, "aaaabbbbcccc");
+}
+
+TEST_F(PartialFill, SpansOfTheWrongPlaceLengthTagOrWholeAreNotTaken) {
+  for (int wrong = 0; wrong < 4; ++wrong) {
+    out_.clear();
+    const Fetch fetch = begin();
+    FetchResult result = part("bbbb");
+    wrong == 0   ? void(result.fields.span->from = 0)
+    : wrong == 1 ? void(result.body = bytes("bbbbb"))
+    : wrong == 2 ? void(result.fields.tag = "other")
+                 : void(result.fields.whole = 13);
+    fetched(fetch.fill, result);
+    EXPECT_TRUE(all<Answer>().empty()) << wrong;
+    fetched(fetch.fill, answer(AnswerWord::kBusy));
+    EXPECT_EQ(answer_to(1).word, AnswerWord::kMiss);
+  }
+}
+
+TEST_F(NodeCoreTest, ASpanOfAHeldCopyIsServedOnlyOfThatCopy) {
+  ServeFields asked = fields("a");
+  asked.span = protocol::Span{2, 3};
+  asked.match = "t";
+  hold(1, asked, Copy{"t", kNow, 1, bytes("0123456789")});
+  EXPECT_EQ(answer_to(1).part, (protocol::Span{2, 3}));
+  EXPECT_EQ(answer_to(1).fields.whole, 10U);
+  hold(2, asked, Copy{"u", kNow, 1, bytes("0123456789")});
+  EXPECT_EQ(answer_to(2).word, AnswerWord::kMiss);
+  asked.span = protocol::Span{8, 3};
+  hold(3, asked, Copy{"t", kNow, 1, bytes("0123456789")});
+  EXPECT_EQ(answer_to(3).word, AnswerWord::kMiss);
+}
+
+// Seeded storms of every event in any order: each request gets one answer at most, and exactly one unless it
+// was cancelled; nothing is left over; nothing served is older than a purge or than its age limit.
+TEST_F(NodeCoreTest, StormsOfEventsLeaveOneAnswerEach) {
+  for (const std::uint32_t seed : {1U, 2U, 3U, 4U, 5U}) {
+    std::mt19937 random(seed);
+    NodeCore core(
+        rules(), [this](const store::Name&, int group) { return floor(group); },
+        [](const std::string&) { return true; });
+    floor_ = INT64_MIN;
+    std::vector<Action> out;
+    std::map<RequestNumber, ServeFields> asked;
+    std::map<RequestNumber, int> answers;
+    std::set<RequestNumber> cancelled;
+    std::set<FillNumber> out_fills;
+    std::set<RequestNumber> looking;
+    std::int64_t steady = 0;
+    RequestNumber last = 0;
+    const auto draw_copy = [&] {
+      return Copy{"t" + std::to_string(random() % 3),
+                  kNow + steady - static_cast<std::int64_t>(random() % 3'000),
+                  static_cast<int>(random() % 4) - 1, bytes("b" + std::to_string(random() % 100))};
+    };
+    const auto carry_out = [&] {
+      for (const Action& action : std::exchange(out, {})) {
+        if (const auto* one = std::get_if<Answer>(&action)) {
+          ASSERT_EQ(++answers[one->request], 1) << one->request;
+          ASSERT_FALSE(cancelled.contains(one->request));
+          const ServeFields& of = asked.at(one->request);
+          if (one->word == AnswerWord::kOk && of.request_class == "media") {
+            ASSERT_GT(one->fields.t0_ms, floor(one->fields.group));
+            ASSERT_TRUE(of.age_limit_ms == 0 || kNow + steady - one->fields.t0_ms <= of.age_limit_ms);
+          }
+          looking.erase(one->request);
+        } else if (const auto* look = std::get_if<LookUp>(&action)) {
+          looking.insert(look->request);
+        } else if (const auto* fetch = std::get_if<Fetch>(&action)) {
+          out_fills.insert(fetch->fill);
+        } else if (const auto* stop = std::get_if<StopFetch>(&action)) {
+          out_fills.erase(stop->fill);
+        }
+      }
+    };
+    for (int i = 0; i < 4'000; ++i) {
+      steady += static_cast<std::int64_t>(random() % 20);
+      const Moment at{steady, kNow + steady, 0};
+      switch (random() % 8) {
+        case 0:
+        case 1: {
+          ServeFields fields_of =
+              fields("i" + std::to_string(random() % 5), random() % 5 == 0 ? "" : "parent");
+          fields_of.request_class = random() % 6 == 0 ? "entry" : "media";
+          fields_of.join = random() % 2 == 0;
+          fields_of.renew = random() % 3 == 0;
+          fields_of.limit_ms = 1 + static_cast<std::int64_t>(random() % 800);
+          fields_of.age_limit_ms = random() % 2 == 0 ? 0 : 1 + static_cast<std::int64_t>(random() % 4'000);
+          asked[++last] = fields_of;
+          core.arrive(at, last, fields_of, "", out);
+          break;
+        }
+        case 2:
+        case 3:
+          if (!looking.empty()) {
+            const RequestNumber number =
+                *std::next(looking.begin(), static_cast<long>(random() % looking.size()));
+            looking.erase(number);
+            store::ReadResult result;
+            if (random() % 2 == 0) {
+              result.status = store::ReadStatus::kWhole;
+              result.copy = draw_copy();
+            }
+            core.looked_up(at, number, result, out);
+          }
+          break;
+        case 4:
+          if (!out_fills.empty()) {
+            const FillNumber fill =
+                *std::next(out_fills.begin(), static_cast<long>(random() % out_fills.size()));
+            out_fills.erase(fill);
+            FetchResult result;
+            result.end = static_cast<FetchResult::End>(random() % 4);
+            result.word = static_cast<AnswerWord>(random() % 6);
+            const Copy copy = draw_copy();
+            result.fields.tag = copy.tag;
+            result.fields.t0_ms = copy.t0_ms;
+            result.fields.group = copy.group;
+            result.body = copy.bytes;
+            core.fetched(at, fill, result, out);
+          }
+          break;
+        case 5:
+          if (last > 0) {
+            const RequestNumber number = 1 + random() % last;
+            if (answers[number] == 0) {
+              cancelled.insert(number);
+              looking.erase(number);
+              core.cancel(at, number, out);
+            }
+          }
+          break;
+        case 6:
+          floor_ = random() % 10 == 0 ? kNow + steady - static_cast<std::int64_t>(random() % 2'000) : floor_;
+          break;
+        default:
+          core.tick(at, out);
+      }
+      carry_out();
+    }
+    steady += 10'000;
+    core.tick(Moment{steady, kNow + steady, 0}, out);
+    carry_out();
+    EXPECT_EQ(core.open(), 0U);
+    EXPECT_EQ(core.fills(), 0U);
+    for (RequestNumber number = 1; number <= last; ++number) {
+      EXPECT_EQ(answers[number], cancelled.contains(number) ? 0 : 1)
+          << "seed " << seed << " request " << number;
+    }
+  }
+}
+
+}  // namespace
+}  // namespace trailcourse::cache_node
