Kill the cache node a hundred times; mend what that found in format file and first copies

Need: a killed node must serve every copy whole and as given, or a miss, and nothing older than a purge.

Change: process tests of SIGKILL under load (100 rounds, purges told while down), of the store killed at each step, of one fill for 300 requests, nonsense, crowds, few descriptors and a stalled disk. Found and mended: a crash between making and writing the format file left another format (now by rename); copies that came while the disk was not open yet never reached it (now offered once it is open, and at each hit in memory).

--- a/src/cache_node/node.cpp
+++ b/src/cache_node/node.cpp
@@ -144,6 +144,9 @@
   }
   heard_ = std::max(page.last, page.highest);
   store_.purge(purges, static_cast<std::int64_t>(heard_));
+  if (!std::exchange(board_heard_, true)) {
+    log_line(Level::kInfo) << "the notice board was heard, up to event " << heard_;
+  }
   core_.caught_up();
 }
 
--- a/src/cache_node/node.h
+++ b/src/cache_node/node.h
@@ -73,6 +73,7 @@
   protocol::Profile profile_;  // of the notice board's list: a node needs no kinds
   std::optional<routing::BoardWatcher> board_;
   std::uint64_t heard_ = 0;
+  bool board_heard_ = false;
   bool stopping_ = false;
   std::optional<std::pair<std::int64_t, transport::Scheduler::TimerKey>> timer_;
   std::unordered_map<RequestNumber, std::uint64_t> readings_;
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -339,9 +339,13 @@
               return;
             }
           } else {
-            const std::unique_ptr<File> file = disk->files->create(kFormatFile);
+            // Under another name at first: a crash must not leave an empty one, which would be another
+            // format.
+            const std::string next = std::string(kFormatFile) + ".next";
+            const std::unique_ptr<File> file = disk->files->create(next);
             file->write(0, kFormatWords);
             file->sync();
+            disk->files->rename(next, kFormatFile);
             disk->files->sync_names();
           }
           try {
@@ -474,6 +478,13 @@
                   std::to_string(book_.count()) + " segments in " + std::to_string(stats_.recovery_ms) +
                   " ms, " + std::to_string(stats_.dropped_at_recovery + stats_.damaged_rows) + " dropped");
   evict();
+  // What came while the disk was not open yet is offered to it now.
+  for (MemorySet::Slot slot = 0; slot < memory_.end(); ++slot) {
+    if (memory_.at(slot).held) {
+      const std::shared_ptr<const Named> held = memory_.at(slot).payload;
+      to_disk(held->name, held->copy, memory_.at(slot).rank, nullptr);
+    }
+  }
   dispatch();
   opened_();
 }
@@ -493,13 +504,18 @@
   placement_.seen(name.key);
   Found out;
   if (const auto slot = memory_.find(name.key); slot != MemorySet::kNone) {
-    const std::shared_ptr<const Copy> copy = memory_.at(slot).payload;
+    const std::shared_ptr<const Named> held = memory_.at(slot).payload;
+    const Copy* const copy = &held->copy;
     if (ledger_.allows(name.object, copy->group, copy->t0_ms)) {
       memory_.touch(slot, tick(), rank > 0 && rank < kRanks ? rank : memory_.at(slot).rank);
       out.where = Where::kMemory;
       out.copy = *copy;
       out.t0_ms = copy->t0_ms;
       ++stats_.hits_memory;
+      // The disk may not have been open when it came, or the budget was spent: it is offered again.
+      if (rank > 0 && rank < kRanks && disk_.find(name.key) == DiskSet::kNone) {
+        to_disk(name, *copy, rank, nullptr);
+      }
       return out;
     }
     ++stats_.forbidden;
@@ -697,7 +713,7 @@
     return;
   }
   const auto held = memory_.find(name.key);
-  if (held != MemorySet::kNone && memory_.at(held).payload->t0_ms > copy.t0_ms) {
+  if (held != MemorySet::kNone && memory_.at(held).payload->copy.t0_ms > copy.t0_ms) {
     return;
   }
   if (held == MemorySet::kNone && memory_.bytes() + bytes > memory_limit_) {
@@ -707,7 +723,7 @@
     }
   }
   const auto slot = memory_.insert(name.key, static_cast<std::uint32_t>(bytes), rank, tick(),
-                                   std::make_shared<const Copy>(copy));
+                                   std::make_shared<const Named>(Named{name, copy}));
   while (memory_.bytes() > memory_limit_) {
     const auto victim = memory_.victim(tick(), random_, slot);
     if (victim == MemorySet::kNone) {
@@ -731,6 +747,10 @@
       return false;
     }
   }
+  if (const auto writing = being_written_.find(name.key);
+      writing != being_written_.end() && writing->second == id) {
+    return false;
+  }
   const auto part_bytes = static_cast<std::uint32_t>(options_.part_kb) << 10U;
   const auto total = static_cast<std::uint32_t>(copy.size());
   const bool in_parts = total > part_bytes;
@@ -786,6 +806,8 @@
         Pending{head, in_parts ? nullptr : copy.bytes, 0, in_parts ? 0 : copy.size(), name.object});
   }
   next_->bytes += bytes;
+  next_->names.push_back(name.key);
+  being_written_[name.key] = id;
   dispatch();
   return true;
 }
@@ -846,6 +868,12 @@
   }
 }
 
+void Store::written_or_not(const Batch& batch) {
+  for (const Key& name : batch.names) {
+    being_written_.erase(name);
+  }
+}
+
 // One batch is under way at a time; what comes meanwhile makes up the next, so that under load one sync
 // serves many.
 void Store::dispatch() {
@@ -863,7 +891,9 @@
   }
   if (!health_.may_write(steady()) || !book_.room_for(next_->bytes)) {
     stats_.writes_shed += next_->records.size();
+    written_or_not(*next_);
     next_->records.clear();
+    next_->names.clear();
     next_->bytes = 0;
     if (next_->index.empty() && next_->remove.empty()) {
       clear_one();
@@ -886,6 +916,7 @@
 
 void Store::finished(const std::shared_ptr<Batch>& batch, const std::shared_ptr<Outcome>& outcome) {
   writing_ = false;
+  written_or_not(*batch);
   for (const auto& [id, bytes] : outcome->grown) {
     book_.grown(id, bytes);
   }
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <random>
@@ -153,6 +154,7 @@
   };
   struct Batch {
     std::vector<Pending> records;
+    std::vector<Key> names;  // of the copies that the records make up
     IndexBatch index;
     std::vector<SegmentId> remove;
     std::uint64_t bytes = 0;
@@ -172,7 +174,11 @@
   struct Opening;
   struct Disk;
   using DiskSet = KeepSet<Location>;
-  using MemorySet = KeepSet<std::shared_ptr<const Copy>>;
+  struct Named {
+    Name name;
+    Copy copy;
+  };
+  using MemorySet = KeepSet<std::shared_ptr<const Named>>;
   struct Reading {
     ReadDone done;
     std::int64_t begun_ms = 0;
@@ -198,6 +204,7 @@
   void place(const Written& written);
   void evict();
 
+  void written_or_not(const Batch& batch);
   void dispatch();
   void finished(const std::shared_ptr<Batch>& batch, const std::shared_ptr<Outcome>& outcome);
   void clear_one();
@@ -232,6 +239,7 @@
   std::shared_ptr<Opening> opening_;
   std::int64_t heard_ = 0;
   std::vector<std::function<void()>> flushing_;
+  std::map<Key, std::uint64_t> being_written_;  // names, and which copy of each
   std::unordered_map<std::uint64_t, Reading> readings_;
   std::uint64_t last_read_ = 0;
   std::size_t reads_out_ = 0;  // in the lane, given up or not
--- a/tests/cache_node_test.cpp
+++ b/tests/cache_node_test.cpp
@@ -1,1 +1,845 @@
-// placeholder
+// The cache node as a process: killed at any moment, asked in nonsense, crowded, and with a disk that stalls.
+// And the store killed at each of its steps.
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <poll.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <future>
+#include <random>
+#include <set>
+#include <string>
+#include <thread>
+
+#include "cache_node/node.h"
+#include "protocol/numbers.h"
+#include "stand_ins.h"
+#include "store/format.h"
+#include "store_stand_ins.h"
+#include "transport/mailbox.h"
+
+namespace trailcourse::cache_node {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+using testing_support::BoardStandIn;
+using testing_support::CacheRequest;
+using testing_support::CacheStandIn;
+using SteadyClock = std::chrono::steady_clock;
+
+constexpr milliseconds kPatience{10'000};
+
+std::int64_t unix_ms() {
+  return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+std::string item_of(int number) {
+  char text[17];
+  std::snprintf(text, sizeof text, "%016x", 0x1000 + number);
+  return text;
+}
+
+// The bytes of one version of an item; its size depends on the item alone.
+std::string bytes_of(const std::string& item, int version) {
+  const std::size_t size = 200 + (std::stoull(item, nullptr, 16) * 7'919) % 90'000;
+  std::string out;
+  for (std::size_t i = 0; out.size() < size; ++i) {
+    out += item.substr(12) + "v" + std::to_string(version) + "." + std::to_string(i) + ";";
+  }
+  out.resize(size);
+  return out;
+}
+
+struct Got {
+  std::string word;
+  std::map<std::string, std::string> fields;
+  std::string body;
+};
+
+// A router as a test plays it: one connection, many requests; every wait has an end.
+class Peer {
+ public:
+  explicit Peer(std::uint16_t port) {
+    socket_ = transport::Descriptor(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+    sockaddr_in where{};
+    where.sin_family = AF_INET;
+    where.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    where.sin_port = htons(port);
+    up_ = ::connect(socket_.get(), reinterpret_cast<sockaddr*>(&where), sizeof where) == 0;
+  }
+
+  bool up() const { return up_; }
+  bool send(const std::string& bytes) const {
+    std::size_t sent = 0;
+    while (sent < bytes.size()) {
+      const ssize_t count = ::send(socket_.get(), bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
+      if (count <= 0) {
+        return false;
+      }
+      sent += static_cast<std::size_t>(count);
+    }
+    return true;
+  }
+  bool serve(const std::string& id, const std::string& fields, const std::string& body = "") const {
+    return send(protocol::resp::write_array({"serve", id, fields, body}));
+  }
+  // The answer under this id, or nothing where the connection ends or time runs out.
+  std::optional<Got> read(const std::string& id, milliseconds longest = kPatience) {
+    const SteadyClock::time_point until = SteadyClock::now() + longest;
+    while (!answers_.contains(id)) {
+      if (!receive(until)) {
+        return std::nullopt;
+      }
+    }
+    Got out = std::move(answers_.at(id));
+    answers_.erase(id);
+    return out;
+  }
+  std::optional<Got> ask(const std::string& id, const std::string& fields, const std::string& body = "") {
+    return serve(id, fields, body) ? read(id) : std::nullopt;
+  }
+  // Whether the other side ends the connection.
+  bool await_close() {
+    const SteadyClock::time_point until = SteadyClock::now() + kPatience;
+    while (receive(until)) {
+    }
+    return closed_;
+  }
+  std::size_t answered() const { return answers_.size(); }
+
+ private:
+  bool receive(SteadyClock::time_point until) {
+    const auto left = std::chrono::duration_cast<milliseconds>(until - SteadyClock::now()).count();
+    pollfd one{socket_.get(), POLLIN, 0};
+    if (left <= 0 || ::poll(&one, 1, static_cast<int>(left)) <= 0) {
+      return false;
+    }
+    char buffer[65'536];
+    const ssize_t count = ::recv(socket_.get(), buffer, sizeof buffer, 0);
+    if (count <= 0) {
+      closed_ = true;
+      return false;
+    }
+    parser_.feed(std::string_view(buffer, static_cast<std::size_t>(count)), [this](const auto& event) {
+      if (const auto* head = std::get_if<protocol::resp::ArrayHead>(&event)) {
+        words_ = head->words;
+        body_.clear();
+      } else if (const auto* piece = std::get_if<protocol::resp::ArrayPiece>(&event)) {
+        body_ += piece->bytes;
+      } else if (std::holds_alternative<protocol::resp::ArrayEnd>(event)) {
+        Got got;
+        got.word = words_.at(1);
+        std::istringstream list(words_.at(2));
+        for (std::string field; std::getline(list, field, ',');) {
+          got.fields[field.substr(0, field.find('='))] = field.substr(field.find('=') + 1);
+        }
+        got.body = body_;
+        answers_[words_.at(0)] = std::move(got);
+      }
+    });
+    return true;
+  }
+
+  static protocol::resp::Bounds bounds() {
+    protocol::resp::Bounds out;
+    out.last_bytes = 16U << 20U;
+    return out;
+  }
+
+  transport::Descriptor socket_;
+  bool up_ = false;
+  bool closed_ = false;
+  protocol::resp::Parser parser_{bounds()};
+  std::vector<std::string> words_;
+  std::string body_;
+  std::map<std::string, Got> answers_;
+};
+
+// `trailcourse cache` as a process.
+class NodeProgram {
+ public:
+  explicit NodeProgram(json config) : port_(testing_support::free_port()) {
+    base_ =
+        testing::TempDir() + "trailcourse-node-" + std::to_string(::getpid()) + "-" + std::to_string(port_);
+    config["cache"]["name"] = "node";
+    config["cache"]["listen"] = "127.0.0.1:" + std::to_string(port_);
+    config["classes"]["media"] = json::object();
+    config["classes"]["entry"] = {{"use", "passed"}};
+    std::ofstream(base_ + ".json") << config.dump();
+    start();
+  }
+  ~NodeProgram() {
+    kill();
+    std::filesystem::remove(base_ + ".json");
+    std::filesystem::remove(base_ + ".log");
+  }
+  NodeProgram(const NodeProgram&) = delete;
+  NodeProgram& operator=(const NodeProgram&) = delete;
+
+  void start() {
+    const transport::Descriptor log(
+        ::open((base_ + ".log").c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600));
+    std::string program = TRAILCOURSE_PROGRAM;
+    std::string command = "cache";
+    std::string flag = "--config";
+    std::string file = base_ + ".json";
+    char* words[] = {program.data(), command.data(), flag.data(), file.data(), nullptr};
+    pid_ = ::fork();
+    if (pid_ == 0) {
+      ::dup2(log.get(), STDERR_FILENO);
+      ::execv(words[0], words);
+      ::_exit(127);
+    }
+    const SteadyClock::time_point until = SteadyClock::now() + kPatience;
+    while (!Peer(port_).up() && SteadyClock::now() < until) {
+      std::this_thread::sleep_for(milliseconds(1));
+    }
+  }
+  void kill() {
+    if (pid_ > 0) {
+      ::kill(pid_, SIGKILL);
+      ::waitpid(pid_, nullptr, 0);
+      pid_ = -1;
+    }
+  }
+  // Asks it to end and waits; the exit status, or -1 where it was killed.
+  int end() {
+    ::kill(pid_, SIGTERM);
+    int status = 0;
+    ::waitpid(pid_, &status, 0);
+    pid_ = -1;
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+  }
+  // Waits until the log holds these words so often.
+  bool await_log(const std::string& words, int times) const {
+    const SteadyClock::time_point until = SteadyClock::now() + kPatience;
+    while (SteadyClock::now() < until) {
+      const std::string text = log();
+      int found = 0;
+      for (std::size_t at = text.find(words); at != std::string::npos; at = text.find(words, at + 1)) {
+        ++found;
+      }
+      if (found >= times) {
+        return true;
+      }
+      std::this_thread::sleep_for(milliseconds(1));
+    }
+    return false;
+  }
+  bool alive() const { return ::waitpid(pid_, nullptr, WNOHANG) == 0; }
+  std::uint16_t port() const { return port_; }
+  pid_t pid() const { return pid_; }
+  std::string log() const {
+    std::ifstream file(base_ + ".log");
+    return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+  }
+
+ private:
+  std::uint16_t port_;
+  std::string base_;
+  pid_t pid_ = -1;
+};
+
+class CacheNodeTest : public testing::Test {
+ protected:
+  CacheNodeTest()
+      : folder_(testing::TempDir() + "trailcourse-disk-" + std::to_string(::getpid()) + "-" +
+                testing::UnitTest::GetInstance()->current_test_info()->name()),
+        origin_([this](const CacheRequest& request) { return answer(request); }) {
+    std::filesystem::remove_all(folder_);
+  }
+  ~CacheNodeTest() override { std::filesystem::remove_all(folder_); }
+
+  std::optional<std::string> answer(const CacheRequest& request) {
+    if (request.command != "serve") {
+      return std::nullopt;
+    }
+    const std::string item = request.fields.count("item") > 0 ? request.fields.at("item") : item_of(0);
+    const int version = version_;
+    return CacheStandIn::answer(request, "OK",
+                                "sum=v" + std::to_string(version) + ",t0=" + std::to_string(unix_ms()) +
+                                    ",group=" + std::to_string(std::stoull(item, nullptr, 16) % 7),
+                                bytes_of(item, version));
+  }
+  json config() const {
+    json out;
+    out["store"] = {{"folder", folder_}, {"disk_mb", 16},       {"segment_mb", 1},     {"part_kb", 16},
+                    {"memory_mb", 1},    {"write_kb_per_s", 0}, {"write_queue_mb", 64}};
+    out["cache"]["sources"] = {"origin=" + origin_.address()};
+    return out;
+  }
+  static std::string fields(const std::string& item, const std::string& more = "next=origin,ways=join") {
+    return "cls=media,item=" + item + ",chunk=0,limit=5000,admit=2" + (more.empty() ? "" : "," + more);
+  }
+  // What was served must be one version of that item, whole.
+  static void expect_right(const Got& got, const std::string& item) {
+    ASSERT_EQ(got.word, "OK");
+    const int version = std::stoi(got.fields.at("sum").substr(1));
+    ASSERT_EQ(got.body, bytes_of(item, version));
+  }
+
+  std::string folder_;
+  std::atomic<int> version_ = 1;
+  CacheStandIn origin_;
+};
+
+// A hundred rounds: under load from two connections the process is killed at a drawn moment and started
+// again; every object served then is byte for byte one version as the origin gave it, and none is older than
+// a purge, though many purges are told while the node is down.
+TEST_F(CacheNodeTest, KilledAHundredTimesUnderLoadItServesWholeCopiesOrMisses) {
+  constexpr int kItems = 40;
+  BoardStandIn board;
+  json config_of = config();
+  config_of["cache"]["board"] = board.address();
+  NodeProgram node(config_of);
+  std::mt19937 random(97);
+  std::map<std::string, std::int64_t> purged;
+  int from_disk = 0;
+  for (int round = 0; round < 100; ++round) {
+    // First as soon as it listens, with the age limits of a router that has heard of the purges; then without
+    // any, once it has heard of them itself.
+    for (const bool heard : {false, true}) {
+      if (heard) {
+        ASSERT_TRUE(node.await_log("disk tier open", round + 1)) << node.log();
+        ASSERT_TRUE(node.await_log("board was heard", round + 1)) << node.log();
+      }
+      Peer peer(node.port());
+      for (int i = 0; i < kItems; ++i) {
+        const auto purge = purged.find(item_of(i));
+        const std::int64_t limit = purge == purged.end() ? 3'600'000 : unix_ms() - purge->second - 1;
+        const std::string more = heard ? "" : "agelim=" + std::to_string(std::max<std::int64_t>(1, limit));
+        ASSERT_TRUE(peer.serve("h" + std::to_string(i), fields(item_of(i), more)));
+      }
+      for (int i = 0; i < kItems; ++i) {
+        const std::optional<Got> got = peer.read("h" + std::to_string(i));
+        ASSERT_TRUE(got.has_value()) << node.log();
+        if (got->word == "OK") {
+          expect_right(*got, item_of(i));
+          ++from_disk;
+          const auto purge = purged.find(item_of(i));
+          ASSERT_TRUE(purge == purged.end() || std::stoll(got->fields.at("t0")) > purge->second)
+              << "round " << round << ": a copy from before its purge";
+        } else {
+          ASSERT_EQ(got->word, "MISS");
+        }
+      }
+    }
+    version_ = round + 2;
+    std::atomic<bool> stop = false;
+    std::vector<std::thread> load;
+    for (std::uint32_t thread = 0; thread < 2; ++thread) {
+      load.emplace_back([&, seed = random() + thread] {
+        std::mt19937 draw(seed);
+        Peer peer(node.port());
+        for (int i = 0; !stop; ++i) {
+          const std::string item = item_of(static_cast<int>(draw() % kItems));
+          // Now and then a young copy is wanted, so that copies are replaced.
+          const std::string more = draw() % 3 == 0 ? "next=origin,agelim=1" : "next=origin,ways=join";
+          const std::optional<Got> got = peer.ask("l" + std::to_string(i), fields(item, more));
+          if (!got) {
+            return;
+          }
+          if (got->word == "OK") {
+            expect_right(*got, item);
+          }
+        }
+      });
+    }
+    std::this_thread::sleep_for(std::chrono::microseconds(random() % 25'000));
+    node.kill();
+    stop = true;
+    for (std::thread& thread : load) {
+      thread.join();
+    }
+    if (round % 3 == 0) {
+      const std::string item = item_of(static_cast<int>(random() % kItems));
+      purged[item] = unix_ms();
+      board.post({{"flush", {{"asset", item}, {"ms", purged[item]}}}});
+    }
+    node.start();
+  }
+  EXPECT_GT(from_disk, 200) << "most rounds find copies on disk";
+}
+
+// A folder that kills the process at its n-th step: before it, in the middle of a write, or after it.
+struct KillPoint {
+  int step = 0;
+  int mode = 0;
+  int count = 0;
+
+  void before() {
+    if (count == step && mode == 0) {
+      ::raise(SIGKILL);
+    }
+  }
+  void after() {
+    if (count++ == step && mode == 2) {
+      ::raise(SIGKILL);
+    }
+  }
+};
+
+class KillingFile : public store::File {
+ public:
+  KillingFile(std::unique_ptr<store::File> file, KillPoint& point) : file_(std::move(file)), point_(point) {}
+  std::string read(std::uint64_t offset, std::size_t size) override { return file_->read(offset, size); }
+  void write(std::uint64_t offset, std::string_view bytes) override {
+    point_.before();
+    if (point_.count == point_.step && point_.mode == 1) {
+      file_->write(offset, bytes.substr(0, bytes.size() / 2));
+      ::raise(SIGKILL);
+    }
+    file_->write(offset, bytes);
+    point_.after();
+  }
+  void sync() override {
+    point_.before();
+    file_->sync();
+    point_.after();
+  }
+  std::uint64_t size() override { return file_->size(); }
+
+ private:
+  std::unique_ptr<store::File> file_;
+  KillPoint& point_;
+};
+
+class KillingFolder : public store::Files {
+ public:
+  KillingFolder(std::unique_ptr<store::Files> files, KillPoint& point)
+      : files_(std::move(files)), point_(point) {}
+  std::vector<std::string> list() override { return files_->list(); }
+  std::unique_ptr<store::File> create(const std::string& name) override {
+    point_.before();
+    auto out = std::make_unique<KillingFile>(files_->create(name), point_);
+    point_.after();
+    return out;
+  }
+  std::unique_ptr<store::File> open(const std::string& name) override {
+    return std::make_unique<KillingFile>(files_->open(name), point_);
+  }
+  void remove(const std::string& name) override {
+    point_.before();
+    files_->remove(name);
+    point_.after();
+  }
+  void rename(const std::string& from, const std::string& to) override {
+    point_.before();
+    files_->rename(from, to);
+    point_.after();
+  }
+  void sync_names() override {
+    point_.before();
+    files_->sync_names();
+    point_.after();
+  }
+
+ private:
+  std::unique_ptr<store::Files> files_;
+  KillPoint& point_;
+};
+
+TEST_F(CacheNodeTest, TheStoreKilledAtEachOfItsStepsServesWholeCopiesOrMisses) {
+  using testing_support::copy_of;
+  using testing_support::name_of;
+  using testing_support::StoreRig;
+  const auto open = [this](StoreRig& rig, KillPoint& point) {
+    store::Store::Backing backing;
+    backing.files = [this, &point] {
+      return std::make_unique<KillingFolder>(store::open_folder(folder_), point);
+    };
+    backing.index = [this] { return store::open_sqlite_index(folder_); };
+    rig.executor = std::make_unique<testing_support::ManualExecutor>();
+    rig.options.disk_mb = 16;
+    rig.store = std::make_unique<store::Store>(
+        rig.options, *rig.executor, backing,
+        [&rig] {
+          return store::Store::Now{rig.steady_ms, rig.unix_ms};
+        },
+        [](bool, const std::string&) {}, 7);
+    rig.store->open([] {});
+    rig.executor->drain();
+  };
+  // Fills, replaces, purges, and goes round the tier so that segments are cleared.
+  const auto run = [&open](KillPoint& point) {
+    StoreRig rig;
+    rig.options.part_kb = 64;
+    open(rig, point);
+    for (int i = 0; i < 48; ++i) {
+      rig.keep(name_of(i % 12), copy_of(i % 12, i, 500'000, 1'000 + i));
+      rig.executor->drain();
+      if (i == 20) {
+        rig.store->purge({{store::PurgeRecord::Kind::kObject, 5, 1'000 + 20}}, 1);
+        rig.executor->drain();
+      }
+    }
+  };
+  int killed = 0;
+  for (int mode = 0; mode < 3; ++mode) {
+    // Every step at first, then at a stride that meets all kinds of them.
+    for (int step = 0;; step += step < 40 ? 1 : 9) {
+      std::filesystem::remove_all(folder_);
+      const pid_t child = ::fork();
+      if (child == 0) {
+        KillPoint point{step, mode, 0};
+        run(point);
+        ::_exit(0);
+      }
+      int status = 0;
+      ::waitpid(child, &status, 0);
+      if (WIFEXITED(status)) {
+        ASSERT_EQ(WEXITSTATUS(status), 0);
+        break;
+      }
+      ++killed;
+      StoreRig rig;
+      KillPoint never{-1, 0, 0};
+      open(rig, never);
+      ASSERT_EQ(rig.store->disk_state(), store::DiskHealth::State::kGood);
+      rig.store->purge({{store::PurgeRecord::Kind::kObject, 5, 1'000 + 20}}, 1);
+      for (int number = 0; number < 12; ++number) {
+        if (const auto got = rig.get(name_of(number))) {
+          const int version = std::stoi(got->tag.substr(got->tag.find('v') + 1));
+          ASSERT_EQ(version % 12, number);
+          ASSERT_EQ(*got->bytes, *copy_of(number, version, 500'000, 0).bytes);
+          ASSERT_FALSE(number == 5 && got->t0_ms <= 1'020);
+        }
+      }
+    }
+  }
+  EXPECT_GT(killed, 100);
+}
+
+TEST_F(CacheNodeTest, HundredsOfRequestsForOneMissingObjectAreOneFill) {
+  std::promise<void> go;
+  std::shared_future<void> gone = go.get_future().share();
+  origin_.set_script([this, gone](const CacheRequest& request) {
+    gone.wait_for(kPatience);
+    return answer(request);
+  });
+  NodeProgram node(config());
+  std::vector<std::unique_ptr<Peer>> peers;
+  for (int i = 0; i < 10; ++i) {
+    peers.push_back(std::make_unique<Peer>(node.port()));
+    for (int k = 0; k < 30; ++k) {
+      ASSERT_TRUE(peers.back()->serve("r" + std::to_string(k), fields(item_of(1))));
+    }
+  }
+  ASSERT_TRUE(origin_.await("serve", 1));
+  // A health check behind them on each connection is answered: all of them were taken.
+  for (const auto& peer : peers) {
+    ASSERT_TRUE(peer->send(protocol::resp::write_array({"health", "tag"})));
+    ASSERT_TRUE(peer->read("tag").has_value());
+  }
+  peers.erase(peers.begin());  // the filler's client leaves
+  go.set_value();
+  for (const auto& peer : peers) {
+    for (int k = 0; k < 30; ++k) {
+      const std::optional<Got> got = peer->read("r" + std::to_string(k));
+      ASSERT_TRUE(got.has_value());
+      expect_right(*got, item_of(1));
+    }
+  }
+  EXPECT_EQ(origin_.count("serve"), 1U);
+}
+
+TEST_F(CacheNodeTest, ACopyOnDiskOutlivesAnOrderlyEndAndTellsItsNote) {
+  NodeProgram node(config());
+  {
+    Peer peer(node.port());
+    EXPECT_EQ(peer.ask("1", fields(item_of(3)))->fields["tell"], "fill");
+    EXPECT_EQ(peer.ask("2", fields(item_of(3)))->fields["tell"], "warm");
+    Got same = *peer.ask("3", fields(item_of(3), "next=origin,cached=v1"));
+    EXPECT_EQ(same.word, "SAME");
+    EXPECT_TRUE(same.body.empty());
+  }
+  EXPECT_EQ(node.end(), 0) << node.log();
+  node.start();
+  Peer peer(node.port());
+  ASSERT_TRUE(node.await_log("disk tier open", 2));
+  const std::optional<Got> got = peer.ask("d", fields(item_of(3), ""));
+  ASSERT_TRUE(got.has_value());
+  ASSERT_EQ(got->word, "OK") << node.log();
+  expect_right(*got, item_of(3));
+  EXPECT_EQ(origin_.count("serve"), 1U);
+}
+
+TEST_F(CacheNodeTest, WritesGoThroughOnceAndAreNotKept) {
+  NodeProgram node(config());
+  Peer peer(node.port());
+  for (int i = 0; i < 3; ++i) {
+    const auto got =
+        peer.ask("w" + std::to_string(i), "cls=entry,limit=3000,nonce=k1,next=origin", "payload");
+    ASSERT_TRUE(got.has_value());
+    EXPECT_EQ(got->word, "OK");
+  }
+  EXPECT_EQ(origin_.count("serve"), 3U);
+  EXPECT_EQ(origin_.seen()[0].body, "payload");
+  EXPECT_EQ(origin_.seen()[0].fields.at("nonce"), "k1");
+}
+
+TEST_F(CacheNodeTest, HealthAndGaugesAreAnsweredUnderTheirTag) {
+  NodeProgram node(config());
+  Peer peer(node.port());
+  ASSERT_TRUE(peer.send(protocol::resp::write_array({"health", "t1"}) +
+                        protocol::resp::write_array({"gauges", "t2"})));
+  EXPECT_EQ(peer.read("t1")->word, "UP");
+  const Got gauges = *peer.read("t2");
+  EXPECT_EQ(gauges.word, "UP");
+  EXPECT_EQ(gauges.fields.at("meter").rfind("inflight:0;util:", 0), 0U);
+}
+
+TEST_F(CacheNodeTest, NonsenseGetsAClearErrorOrAnEndAndTheOthersAreServed) {
+  NodeProgram node(config());
+  Peer good(node.port());
+  const std::vector<std::pair<std::string, std::string>> faults{
+      {"cls=media,item=a,limit=abc", "bad_value"},
+      {"cls=media,item=a,limit=0", "bad_value"},
+      {"cls=media,item=a,limit=-5", "bad_value"},
+      {"cls=media,item=a", "missing"},
+      {"item=a,limit=100", "missing"},
+      {"cls=media,item=a,limit=100,admit=4", "bad_value"},
+      {"cls=media,item=a,limit=100,agelim=99999999999999999999", "bad_value"},
+      {"cls=media,item=a,limit=100,agelim=-1", "bad_value"},
+      {"cls=media,item=a,limit=100,ways=dance", "bad_value"},
+      {"cls=media,item=a,limit=100,odd=1", "unknown_field"},
+      {"cls=media,item=a,limit=100,limit=100", "twice"},
+      {"cls=media,item=a,limit=100,span=1-2", "span"},
+      {"cls=media,item=a,limit=100,span=x,match=t", "bad_value"},
+      {"cls=odd,item=a,limit=100", "unknown_class"},
+      {"cls=media,item=a,limit=100,next=nobody", "unknown_source"},
+      {"nonsense", "no_field"},
+      {"-", "missing"},
+      {"cls=media,limit=100", "no_item"}};
+  int number = 0;
+  for (const auto& [text, why] : faults) {
+    std::optional<Got> got = good.ask("b" + std::to_string(++number), text);
+    ASSERT_TRUE(got.has_value()) << text;
+    EXPECT_EQ(got->word, "ERR") << text;
+    EXPECT_EQ(got->fields["why"].rfind(why, 0), 0U) << text << ": " << got->fields["why"];
+  }
+  ASSERT_TRUE(good.send(protocol::resp::write_array({"dance", "x1"})));
+  EXPECT_EQ(good.read("x1")->fields["why"], "unknown_command");
+  const std::vector<std::string> ends{"GET / HTTP/1.1\r\n\r\n",
+                                      "*9999999\r\n",
+                                      "*4\r\n$99999999\r\n",
+                                      "*0\r\n",
+                                      "*1\r\n$5\r\nserve\r\n",
+                                      "*2\r\n$6\r\ncancel\r\n$0\r\n\r\n",
+                                      "*4\r\n$5\r\nserve\r\n$1\r\na\r\n$9999999\r\n",
+                                      "*4\r\n$5\r\nserve\r\n$1\r\na\r\n$1\r\n-\r\n$2000000\r\n",
+                                      std::string(100, '\xff')};
+  for (const std::string& text : ends) {
+    Peer bad(node.port());
+    bad.send(text);
+    EXPECT_TRUE(bad.await_close()) << text.substr(0, 40);
+  }
+  EXPECT_NE(node.log().find("127.0.0.1:"), std::string::npos) << "the peer is named";
+  expect_right(*good.ask("last", fields(item_of(1))), item_of(1));
+}
+
+// Two open requests under one id: an answer could be taken for the other's, so the connection ends.
+TEST_F(CacheNodeTest, AnIdThatIsInUseEndsItsConnection) {
+  origin_.set_script([](const CacheRequest&) { return std::nullopt; });
+  NodeProgram node(config());
+  Peer peer(node.port());
+  ASSERT_TRUE(peer.serve("same", fields(item_of(1))));
+  ASSERT_TRUE(peer.serve("same", fields(item_of(2))));
+  EXPECT_TRUE(peer.await_close());
+  EXPECT_EQ(peer.answered(), 0U);
+}
+
+TEST_F(CacheNodeTest, SeededStormsOfSpoiltBytesDoNotEndIt) {
+  NodeProgram node(config());
+  std::mt19937 random(61);
+  const std::string good_bytes = protocol::resp::write_array({"serve", "id", fields(item_of(1)), ""}) +
+                                 protocol::resp::write_array({"cancel", "id"}) +
+                                 protocol::resp::write_array({"gauges", "tag"});
+  for (int round = 0; round < 300; ++round) {
+    std::string bytes = good_bytes + good_bytes;
+    for (auto changes = 1 + random() % 6; changes > 0; --changes) {
+      const std::size_t place = random() % bytes.size();
+      switch (random() % 3) {
+        case 0:
+          bytes[place] = static_cast<char>(random());
+          break;
+        case 1:
+          bytes.erase(place, 1 + random() % 8);
+          break;
+        default:
+          bytes.insert(place, bytes.substr(place, 1 + random() % 30));
+      }
+    }
+    Peer peer(node.port());
+    peer.send(bytes);
+  }
+  EXPECT_TRUE(node.alive());
+  Peer peer(node.port());
+  expect_right(*peer.ask("after", fields(item_of(2))), item_of(2));
+}
+
+TEST_F(CacheNodeTest, CrowdedItShedsAtOnceAndServesOn) {
+  origin_.set_script([](const CacheRequest&) { return std::nullopt; });
+  json config_of = config();
+  config_of["cache"]["open_requests"] = 20;
+  config_of["cache"]["fills"] = 5;
+  NodeProgram node(config_of);
+  Peer peer(node.port());
+  for (int i = 0; i < 200; ++i) {
+    ASSERT_TRUE(peer.serve("c" + std::to_string(i), fields(item_of(i))));
+  }
+  // Five wait for the silent origin; all others are told at once.
+  int busy = 0;
+  for (int i = 5; i < 200; ++i) {
+    const std::optional<Got> got = peer.read("c" + std::to_string(i), milliseconds(2'000));
+    ASSERT_TRUE(got.has_value()) << i;
+    busy += got->word == "BUSY" ? 1 : 0;
+  }
+  EXPECT_EQ(busy, 195);
+}
+
+TEST_F(CacheNodeTest, OutOfDescriptorsIdleConnectionsGoAndItServesOn) {
+  json config_of = config();
+  NodeProgram node(config_of);
+  rlimit few{48, 48};
+  ASSERT_EQ(::prlimit(node.pid(), RLIMIT_NOFILE, &few, nullptr), 0);
+  std::vector<std::unique_ptr<Peer>> idle;
+  for (int i = 0; i < 120; ++i) {
+    idle.push_back(std::make_unique<Peer>(node.port()));
+  }
+  Peer peer(node.port());
+  const std::optional<Got> got = peer.ask("1", fields(item_of(1)));
+  ASSERT_TRUE(got.has_value()) << node.log();
+  EXPECT_TRUE(got->word == "OK" || got->word == "MISS");
+  EXPECT_TRUE(node.alive());
+}
+
+// ---- A disk that stalls, under a node of this process.
+
+class StallingFile : public store::File {
+ public:
+  StallingFile(std::unique_ptr<store::File> file, std::shared_future<void> released,
+               std::atomic<bool>& stalled)
+      : file_(std::move(file)), released_(std::move(released)), stalled_(stalled) {}
+  std::string read(std::uint64_t offset, std::size_t size) override {
+    if (stalled_) {
+      released_.wait_for(kPatience);
+    }
+    return file_->read(offset, size);
+  }
+  void write(std::uint64_t offset, std::string_view bytes) override { file_->write(offset, bytes); }
+  void sync() override { file_->sync(); }
+  std::uint64_t size() override { return file_->size(); }
+
+ private:
+  std::unique_ptr<store::File> file_;
+  std::shared_future<void> released_;
+  std::atomic<bool>& stalled_;
+};
+
+class StallingFolder : public testing_support::MemoryFolder {
+ public:
+  StallingFolder(std::shared_ptr<testing_support::FolderState> state, std::shared_future<void> released,
+                 std::atomic<bool>& stalled)
+      : MemoryFolder(std::move(state)), released_(std::move(released)), stalled_(stalled) {}
+  std::unique_ptr<store::File> open(const std::string& name) override {
+    return std::make_unique<StallingFile>(MemoryFolder::open(name), released_, stalled_);
+  }
+
+ private:
+  std::shared_future<void> released_;
+  std::atomic<bool>& stalled_;
+};
+
+TEST_F(CacheNodeTest, WhileTheDiskStallsMemoryServesAndDiskReadsBecomeMissesInTime) {
+  std::promise<void> release;
+  std::shared_future<void> released = release.get_future().share();
+  std::atomic<bool> stalled = false;
+  const auto state = std::make_shared<testing_support::FolderState>();
+  const auto history = std::make_shared<testing_support::IndexHistory>();
+  store::Options options = testing_support::StoreRig::small_options();
+  options.memory_mb = 1;
+  options.read_patience_ms = 100;
+  NodeOptions node_options;
+  node_options.name = "node";
+  const std::uint16_t port = testing_support::free_port();
+  node_options.listen = "127.0.0.1:" + std::to_string(port);
+  node_options.sources = {"origin=" + origin_.address()};
+  const ClassMap classes{{"media", ClassOptions{}}};
+
+  std::promise<std::pair<transport::Scheduler*, transport::Mailbox*>> started;
+  std::thread loop([&] {
+    transport::Scheduler scheduler;
+    transport::Mailbox mailbox(scheduler);
+    store::IoPool pool(2, [&mailbox](std::function<void()> job) { mailbox.post(std::move(job)); });
+    store::Store::Backing backing;
+    backing.files = [&] { return std::make_unique<StallingFolder>(state, released, stalled); };
+    backing.index = [&] { return std::make_unique<testing_support::MemoryIndex>(history, state); };
+    store::Store store(
+        options, pool, backing,
+        [] {
+          return store::Store::Now{
+              std::chrono::duration_cast<milliseconds>(SteadyClock::now().time_since_epoch()).count(),
+              unix_ms()};
+        },
+        [](bool, const std::string&) {}, 3);
+    Node node(scheduler, node_options, classes, options.read_patience_ms, store, 5);
+    node.start();
+    mailbox.post([&] { started.set_value({&scheduler, &mailbox}); });
+    scheduler.run();
+  });
+  const auto [scheduler, mailbox] = started.get_future().get();
+  {
+    Peer peer(port);
+    // Far more than memory holds: the first ones are on disk alone.
+    for (int i = 0; i < 60; ++i) {
+      ASSERT_TRUE(peer.ask("f" + std::to_string(i), fields(item_of(i))).has_value());
+      ASSERT_TRUE(peer.ask("g" + std::to_string(i), fields(item_of(i))).has_value());
+    }
+    const std::string hot = item_of(59);
+    stalled = true;
+    std::size_t before = origin_.count("serve");
+    int filled = 0;
+    for (int i = 0; i < 20; ++i) {
+      ASSERT_TRUE(peer.serve("d" + std::to_string(i), fields(item_of(i))));
+    }
+    // The answers come while the disk is held: memory's at once, the others from the origin.
+    const std::optional<Got> from_memory = peer.ask("m", fields(hot));
+    ASSERT_TRUE(from_memory.has_value());
+    expect_right(*from_memory, hot);
+    for (int i = 0; i < 20; ++i) {
+      const std::optional<Got> got = peer.read("d" + std::to_string(i));
+      ASSERT_TRUE(got.has_value());
+      expect_right(*got, item_of(i));
+      filled += got->fields.at("tell") == "warm" ? 0 : 1;
+    }
+    EXPECT_EQ(origin_.count("serve") - before, static_cast<std::size_t>(filled));
+    EXPECT_GT(filled, 5);
+    stalled = false;
+    release.set_value();
+    before = origin_.count("serve");
+    // Once a try comes back in time, the disk serves again.
+    bool warm = false;
+    const SteadyClock::time_point until = SteadyClock::now() + kPatience;
+    for (int i = 0; !warm && SteadyClock::now() < until; ++i) {
+      const std::optional<Got> got = peer.ask("e" + std::to_string(i), fields(item_of(i % 40), ""));
+      ASSERT_TRUE(got.has_value());
+      warm = got->word == "OK";
+    }
+    EXPECT_TRUE(warm);
+  }
+  mailbox->post([loop_of = scheduler] { loop_of->stop(); });
+  loop.join();
+}
+
+}  // namespace
+}  // namespace trailcourse::cache_node
--- a/tests/stand_ins.cpp
+++ b/tests/stand_ins.cpp
@@ -33,13 +33,13 @@
 
 void make_blocking(int socket) { ::fcntl(socket, F_SETFL, ::fcntl(socket, F_GETFL) & ~O_NONBLOCK); }
 
+}  // namespace
+
 std::uint16_t free_port() {
   const transport::Opened opened = transport::listen_on(kAnyPort, 1);
   return transport::local_of(opened.descriptor.get()).port;
 }
 
-}  // namespace
-
 void Server::start(std::uint16_t port) {
   transport::Opened opened = transport::listen_on({kAnyPort.ip, port}, 64);
   if (!opened.descriptor.valid()) {
--- a/tests/stand_ins.h
+++ b/tests/stand_ins.h
@@ -18,6 +18,9 @@
 
 namespace trailcourse::testing_support {
 
+// A loopback port that was free a moment ago.
+std::uint16_t free_port();
+
 // Accepts on a loopback port and runs a thread for each connection; blocking sockets.
 class Server {
  public:
