--- a/tests/crash_states.h
+++ b/tests/crash_states.h
@@ -15,7 +15,8 @@
 
 inline constexpr std::size_t kSector = 512;
 
-// How much of an unsynced write is there: nothing, all, the sectors up to one, those from one on, every other one.
+// How much of an unsynced write is there: nothing, all, the sectors up to one, those from one on, every other
+// one.
 inline std::size_t torn_ways(const FileOp& write) {
   const std::size_t sectors = (write.offset + write.bytes.size() - 1) / kSector - write.offset / kSector + 1;
   return 4 + 2 * sectors;
