--- a/src/program/command_line.cpp
+++ b/src/program/command_line.cpp
@@ -3,6 +3,7 @@
 #include <cstdlib>
 #include <cxxopts.hpp>
 #include <exception>
+#include <iostream>
 #include <ostream>
 #include <string>
 #include <utility>
@@ -227,10 +228,7 @@
 int run_get(const cxxopts::ParseResult& parsed, const Output& output) {
   GetCommand command;
   command.router = text_of(parsed, "router");
-  const std::string item = word(parsed, 0, "ITEM[/PART]");
-  const std::size_t slash = item.find('/');
-  command.item = item.substr(0, slash);
-  command.part = slash == std::string::npos ? "0" : item.substr(slash + 1);
+  const std::string asked = word(parsed, 0, "ITEM[/PART]");
   command.request_class = parsed["class"].as<std::string>();
   command.patience_ms = parsed["patience"].as<std::int64_t>();
   command.size_kb = parsed["size-kb"].as<double>();
@@ -238,10 +236,23 @@
   command.output = parsed["output"].as<std::string>();
   command.repeat = parsed["repeat"].as<int>();
   command.json = parsed.count("json") > 0;
-  if (command.item.size() != 16 || !protocol::read_hex<std::uint64_t>(command.item)) {
-    throw WrongUse("ITEM is 16 hex digits, as in 7f3a9c21e0b4d655");
+  const auto get = [&command, &output](const std::string& item) {
+    const std::size_t slash = item.find('/');
+    command.item = item.substr(0, slash);
+    command.part = slash == std::string::npos ? "0" : item.substr(slash + 1);
+    if (command.item.size() != 16 || !protocol::read_hex<std::uint64_t>(command.item)) {
+      throw WrongUse("ITEM is 16 hex digits, as in 7f3a9c21e0b4d655");
+    }
+    return run_get_command(command, output.out, output.errors);
+  };
+  if (asked != "-") {
+    return get(asked);
+  }
+  int worst = 0;
+  for (std::string line; std::getline(std::cin, line);) {
+    worst = std::max(worst, get(line));
   }
-  return run_get_command(command, output.out, output.errors);
+  return worst;
 }
 
 const std::vector<Command>& commands() {
@@ -256,7 +267,8 @@
        "trailcourse store verify /var/cache/trailcourse --json", add_store_options, run_store},
       {"config", "schema|docs|check FILE", "the operator's file: its JSON Schema, its page, what is in force",
        "trailcourse config check deploy/operator.json", add_words, run_config},
-      {"get", "--router IP:PORT ITEM[/PART]", "asks a router as a web server would",
+      {"get", "--router IP:PORT ITEM[/PART]|-",
+       "asks a router as a web server would; -: items from standard input",
        "trailcourse get --router 127.0.0.1:4100 7f3a9c21e0b4d655", add_get_options, run_get},
       {"origin", "--config FILE", "runs a small origin, for trying things out",
        "trailcourse origin --config operator.json", add_config_option, run_origin_command},
--- a/src/store/segment_book.h
+++ b/src/store/segment_book.h
@@ -23,7 +23,7 @@
   };
 
   // `most`: bytes of all files together; `reserve`: kept free for what is written while one is cleared.
-  SegmentBook(std::uint64_t most, std::uint64_t reserve) : most_(most), reserve_(reserve) {}
+  SegmentBook(std::uint64_t most, std::uint64_t reserve) : told_(most), most_(most), reserve_(reserve) {}
 
   void grown(SegmentId id, std::uint64_t file_bytes) { segments_[id].bytes = file_bytes; }
   void sealed(SegmentId id) { segments_[id].sealed = true; }
@@ -39,8 +39,9 @@
   std::size_t count() const { return segments_.size(); }
   const std::map<SegmentId, Segment>& all() const { return segments_; }
 
-  // The disk proved smaller than told: from now on this much, never more than before.
+  // The disk proved smaller than told: this much, never more than before, until restored.
   void shrink(std::uint64_t most) { most_ = most < most_ ? most : most_; }
+  void restore() { most_ = told_; }
   std::uint64_t most() const { return most_; }
 
   // The next to clear: one that holds nothing of use at any time; where room is short, the one with the
@@ -50,6 +51,7 @@
   bool room_for(std::uint64_t bytes) const { return file_bytes() + bytes <= most_; }
 
  private:
+  std::uint64_t told_;
   std::uint64_t most_;
   std::uint64_t reserve_;
   std::map<SegmentId, Segment> segments_;
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -489,7 +489,7 @@
   opened_();
 }
 
-void Store::unusable(const std::string& why) {
+void Store::unusable(std::string why) {
   recovering_ = false;
   opening_.reset();
   health_.closed(why);
@@ -739,6 +739,10 @@
   if (recovering_ || !on_disk_ || !health_.may_write(steady())) {
     return false;
   }
+  if (std::exchange(shrunk_, false)) {
+    book_.restore();
+    disk_limit_ = placement_.options().tier_bytes;
+  }
   const auto held = disk_.find(name.key);
   const std::uint64_t id = copy_id(copy.tag, copy.t0_ms, copy.size());
   if (held != DiskSet::kNone && had == nullptr) {
@@ -937,6 +941,8 @@
   } else {
     stats_.writes_shed += batch->records.size();
     if (outcome->full) {
+      // Until the pause is over: others may have filled the disk, and may free it again.
+      shrunk_ = true;
       book_.shrink(book_.file_bytes());
       disk_limit_ =
           std::min(disk_limit_, static_cast<std::uint64_t>(static_cast<double>(book_.most()) * kLiveShare));
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -193,7 +193,7 @@
   void load_rows();
   void took_rows(const std::vector<IndexRow>& rows);
   void recovered();
-  void unusable(const std::string& why);
+  void unusable(std::string why);
 
   void into_memory(const Name& name, const Copy& copy, int rank);
   bool to_disk(const Name& name, const Copy& copy, int rank, const std::vector<bool>* had);
@@ -233,6 +233,7 @@
   std::shared_ptr<Batch> next_;
   bool writing_ = false;
   bool clearing_ = false;
+  bool shrunk_ = false;  // the disk was full at the last write
   bool recovering_ = false;
   std::int64_t opened_ms_ = 0;
   std::function<void()> opened_;
--- a/tests/store_parts_test.cpp
+++ b/tests/store_parts_test.cpp
@@ -364,6 +364,8 @@
   EXPECT_EQ(book.next_to_clear(), 1U);
   book.shrink(2'000);
   EXPECT_EQ(book.most(), 450U);
+  book.restore();
+  EXPECT_EQ(book.most(), 1'000U);
 }
 
 TEST(DiskHealth, AStalledDiskIsTriedNowAndThenAndTrustedAgainWhenAReadComesBackInTime) {
--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -11,10 +11,12 @@
 #include <fstream>
 #include <random>
 #include <set>
+#include <sstream>
 #include <string>
 #include <vector>
 
 #include "crash_states.h"
+#include "program/store_commands.h"
 #include "store/maintenance.h"
 #include "store_stand_ins.h"
 
@@ -79,6 +81,28 @@
   rig.executor->drain();
   EXPECT_TRUE(rig.opened);
   EXPECT_EQ(rig.store->find(name_of(1), 2).where, Store::Where::kDisk);
+  // What came meanwhile reaches the disk once that is open.
+  rig.options.memory_mb = 0;
+  rig.start();
+  EXPECT_TRUE(rig.get(name_of(2)).has_value());
+}
+
+// A copy that the disk could not take when it came is offered again when it is asked for.
+TEST(Store, AHitInMemoryOffersItsCopyToTheDiskAgain) {
+  StoreRig rig;
+  rig.options.memory_mb = 8;
+  rig.start();
+  rig.folder->room = 0;
+  rig.keep(name_of(1), copy_of(1, 1, 500, kT0));
+  rig.executor->drain();
+  EXPECT_EQ(rig.store->stats().disk_copies, 0U);
+  rig.folder->room = UINT64_MAX;
+  rig.steady_ms += 10'000;
+  EXPECT_TRUE(rig.get(name_of(1)).has_value());
+  EXPECT_TRUE(rig.get(name_of(1)).has_value()) << "while it is being written it is not written twice";
+  rig.executor->drain();
+  EXPECT_EQ(rig.store->stats().disk_copies, 1U);
+  EXPECT_LT(rig.store->stats().written_bytes, 1'000U);
 }
 
 // Exhaustive for this history: every prefix, every way in which unsynced writes and names can be there or
@@ -699,6 +723,47 @@
   }
 }
 
+// The commands: figures as JSON, damage and a folder in use by their exit status.
+TEST_F(StoreFolder, TheCommandsTellDamageAndUseByTheirStatus) {
+  StoreRig rig;
+  fill(rig, 10);
+  const auto run = [this](const std::string& action, std::string* printed = nullptr) {
+    program::StoreCommand command;
+    command.action = action;
+    command.folder = path_;
+    command.json = true;
+    command.yes = true;
+    std::ostringstream out;
+    std::ostringstream errors;
+    const int status = program::run_store_command(command, out, errors);
+    if (printed != nullptr) {
+      *printed = out.str();
+    }
+    return status;
+  };
+  std::string printed;
+  EXPECT_EQ(run("stat", &printed), 0);
+  EXPECT_EQ(nlohmann::json::parse(printed).at("values"), 10);
+  EXPECT_EQ(run("verify"), 0);
+  EXPECT_EQ(run("compact"), program::kFolderInUse);
+  EXPECT_EQ(run("drop"), program::kFolderInUse);
+  rig.store = nullptr;
+  rig.executor = nullptr;
+  {
+    const auto index = open_sqlite_index(path_, true);
+    const Location where = index->rows(nullptr, 1)[0].location;
+    std::fstream file(path_ + "/" + segment_name(where.segment),
+                      std::ios::in | std::ios::out | std::ios::binary);
+    file.seekp(where.offset + where.stored - 1);
+    file.put('~');
+  }
+  EXPECT_EQ(run("verify", &printed), program::kDamageFound);
+  EXPECT_EQ(nlohmann::json::parse(printed).at("damaged"), 1);
+  EXPECT_EQ(run("compact"), 0);
+  EXPECT_EQ(run("drop"), 0);
+  EXPECT_EQ(run("verify"), 1) << "there is no index any more";
+}
+
 TEST_F(StoreFolder, DropEmptiesAFolderOfAnyFormat) {
   StoreRig rig;
   fill(rig, 5);
