Clear segments by their list of records; pause accepting on any error of the system

Need: clearing one segment of many went through every record held, a pause of the loop that grows with the tier; an accept that failed otherwise than for descriptors was tried again without a pause.

Change: the records listed of the segment are looked up; all are gone through only where a damaged header cut the list short.

--- a/src/cache_node/command_server.cpp
+++ b/src/cache_node/command_server.cpp
@@ -172,15 +172,18 @@
       if (++accepts % kAcceptsInTurn == 0) {
         co_await scheduler_.yield();
       }
-    } else if (opened.error == EMFILE || opened.error == ENFILE) {
-      free_one();
-      co_await scheduler_.sleep(kAcceptPause);
     } else if (opened.error == EAGAIN || opened.error == EWOULDBLOCK) {
       watch_->blocked_reading();
       const bool open = co_await watch_->readable();
       if (!open) {
         co_return;
       }
+    } else {
+      // Out of descriptors, or of something else that the system may have again soon.
+      if (opened.error == EMFILE || opened.error == ENFILE) {
+        free_one();
+      }
+      co_await scheduler_.sleep(kAcceptPause);
     }
   }
 }
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -1100,12 +1100,21 @@
       }
     }
   }
+  const auto drop_from_segment = [this, segment](DiskSet::Slot slot) {
+    if (disk_.at(slot).held && disk_.at(slot).payload.segment == segment) {
+      ++stats_.evicted_disk;
+      erase_disk(slot);
+    }
+  };
+  for (const auto& [key, offset] : moving->records) {
+    if (const auto slot = disk_.find(key); slot != DiskSet::kNone) {
+      drop_from_segment(slot);
+    }
+  }
+  // Records behind a damaged header were not listed; only then is all that is held gone through.
   if (book_.all().at(segment).live > 0) {
     for (DiskSet::Slot slot = 0; slot < disk_.end(); ++slot) {
-      if (disk_.at(slot).held && disk_.at(slot).payload.segment == segment) {
-        ++stats_.evicted_disk;
-        erase_disk(slot);
-      }
+      drop_from_segment(slot);
     }
   }
   next_->remove.push_back(segment);
--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -572,6 +572,37 @@
   EXPECT_EQ(again, kept);
 }
 
+// What stands behind a damaged header cannot be listed; the segment is cleared all the same, and nothing
+// names it then.
+TEST(Store, ASegmentWithADamagedHeaderIsClearedAllTheSame) {
+  StoreRig rig;
+  rig.options.part_kb = 1'024;
+  rig.start();
+  for (int i = 0; i < 8; ++i) {
+    rig.keep(name_of(i), copy_of(i, 1, 100'000, kT0));
+  }
+  rig.executor->drain();
+  std::string& first = rig.folder->now.at("seg-0000000001.dat");
+  const std::size_t second_record = first.find("TCR1", kSegmentHeadBytes + 4);
+  ASSERT_NE(second_record, std::string::npos);
+  first[second_record] = '?';
+  for (int i = 100; i < 400; ++i) {
+    rig.steady_ms += 100;
+    rig.keep(name_of(i), copy_of(i, 1, 100'000, kT0));
+    rig.executor->drain();
+    rig.get(name_of(i));  // asked for again, so that these are worth more than the first ones
+  }
+  EXPECT_FALSE(rig.folder->now.contains("seg-0000000001.dat"));
+  for (const auto& [key, row] : rig.index->states.back().rows) {
+    EXPECT_NE(row.location.segment, 1U);
+  }
+  for (int i = 0; i < 8; ++i) {
+    if (const auto got = rig.get(name_of(i))) {
+      EXPECT_EQ(*got->bytes, *copy_of(i, 1, 100'000, kT0).bytes);
+    }
+  }
+}
+
 TEST(Store, AClockThatStepsBackOverARestartDoesNotMakeCopiesYounger) {
   StoreRig rig;
   rig.start();
