--- a/benchmarks/storage_bench.cpp
+++ b/benchmarks/storage_bench.cpp
@@ -1,6 +1,6 @@
 // Measures the disk tier: each figure beside its baseline, in one run. A tool, no test: see docs/storage.md.
 //
-//   storage_bench FOLDER write|read|memory|recovery|placement|index [NUMBER]
+//   storage_bench FOLDER write|read|read-cold|memory|recovery|placement|index [NUMBER]
 #include <fcntl.h>
 #include <sys/resource.h>
 #include <sys/wait.h>
@@ -202,9 +202,10 @@
   return all[std::min(all.size() - 1, static_cast<std::size_t>(share * static_cast<double>(all.size())))];
 }
 
-void read_bench(const std::string& folder) {
+// `cold`: the system's cache is told to forget the bytes before each read, so that they come from the disk.
+void read_bench(const std::string& folder, bool cold) {
   constexpr std::size_t kCount = 4'000;
-  constexpr std::size_t kReads = 20'000;
+  const std::size_t kReads = cold ? 4'000 : 20'000;
   std::printf(
       "| value | plain pread p50, p99 | disk hit p50, p99 | p99 ratio |\n| --- | --- | --- | --- |\n");
   for (const std::size_t size : {4'096U, 64U << 10U, 240'000U}) {
@@ -230,6 +231,15 @@
         open_files[row.location.segment] = ::open((folder + name).c_str(), O_RDONLY);
       }
     }
+    std::map<Key, Location> places;
+    for (const IndexRow& row : rows) {
+      places[row.key] = row.location;
+    }
+    const auto forget = [&](const Location& where) {
+      if (cold) {
+        ::posix_fadvise(open_files[where.segment], 0, 0, POSIX_FADV_DONTNEED);
+      }
+    };
     std::mt19937 random(3);
     std::vector<double> plain;
     std::vector<double> ours;
@@ -238,6 +248,7 @@
     for (std::size_t i = 0; i < kReads; ++i) {
       const IndexRow& row = rows[random() % rows.size()];
       bool done = false;
+      forget(row.location);
       Clock::time_point begun = Clock::now();
       rig.pool.run(
           Executor::Lane::kRead,
@@ -253,6 +264,7 @@
       plain.push_back(seconds_since(begun) * 1e6);
       const Name name = numbered(random() % kCount);
       done = false;
+      forget(places[name.key]);
       begun = Clock::now();
       if (rig.store.find(name, 2).where != Store::Where::kDisk) {
         std::fprintf(stderr, "not on disk\n");
@@ -614,7 +626,7 @@
 
 int run(int count, char** words) {
   if (count < 3) {
-    std::cerr << "storage_bench FOLDER write|read|memory|recovery|placement|index [NUMBER]\n";
+    std::cerr << "storage_bench FOLDER write|read|read-cold|memory|recovery|placement|index [NUMBER]\n";
     return 2;
   }
   const std::string folder = std::string(words[1]) + "/storage-bench";
@@ -622,8 +634,8 @@
   const std::size_t number = count > 3 ? std::stoull(words[3]) : 1'000'000;
   if (what == "write") {
     write_bench(folder);
-  } else if (what == "read") {
-    read_bench(folder);
+  } else if (what == "read" || what == "read-cold") {
+    read_bench(folder, what == "read-cold");
   } else if (what == "memory") {
     memory_bench(folder, number);
   } else if (what == "recovery") {
