Give each test process ports of its own

Need: side by side, two tests took one port between the look and the start of their program, and asked each other's: two of 350 failed once. Change: ports come from below the system's own range, a stretch for each process.

--- a/tests/stand_ins.cpp
+++ b/tests/stand_ins.cpp
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <atomic>
 #include <chrono>
 #include <cstdio>
 #include <cstdlib>
@@ -35,9 +36,20 @@
 
 }  // namespace
 
+// Below the range from which the system gives ports by itself, and a stretch of its own for each process:
+// tests that run side by side never take each other's between this look and the program's start.
 std::uint16_t free_port() {
-  const transport::Opened opened = transport::listen_on(kAnyPort, 1);
-  return transport::local_of(opened.descriptor.get()).port;
+  constexpr int kFirst = 10'000;
+  constexpr int kCount = 20'000;
+  constexpr int kOfProcess = 16;
+  static std::atomic<int> taken = 0;
+  for (int tries = 0; tries < kCount; ++tries) {
+    const auto port = static_cast<std::uint16_t>(kFirst + (::getpid() * kOfProcess + taken++) % kCount);
+    if (transport::listen_on({kAnyPort.ip, port}, 1).descriptor.valid()) {
+      return port;
+    }
+  }
+  throw std::runtime_error("no port is free");
 }
 
 void Server::start(std::uint16_t port) {
