--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -125,11 +125,16 @@
       }
     }
     std::uint64_t offset() const { return disk_.active_end + buffer_.size(); }
-    void add(std::string_view bytes) {
-      buffer_ += bytes;
+    // `append` adds one record to the end of a string; its length is given.
+    template <typename Append>
+    std::size_t add(Append append) {
+      const std::size_t before = buffer_.size();
+      append(buffer_);
+      const std::size_t added = buffer_.size() - before;
       if (buffer_.size() >= kWriteAtOnce) {
         write();
       }
+      return added;
     }
     void finish() {
       write();
@@ -191,14 +196,13 @@
   void write(Batch& batch, Outcome& outcome) {
     guarded(outcome, [&](Appender& appender) {
       for (const Pending& pending : batch.records) {
-        Record record = pending.head;
-        if (pending.value) {
-          record.payload.assign(*pending.value, pending.from, pending.length);
-        }
-        appender.make_room(kRecordHeadBytes + record.name.size() + record.tag.size() + record.payload.size());
+        const Record& record = pending.head;
+        const std::string_view payload =
+            pending.value ? std::string_view(*pending.value).substr(pending.from, pending.length) : "";
+        appender.make_room(kRecordHeadBytes + record.name.size() + record.tag.size() + payload.size());
         const std::uint64_t offset = appender.offset();
-        const std::string bytes = encode_record(record, active_id, offset, compress);
-        appender.add(bytes);
+        const std::size_t stored = appender.add(
+            [&](std::string& out) { append_record(out, record, payload, active_id, offset, compress); });
         Written written;
         written.object = pending.object;
         written.row.key = record.key;
@@ -209,7 +213,7 @@
         where.copy = record.copy;
         where.segment = active_id;
         where.offset = static_cast<std::uint32_t>(offset);
-        where.stored = static_cast<std::uint32_t>(bytes.size());
+        where.stored = static_cast<std::uint32_t>(stored);
         where.parts =
             record.kind == RecordKind::kManifest ? part_count(record.total_bytes, record.part_bytes) : 0;
         where.group = static_cast<std::uint16_t>(record.group + 1);
@@ -233,8 +237,8 @@
   // One record, checked; nothing where it is not as it was written.
   std::optional<Record> read(const Key& key, const Location& where) {
     try {
-      const std::string bytes = segment(where.segment)->read(where.offset, where.stored);
-      std::optional<Record> record = decode_record(bytes, where.segment, where.offset);
+      std::string bytes = segment(where.segment)->read(where.offset, where.stored);
+      std::optional<Record> record = decode_record(std::move(bytes), where.segment, where.offset);
       const bool same =
           record && record->key == key && record->copy == where.copy && record->t0_ms == where.t0_ms;
       return same ? std::move(record) : std::nullopt;
@@ -1050,7 +1054,7 @@
             if (!anew) {
               continue;
             }
-            appender.add(*anew);
+            appender.add([&anew](std::string& out) { out += *anew; });
             item.to = item.from;
             item.to->segment = disk->active_id;
             item.to->offset = static_cast<std::uint32_t>(offset);
