Listen, plain characters and names of marks in one place each

Need: a reread found three copies of listening, two of a check, two of index marks, and an unused accessor. Change: transport::listen_or_throw, protocol::is_plain, marks in store/index.h. Measured: 350 tests pass.

--- a/src/cache_node/command_server.cpp
+++ b/src/cache_node/command_server.cpp
@@ -153,11 +153,7 @@
 CommandServer::~CommandServer() = default;
 
 void CommandServer::listen(const transport::Address& address) {
-  transport::Opened opened = transport::listen_on(address, bounds_.backlog);
-  if (!opened.descriptor.valid()) {
-    throw std::system_error(opened.error, std::generic_category(), "listen on " + to_string(address));
-  }
-  listener_ = std::move(opened.descriptor);
+  listener_ = transport::listen_or_throw(address, bounds_.backlog);
   watch_ = std::make_unique<transport::Watch>(scheduler_, listener_.get());
   scheduler_.spawn(accept_loop());
   scheduler_.spawn(reap());
--- a/src/program/board_server.cpp
+++ b/src/program/board_server.cpp
@@ -141,11 +141,7 @@
 BoardServer::~BoardServer() = default;
 
 void BoardServer::listen(const transport::Address& address) {
-  transport::Opened opened = transport::listen_on(address, 64);
-  if (!opened.descriptor.valid()) {
-    throw std::system_error(opened.error, std::generic_category(), "listen on " + to_string(address));
-  }
-  listener_ = std::move(opened.descriptor);
+  listener_ = transport::listen_or_throw(address, 64);
   watch_ = std::make_unique<transport::Watch>(scheduler_, listener_.get());
   scheduler_.spawn(accept_loop());
   scheduler_.spawn(watch_file());
--- a/src/protocol/cache_answer.h
+++ b/src/protocol/cache_answer.h
@@ -10,6 +10,9 @@
 
 namespace trailcourse::protocol {
 
+// Whether a character can stand in a value of "name=value,name=value".
+constexpr bool is_plain(char c) { return c > ' ' && c < 0x7f && c != ',' && c != '='; }
+
 enum class AnswerWord { kOk, kSame, kMiss, kBusy, kError, kVoid };
 
 // What an answer tells beside its bytes.
--- a/src/protocol/cache_command.cpp
+++ b/src/protocol/cache_command.cpp
@@ -17,8 +17,6 @@
 constexpr int kMostRank = 3;
 constexpr std::uint64_t kMostSpan = std::uint64_t{1} << 40U;
 
-bool is_plain(char c) { return c > ' ' && c < 0x7f && c != ',' && c != '='; }
-
 bool plain_word(std::string_view text, std::size_t most) {
   return !text.empty() && text.size() <= most && std::all_of(text.begin(), text.end(), is_plain);
 }
--- a/src/routing/front.cpp
+++ b/src/routing/front.cpp
@@ -34,8 +34,7 @@
   return !text.empty() && std::all_of(text.begin(), text.end(), good);
 }
 bool is_hex(char c) { return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f') || (c >= 'A' && c <= 'F'); }
-// Values go on inside "name=value,name=value".
-bool is_plain(char c) { return c > ' ' && c < 0x7f && c != ',' && c != '='; }
+using protocol::is_plain;
 
 std::string cgi_head(int status, std::string_view reason) {
   std::string out = "Status: " + std::to_string(status) + ' ';
@@ -399,11 +398,7 @@
 Front::~Front() = default;
 
 void Front::listen(const transport::Address& address) {
-  transport::Opened opened = transport::listen_on(address, bounds_.backlog);
-  if (!opened.descriptor.valid()) {
-    throw std::system_error(opened.error, std::generic_category(), "listen on " + to_string(address));
-  }
-  listener_ = std::move(opened.descriptor);
+  listener_ = transport::listen_or_throw(address, bounds_.backlog);
   watch_ = std::make_unique<transport::Watch>(scheduler_, listener_.get());
   scheduler_.spawn(accept_loop());
   scheduler_.spawn(reap());
--- a/src/store/index.h
+++ b/src/store/index.h
@@ -51,6 +51,10 @@
 
 using IndexMarks = std::map<std::string, std::int64_t>;
 
+// Names of marks: the last segment ever begun, the last event heard of the notice board.
+inline constexpr const char* kSegmentMark = "last_segment";
+inline constexpr const char* kHeardMark = "heard";
+
 // One transaction: all of it or nothing is there after a crash.
 struct IndexBatch {
   std::vector<IndexRow> put;
--- a/src/store/maintenance.cpp
+++ b/src/store/maintenance.cpp
@@ -15,7 +15,6 @@
 constexpr std::size_t kRowsAtOnce = 4'096;
 constexpr std::size_t kMostTold = 100;
 constexpr std::uint64_t kTellEvery = 256;
-constexpr const char* kSegmentMark = "last_segment";
 constexpr std::size_t kCommitAtOnce = 1'024;
 
 template <typename Take>
@@ -97,7 +96,7 @@
   }
   out.purges = index.purges().size();
   const IndexMarks marks = index.marks();
-  const auto heard = marks.find("heard");
+  const auto heard = marks.find(kHeardMark);
   out.heard = heard == marks.end() ? 0 : heard->second;
   return out;
 }
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -17,9 +17,7 @@
 constexpr double kLiveShare = 0.85;  // of the disk; the rest is for segments that are being cleared
 constexpr const char* kFormatFile = "format";
 constexpr std::string_view kFormatWords = "trailcourse store 1\n";
-constexpr const char* kHeardMark = "heard";
 constexpr const char* kClockMark = "clock_ms";
-constexpr const char* kSegmentMark = "last_segment";
 
 std::uint64_t megabytes(std::int64_t count) { return static_cast<std::uint64_t>(count) << 20U; }
 
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -134,9 +134,6 @@
   std::int64_t forbidden_until(const Name& name, int group) const {
     return ledger_.forbidden_until(name.object, group);
   }
-  // The last event of the notice board that the durable index knows; 0 before it is recovered.
-  std::int64_t heard() const { return heard_; }
-
   // Calls back once everything kept so far is on disk and in the index, or given up.
   void flush(std::function<void()> done);
 
--- a/src/transport/socket.cpp
+++ b/src/transport/socket.cpp
@@ -7,6 +7,7 @@
 
 #include <cerrno>
 #include <charconv>
+#include <system_error>
 
 namespace trailcourse::transport {
 namespace {
@@ -83,6 +84,14 @@
   return Opened{std::move(socket), 0};
 }
 
+Descriptor listen_or_throw(const Address& address, int backlog) {
+  Opened opened = listen_on(address, backlog);
+  if (!opened.descriptor.valid()) {
+    throw std::system_error(opened.error, std::generic_category(), "listen on " + to_string(address));
+  }
+  return std::move(opened.descriptor);
+}
+
 Opened start_connect(const Address& address) {
   Descriptor socket = new_socket();
   if (!socket.valid()) {
--- a/src/transport/socket.h
+++ b/src/transport/socket.h
@@ -52,6 +52,8 @@
 };
 
 Opened listen_on(const Address& address, int backlog);
+// The same for those that cannot do without; throws std::system_error that names the address.
+Descriptor listen_or_throw(const Address& address, int backlog);
 Opened start_connect(const Address& address);
 Opened accept_from(int listener);
 Address peer_of(int descriptor);
