--- a/src/cache_node/node.cpp
+++ b/src/cache_node/node.cpp
@@ -26,6 +26,7 @@
   rules.most_open = static_cast<std::size_t>(options.open_requests);
   rules.most_bytes = static_cast<std::size_t>(options.in_flight_mb) << 20U;
   rules.most_fills = static_cast<std::size_t>(options.fills);
+  rules.most_answer_bytes = static_cast<std::size_t>(options.answer_bytes);
   rules.lookup_ms = lookup_ms;
   return rules;
 }
@@ -235,6 +236,12 @@
   sources_.fetch(fetch.fill, fetch.source, *address, fetch.fields, fetch.body);
 }
 
+void Node::perform(const TooLarge& object) {
+  log_line(Level::kWarning) << "object " << object.item << '/' << object.chunk << " holds " << object.bytes
+                            << " bytes, an answer " << object.most
+                            << " at most (answer_bytes): answered ERR, not kept";
+}
+
 void Node::perform(const Complete& complete) {
   store_.complete(complete.name, *complete.partial, complete.had, complete.rank);
 }
@@ -284,6 +291,7 @@
   add("errors", counts.errors);
   add("refused", counts.refused);
   add("too_old", counts.too_old);
+  add("too_large", counts.too_large);
   add("late_lookups", counts.late_lookups);
   add("memory_copies", stats.memory_copies);
   add("disk_records", stats.disk_copies);
--- a/src/cache_node/node_core.cpp
+++ b/src/cache_node/node_core.cpp
@@ -89,7 +89,13 @@
   Request& request = at->second;
   lookup_dues_.erase({request.lookup_due_ms, number});
   request.lookup_due_ms = 0;
-  if (found.status == store::ReadStatus::kWhole) {
+  const bool whole = found.status == store::ReadStatus::kWhole;
+  if (whole && found.copy.size() > rules_.most_answer_bytes) {
+    out.emplace_back(Drop{request.name});  // kept under another bound
+    fill(now, number, nullptr, out);
+    return;
+  }
+  if (whole) {
     const Copy& copy = found.copy;
     // Until the notice board was heard, see unheard_before().
     const bool vouched = request.fields.age_limit_ms > 0 || copy.t0_ms > unheard_before_;
@@ -297,6 +303,10 @@
     return;
   }
   Fill& fill = at->second;
+  if (result.body && result.body->size() > rules_.most_answer_bytes) {
+    too_large(now, number, result.body->size(), out);
+    return;
+  }
   if (fill.passed_on) {
     pass_back(now, number, result, out);
     return;
@@ -428,11 +438,33 @@
       again_or_miss(now, waiter, note, out);
     } else {
       ++(word == AnswerWord::kError ? counts_.errors : counts_.misses);
-      turn_away(waiter, word, note, "", out);
+      turn_away(waiter, word, note, result.fields.why.c_str(), out);
     }
   }
 }
 
+// No answer can hold it, at this node or at any other: it is the origin's failure, and nothing is kept.
+void NodeCore::too_large(const Moment& now, FillNumber number, std::size_t bytes, std::vector<Action>& out) {
+  constexpr std::size_t kMostTold = 1'024;
+  const Fill& fill = fills_.at(number);
+  ++counts_.too_large;
+  if (told_too_large_.size() >= kMostTold) {
+    told_too_large_.clear();
+  }
+  if (told_too_large_.emplace(fill.fields.item, fill.fields.chunk).second) {
+    out.emplace_back(TooLarge{fill.fields.item, fill.fields.chunk, bytes, rules_.most_answer_bytes});
+  }
+  FetchResult refused;
+  refused.word = AnswerWord::kError;
+  refused.fields.note = Note::kOriginFailed;
+  refused.fields.why = "too_large";
+  if (fill.passed_on) {
+    pass_back(now, number, refused, out);
+  } else {
+    fill_failed(now, number, refused, out);
+  }
+}
+
 // What the source said goes back as it came; only where it is proven that nothing ran does a broken way say
 // miss.
 void NodeCore::pass_back(const Moment& now, FillNumber number, const FetchResult& result,
--- a/src/cache_node/node_core.h
+++ b/src/cache_node/node_core.h
@@ -41,6 +41,7 @@
   std::size_t most_open = 1'024;
   std::size_t most_bytes = 64U << 20U;  // of answers that are gathered or not yet taken
   std::size_t most_fills = 64;
+  std::size_t most_answer_bytes = protocol::kMostObjectBytes;  // beyond, an object is answered ERR
   std::size_t expected_bytes = 64U << 10U;  // counted for a fill whose size is not known yet
   std::int64_t lookup_ms = 150;             // the disk's time for one copy
 };
@@ -94,7 +95,14 @@
 struct Drop {
   store::Name name;
 };
-using Action = std::variant<Answer, LookUp, GiveUpLookUp, Fetch, StopFetch, Keep, Complete, Drop>;
+// An object is larger than an answer may be; told once for each, as long as it is remembered.
+struct TooLarge {
+  std::string item;
+  std::string chunk;
+  std::size_t bytes = 0;
+  std::size_t most = 0;
+};
+using Action = std::variant<Answer, LookUp, GiveUpLookUp, Fetch, StopFetch, Keep, Complete, Drop, TooLarge>;
 
 // A request's time and what is known of the present.
 struct Moment {
@@ -106,7 +114,8 @@
 struct NodeCounts {
   std::uint64_t requests = 0, hits = 0, aged = 0, same = 0, misses = 0, fills = 0, joined = 0, busy = 0,
                 refused = 0;
-  std::uint64_t errors = 0, late_lookups = 0, timed_out = 0, left = 0, too_old = 0, spans = 0, fill_bytes = 0;
+  std::uint64_t errors = 0, late_lookups = 0, timed_out = 0, left = 0, too_old = 0, spans = 0, fill_bytes = 0,
+                too_large = 0;
 };
 
 class NodeCore {
@@ -190,6 +199,7 @@
   void filled(const Moment& now, FillNumber number, const store::Copy& copy, Note source_note,
               std::vector<Action>& out);
   void fill_failed(const Moment& now, FillNumber number, const FetchResult& result, std::vector<Action>& out);
+  void too_large(const Moment& now, FillNumber number, std::size_t bytes, std::vector<Action>& out);
   void pass_back(const Moment& now, FillNumber number, const FetchResult& result, std::vector<Action>& out);
   void again_or_miss(const Moment& now, RequestNumber number, Note note, std::vector<Action>& out);
   void answer(RequestNumber number, protocol::AnswerWord word, protocol::AnswerOut fields,
@@ -209,7 +219,8 @@
   std::set<std::pair<std::int64_t, RequestNumber>> lookup_dues_;  // of their look-ups
   std::set<std::pair<std::int64_t, FillNumber>> fill_dues_;
   FillNumber last_fill_ = 0;
-  std::size_t bytes_ = 0;  // counted for fills
+  std::size_t bytes_ = 0;                                         // counted for fills
+  std::set<std::pair<std::string, std::string>> told_too_large_;  // items and parts
   std::int64_t unheard_before_ = INT64_MIN;
   NodeCounts counts_;
 };
--- a/src/cache_node/node_options.cpp
+++ b/src/cache_node/node_options.cpp
@@ -29,6 +29,10 @@
                "under way at once; beyond it a miss is answered BUSY, so that sources are not pushed over")
         .whole("value_kb", &NodeOptions::value_kb, "KB", WholeRange{1, 262'144},
                "the largest value; a source that sends more is not listened to")
+        .whole(
+            "answer_bytes", &NodeOptions::answer_bytes, "bytes", WholeRange{1'024, 67'108'864},
+            "the most that one answer holds, as routers read them; a larger object is answered ERR and not "
+            "kept")
         .whole("connections", &NodeOptions::connections, "connections", WholeRange{8, 100'000},
                "from routers and nodes; beyond it the one unused for longest goes")
         .whole("source_connections", &NodeOptions::source_connections, "connections", WholeRange{1, 1'024},
@@ -69,7 +73,8 @@
         .text("name", &OriginOptions::name, "-", Words{}, "its id in the list")
         .text("folder", &OriginOptions::folder, "-", Words{},
               "serves the files ITEM or ITEM/PART below it; none: objects are made from their names")
-        .whole("size_kb", &OriginOptions::size_kb, "KB", WholeRange{0, 262'144}, "of a made object")
+        .whole("size_kb", &OriginOptions::size_kb, "KB", WholeRange{0, protocol::kMostObjectBytes >> 10U},
+               "of a made object; the protocol's objects hold 240,000 bytes at most")
         .whole("delay_ms", &OriginOptions::delay_ms, "ms", WholeRange{0, 60'000}, "before each answer")
         .whole("kb_per_s", &OriginOptions::kb_per_s, "KB/s", WholeRange{0, 16'777'216},
                "of all answers together, one after the other; 0: as fast as it goes")
--- a/src/decision/decide.cpp
+++ b/src/decision/decide.cpp
@@ -81,14 +81,16 @@
 constexpr double kPatienceBase = 0.3;     // seconds beyond the expected answer before silence counts
 constexpr double kPatienceStretch = 2.0;  // and so many times the expected answer
 constexpr double kStreakLimit = 3.0;      // consecutive blames that eject
-constexpr double kConnectBlame = 1.5;     // of a connection that was not to be had
-constexpr double kResetBlame = 0.5;       // of one that broke: what died is not to be had next
-constexpr double kFailGain = 0.1;         // smoothing of the share of failures
-constexpr double kFailLimit = 0.4;        // share of failures that ejects
-constexpr double kDeadShare = 0.75;       // of refusals that only a dead parent shows: one that runs has hits
-constexpr double kOutlier = 3.0;          // times the share of the soundest parent that stands out
-constexpr double kShareCut = 0.8;         // of the objects that a source takes, by one bad fill
-constexpr double kShareGrow = 0.02;       // by one good fill
+constexpr Micros kAtOnce =
+    milliseconds(50);                  // a connection refused by then costs a request no time to speak of
+constexpr double kConnectBlame = 1.5;  // of a connection that was not to be had
+constexpr double kResetBlame = 0.5;    // of one that broke: what died is not to be had next
+constexpr double kFailGain = 0.1;      // smoothing of the share of failures
+constexpr double kFailLimit = 0.4;     // share of failures that ejects
+constexpr double kDeadShare = 0.75;    // of refusals that only a dead parent shows: one that runs has hits
+constexpr double kOutlier = 3.0;       // times the share of the soundest parent that stands out
+constexpr double kShareCut = 0.8;      // of the objects that a source takes, by one bad fill
+constexpr double kShareGrow = 0.02;    // by one good fill
 constexpr double kShareLeast = 0.05;
 constexpr double kEjectBase = 1.0;  // seconds of the first ejection; doubles
 constexpr int kEjectDoublings = 3;
@@ -331,17 +333,25 @@
     return (node.in_flight + node.others) / (node.transfers * cold_share(node));
   }
 
-  // The first cache in hash order; another only where that one is failing, cold or far busier.
+  // The first cache in hash order; another only where that one is failing, cold or far busier. With none
+  // sound the one that failed longest ago may be back: it gets one request at a time, or what comes where its
+  // refusals of a connection cost no time.
   int pick_cache(const Request& request) {
     const std::vector<int> order = hash_order(request.key, Role::kCache);
     const bool heed_health = !mostly_ejected(order);
     const double cost = cold_cost(request);
     int best = -1;
+    int resort = -1;
     int looked_at = 0;
     for (const int index : order) {
       Node& node = at(index);
       const bool ill = !healthy(node) && (heed_health || node.unreachable);
-      if (request.avoids(index) || ill || !cold_budget_allows(node, cost) || !may_send(request, node)) {
+      if (request.avoids(index) || !cold_budget_allows(node, cost) || !may_send(request, node)) {
+        continue;
+      }
+      if (ill) {
+        const bool longer = resort < 0 || node.blamed_at < at(resort).blamed_at;
+        resort = (!node.trial_out || node.refuses) && longer ? index : resort;
         continue;
       }
       if (best < 0 || load(node) < kSpreadGain * load(at(best))) {
@@ -351,7 +361,7 @@
         break;
       }
     }
-    return best;
+    return best >= 0 ? best : resort;
   }
 
   // The home parent over all listed ones; the next, then the origin, where that one is failing, cold or has
@@ -607,6 +617,7 @@
     Node& source = at(attempt.source);
     node.in_flight = std::max(0, node.in_flight - 1);
     node.unreachable = ended.status == Status::kConnectFailed;
+    node.refuses = node.unreachable && ended.latency < kAtOnce;
     node.trial_out &= !attempt.trial;
     source.trial_out &= !attempt.source_trial;
     source.cold_tokens += shows_hit(ended.note) ? attempt.cold_cost : 0.0;
--- a/src/decision/state.h
+++ b/src/decision/state.h
@@ -29,6 +29,7 @@
   bool silent = false;  // ejected for silence alone: the next good answer ends that
   bool trial_out = false;
   bool unreachable = false;  // the last attempt there found no connection
+  bool refuses = false;      // and was told so at once: the machine lives, the process does not
   double cold_tokens = 0.0;  // below 0: its drawn start, a share of one turn
   Micros cold_at{0};
 };
--- /dev/null
+++ b/src/fleet/layout.cpp
@@ -0,0 +1,245 @@
+#include "fleet/layout.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <fstream>
+#include <functional>
+#include <iterator>
+#include <stdexcept>
+#include <utility>
+
+namespace trailcourse::fleet {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr const char* kHub = "hub";  // parents and the origin
+constexpr int kDiskMb = 64;
+
+void write_file(const std::string& path, const json& content) {
+  const std::string next = path + ".next";
+  std::ofstream file(next, std::ios::binary);
+  file << content.dump(1) << '\n';
+  file.close();
+  if (!file.good() || std::rename(next.c_str(), path.c_str()) != 0) {
+    throw std::runtime_error("cannot write " + path);
+  }
+}
+
+std::string numbered(const char* stem, int number) { return stem + std::to_string(number); }
+
+}  // namespace
+
+const char* to_string(Kind kind) {
+  switch (kind) {
+    case Kind::kBoard:
+      return "board";
+    case Kind::kOrigin:
+      return "origin";
+    case Kind::kParent:
+      return "parent";
+    case Kind::kCache:
+      return "cache";
+    case Kind::kRouter:
+      break;
+  }
+  return "router";
+}
+
+Layout::Layout(Shape shape, std::string folder, PortBook& ports)
+    : shape_(std::move(shape)), folder_(std::move(folder)) {
+  const auto add = [&](Kind kind, const std::string& name, const std::string& zone) {
+    Member member;
+    member.kind = kind;
+    member.name = name;
+    member.zone = zone;
+    member.address = ports.take_text();
+    member.told_address = member.address;
+    members_.push_back(std::move(member));
+  };
+  const auto zone = [this](int number) {
+    return shape_.zones[static_cast<std::size_t>(number) % shape_.zones.size()];
+  };
+  add(Kind::kBoard, "board", kHub);
+  add(Kind::kOrigin, "origin", kHub);
+  for (int i = 0; i < shape_.parents; ++i) {
+    add(Kind::kParent, numbered("parent", i), kHub);
+  }
+  for (int i = 0; i < shape_.caches; ++i) {
+    add(Kind::kCache, numbered("cache", i), zone(i));
+  }
+  for (int i = 0; i < shape_.routers; ++i) {
+    add(Kind::kRouter, numbered("router", i), zone(i));
+  }
+  const std::string board = members_.front().address;
+  for (Member& member : members_) {
+    member.board = board;
+  }
+}
+
+const Member& Layout::member(const std::string& name) const {
+  const auto found =
+      std::find_if(members_.begin(), members_.end(), [&](const Member& one) { return one.name == name; });
+  if (found == members_.end()) {
+    throw std::out_of_range("no member " + name);
+  }
+  return *found;
+}
+
+Member& Layout::member(const std::string& name) {
+  return const_cast<Member&>(std::as_const(*this).member(name));
+}
+
+std::vector<std::string> Layout::names(Kind kind) const {
+  std::vector<std::string> out;
+  for (const Member& member : members_) {
+    if (member.kind == kind) {
+      out.push_back(member.name);
+    }
+  }
+  return out;
+}
+
+json Layout::entry(const Member& member, const std::string& status, std::int64_t since_ms) const {
+  const char* type = member.kind == Kind::kCache ? "std" : to_string(member.kind);
+  return {{"name", member.name},
+          {"address", member.told_address},
+          {"zone", member.zone},
+          {"type", type},
+          {"group", 0},
+          {"status", status},
+          {"weight", shape_.weight},
+          {"since_ms", since_ms}};
+}
+
+json Layout::first_page() const {
+  json entries = json::array();
+  for (const Member& member : members_) {
+    if (member.kind != Kind::kBoard && member.kind != Kind::kRouter) {
+      entries.push_back(entry(member));
+    }
+  }
+  const json pool{{"index", 1}, {"snapshot", true}, {"endpoints", entries}};
+  return {{"rev", 1}, {"notices", json::array({{{"rev", 1}, {"pool", pool}}})}};
+}
+
+json Layout::settings(const std::string& zone, int index) const {
+  json zones = json::array({kHub});
+  json counts = json::array({0});
+  json links = json::array({0});
+  for (const std::string& one : shape_.zones) {
+    zones.push_back(one);
+    const auto routers = names(Kind::kRouter);
+    counts.push_back(std::count_if(routers.begin(), routers.end(),
+                                   [&](const std::string& name) { return member(name).zone == one; }));
+    links.push_back(90'000);
+  }
+  json out = json::parse(R"({"Kinds": ["std", "parent", "origin"], "Weights": "nominal", "Discovery": "push",
+    "Classes": [{"Name": "media", "Effect": "safe", "ObjectiveS": 2, "AimStretch": 2, "GiveUpS": 6, "Worth": 1}],
+    "Extra": {"MidKind": 1, "OriginKind": 2, "StreamKbPerS": 5000, "LifetimeByClassS": [0], "ClassGraceS": [0],
+      "Uncached": [false], "NoteLevel": "all", "Collapses": true, "Siblings": "none", "ClearedWithinS": 6,
+      "ParentFloor": 0.3, "ParentRampS": 10, "ParentBreaksAt": 4},
+    "Limits": {"AttemptsCap": 6, "Cancel": true, "ParallelTries": true, "ConnIdleS": 15, "ConnectTimeoutS": 0.4,
+      "StreamsPerConn": 32, "MaxOpen": 20000, "RetryAfter": true, "MaxRetryAfterS": 1},
+    "Rules": {"DrainGraceS": 1, "OverloadFactor": 4, "OverloadForS": 2, "AnswerSlackS": 0.008},
+    "Report": {"How": "answers", "Fields": ["concurrent", "load_share"]}})");
+  out["Az"] = zone;
+  out["SelfIndex"] = index;
+  out["Balancers"] = shape_.routers;
+  out["Zones"] = zones;
+  out["Extra"]["CountByZone"] = counts;
+  out["Extra"]["ZoneLinkKbPerS"] = links;
+  out["Extra"]["Direct"] = shape_.direct;
+  out["Extra"]["HeedWithinS"] = shape_.purge_grace_s;
+  out["Extra"]["ParentFloor"] = shape_.cold_from;
+  out["Extra"]["ParentRampS"] = shape_.cold_s;
+  out["Rules"]["ColdFrom"] = shape_.cold_from;
+  out["Rules"]["ColdS"] = shape_.cold_s;
+  return out;
+}
+
+json Layout::config(const Member& member) const {
+  switch (member.kind) {
+    case Kind::kBoard: {
+      json board{{"listen", member.address}, {"file", board_file()}};
+      board.update(shape_.board);
+      return {{"board", board}};
+    }
+    case Kind::kOrigin:
+      return {{"origin",
+               {{"listen", member.address},
+                {"size_kb", shape_.object_kb},
+                {"delay_ms", shape_.origin_delay_ms}}}};
+    case Kind::kParent:
+    case Kind::kCache: {
+      json store{{"memory_mb", 8}};
+      if (shape_.disk) {
+        store.update({{"folder", folder_ + "/disk-" + member.name}, {"disk_mb", kDiskMb}, {"segment_mb", 4}});
+      }
+      return {{"store", store},
+              {"cache",
+               {{"name", member.name},
+                {"listen", member.address},
+                {"board", member.board},
+                {"fill_from", member.kind == Kind::kParent ? "origin" : ""},
+                {"connections", 4'096},
+                {"origin", "origin"}}},
+              {"classes", {{"media", json::object()}}}};
+    }
+    case Kind::kRouter:
+      break;
+  }
+  const auto routers = names(Kind::kRouter);
+  const auto index = std::distance(routers.begin(), std::find(routers.begin(), routers.end(), member.name));
+  char seed[17];
+  std::snprintf(seed, sizeof seed, "%016zx",
+                std::hash<std::string>()(member.name + member.address + "/" + std::to_string(member.starts)));
+  json out{{"name", member.name},
+           {"listen", member.address},
+           {"board", member.board},
+           {"seed", seed},
+           {"limits", {{"memory_mb", shape_.memory_mb}, {"sockets", shape_.sockets}}},
+           {"known", first_page()},
+           {"settings", settings(member.zone, static_cast<int>(index))}};
+  if (!shape_.router.empty()) {
+    out["router"] = shape_.router;
+  }
+  return out;
+}
+
+// Of a router: the sections that its platform does not tell.
+json Layout::operator_config(const Member& member) const {
+  json out = shape_.operators;
+  if (!member.relay.empty()) {
+    out["relay"]["listen"] = member.relay;
+  }
+  if (out.contains("snapshot")) {
+    out["snapshot"]["folder"] = folder_ + "/snapshot-" + member.name;
+  }
+  return out;
+}
+
+void Layout::write(const Member& member) const {
+  write_file(config_file(member.name), config(member));
+  if (member.kind == Kind::kRouter) {
+    write_file(operator_file(member.name), operator_config(member));
+  }
+}
+
+void Layout::write() const {
+  write_file(board_file(), first_page());
+  for (const Member& one : members_) {
+    write(one);
+  }
+}
+
+std::vector<std::string> Layout::words(const Member& member, const std::string& program) const {
+  if (member.kind == Kind::kRouter) {
+    return {program, "serve", "--config", config_file(member.name), "--operator", operator_file(member.name)};
+  }
+  const char* command = member.kind == Kind::kParent ? "cache" : to_string(member.kind);
+  return {program, command, "--config", config_file(member.name)};
+}
+
+}  // namespace trailcourse::fleet
--- /dev/null
+++ b/src/fleet/layout.h
@@ -0,0 +1,96 @@
+// What a small fleet on one machine consists of: names, zones, addresses, and the configuration of each
+// process. Nothing is started here.
+//
+// Package `fleet`; files are written where write() is told, no socket is opened. Not thread-safe.
+#pragma once
+
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "fleet/ports.h"
+
+namespace trailcourse::fleet {
+
+enum class Kind { kBoard, kOrigin, kParent, kCache, kRouter };
+const char* to_string(Kind kind);
+
+// How large it is, and what its parts can do.
+struct Shape {
+  int routers = 1;
+  int caches = 2;
+  int parents = 1;
+  std::vector<std::string> zones{"edge"};  // caches and routers are dealt out to them in turn
+  int object_kb = 20;
+  int origin_delay_ms = 0;
+  int weight = 8;      // transfers of a cache or parent
+  bool disk = false;   // caches and parents keep copies on disk
+  bool direct = true;  // routers may ask the origin themselves
+  double purge_grace_s = 0.3;
+  double cold_s = 10.0;
+  double cold_from = 0.3;
+  int memory_mb = 192;
+  int sockets = 1'024;
+  nlohmann::json router = nlohmann::json::object();  // the routers' tuning keys
+  nlohmann::json operators =
+      nlohmann::json::object();                     // further sections of the operator's file of each router
+  nlohmann::json board = nlohmann::json::object();  // further keys of the board's section
+};
+
+struct Member {
+  Kind kind = Kind::kRouter;
+  std::string name;
+  std::string zone;
+  std::string address;       // where it listens
+  std::string told_address;  // where others are told to reach it: a proxy's, or its own
+  std::string board;         // where it reaches the board: a proxy's, or the board's own
+  std::string relay;         // where a router passes pages on; empty: it does not
+  int starts = 0;            // so far: each start has a seed of its own
+};
+
+class Layout {
+ public:
+  // Deals out names and addresses. `folder` must exist.
+  Layout(Shape shape, std::string folder, PortBook& ports);
+
+  const Shape& shape() const { return shape_; }
+  Shape& shape() { return shape_; }
+  const std::string& folder() const { return folder_; }
+  std::vector<Member>& members() { return members_; }
+  const std::vector<Member>& members() const { return members_; }
+  // Throws std::out_of_range where there is none of that name.
+  const Member& member(const std::string& name) const;
+  Member& member(const std::string& name);
+  std::vector<std::string> names(Kind kind) const;
+
+  // The first page of the board: all caches, parents and the origin, up.
+  nlohmann::json first_page() const;
+  // An entry of the board's list, as told.
+  nlohmann::json entry(const Member& member, const std::string& status = "up",
+                       std::int64_t since_ms = 0) const;
+  // The settings that the platform would tell the routers of a zone.
+  nlohmann::json settings(const std::string& zone, int index) const;
+
+  // Writes the file of each member, and the board's first page. Throws std::runtime_error.
+  void write() const;
+  // The same for one member.
+  void write(const Member& member) const;
+  // The words that start a member: the program's path and its arguments.
+  std::vector<std::string> words(const Member& member, const std::string& program) const;
+
+  std::string board_file() const { return folder_ + "/board-page.json"; }
+  std::string log_file(const std::string& name) const { return folder_ + "/" + name + ".log"; }
+  std::string config_file(const std::string& name) const { return folder_ + "/" + name + ".json"; }
+  std::string operator_file(const std::string& name) const { return folder_ + "/" + name + ".operator.json"; }
+
+ private:
+  nlohmann::json config(const Member& member) const;
+  nlohmann::json operator_config(const Member& member) const;
+
+  Shape shape_;
+  std::string folder_;
+  std::vector<Member> members_;
+};
+
+}  // namespace trailcourse::fleet
--- /dev/null
+++ b/src/fleet/load.cpp
@@ -0,0 +1,188 @@
+#include "fleet/load.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <string_view>
+#include <utility>
+
+#include "protocol/fastcgi_peer.h"
+#include "protocol/numbers.h"
+
+namespace trailcourse::fleet {
+
+using transport::Clock;
+using transport::Connection;
+using transport::ConnectionEnd;
+
+namespace {
+
+constexpr std::uint8_t kStdout = 6;
+constexpr std::uint8_t kEndRequest = 3;
+constexpr std::uint16_t kMostKey = 30'000;
+constexpr std::uint64_t kGroups = 256;
+
+// The value of a header in the head of a CGI response, or nothing.
+std::string_view header(std::string_view head, std::string_view name) {
+  const std::size_t at = head.find(name);
+  if (at == std::string_view::npos) {
+    return {};
+  }
+  const std::string_view rest = head.substr(at + name.size());
+  return rest.substr(0, rest.find("\r\n"));
+}
+
+// "object ITEM/PART/VERSION\n" begins a made object.
+int version_in(std::string_view body) {
+  if (!body.starts_with("object ")) {
+    return 0;
+  }
+  const std::string_view line = body.substr(0, body.find('\n'));
+  return protocol::read_number<int>(line.substr(line.rfind('/') + 1)).value_or(0);
+}
+
+}  // namespace
+
+// A connection to one router.
+class Load::Link : public Connection::Handler {
+ public:
+  Link(Load& load, std::shared_ptr<Connection> connection)
+      : load_(&load), connection_(std::move(connection)) {}
+  // The load goes: nothing is counted any more.
+  void leave() {
+    load_ = nullptr;
+    connection_->close(ConnectionEnd::kDropped);
+  }
+
+  bool ended() const { return connection_->ended(); }
+  std::size_t open() const { return open_.size(); }
+
+  void send(std::size_t place, const std::string& object) {
+    do {
+      key_ = key_ >= kMostKey ? std::uint16_t{1} : static_cast<std::uint16_t>(key_ + 1);
+    } while (open_.contains(key_));
+    open_[key_] = place;
+    const Options& options = load_->options_;
+    char id[17];
+    std::snprintf(id, sizeof id, "%016llx", static_cast<unsigned long long>(load_->asked_[place].id));
+    const auto number = protocol::read_hex<std::uint64_t>(object).value_or(0);
+    protocol::fastcgi_peer::Fields fields{{"SCRIPT_NAME", "/v1/" + options.request_class},
+                                          {"HTTP_X_CALL_ID", id},
+                                          {"HTTP_X_PATIENCE_MS", std::to_string(options.patience.count())},
+                                          {"HTTP_X_ENTITY", object},
+                                          {"HTTP_X_NTH", "0"},
+                                          {"HTTP_X_BATCH", std::to_string(number % kGroups)},
+                                          {"HTTP_X_TRACE", "1"}};
+    if (options.size_kb > 0.0) {
+      fields.emplace_back("HTTP_X_HEAP_KB", std::to_string(options.size_kb));
+    }
+    connection_->write(protocol::fastcgi_peer::request_bytes(key_, fields, ""));
+  }
+
+  void on_bytes(std::string_view bytes) override {
+    if (load_ == nullptr) {
+      return;
+    }
+    bytes_ += bytes;
+    for (const protocol::fastcgi_peer::Record& record : protocol::fastcgi_peer::take_records(bytes_)) {
+      if (record.type == kStdout) {
+        texts_[record.key] += record.content;
+      } else if (record.type == kEndRequest) {
+        end(record.key);
+      }
+    }
+  }
+
+  void on_end(ConnectionEnd) override {
+    if (load_ == nullptr) {
+      return;
+    }
+    for (const auto& [key, place] : std::exchange(open_, {})) {
+      load_->asked_[place].connection_ended = true;
+      --load_->open_;
+    }
+  }
+
+ private:
+  void end(std::uint16_t key) {
+    const std::string text = std::exchange(texts_[key], {});
+    texts_.erase(key);
+    // A key is used again only long after; an end for one that is not open is a second answer to its last
+    // user.
+    const auto open = open_.find(key);
+    const auto last = last_.find(key);
+    if (open == open_.end()) {
+      if (last != last_.end()) {
+        ++load_->asked_[last->second].answers;
+      }
+      return;
+    }
+    Asked& asked = load_->asked_[open->second];
+    last_[key] = open->second;
+    open_.erase(open);
+    --load_->open_;
+    ++asked.answers;
+    asked.answered = Clock::now();
+    const std::size_t head_end = text.find("\r\n\r\n");
+    const std::string_view head = std::string_view(text).substr(0, head_end);
+    asked.status = protocol::read_number<int>(header(head, "Status: ").substr(0, 3)).value_or(0);
+    asked.via = header(head, "X-Via: ");
+    std::string body = head_end == std::string::npos ? "" : text.substr(head_end + 4);
+    asked.bytes = body.size();
+    asked.version = version_in(body);
+    if (load_->options_.keep_bodies) {
+      asked.body = std::move(body);
+    }
+  }
+
+  Load* load_;
+  std::shared_ptr<Connection> connection_;
+  std::uint16_t key_ = 0;
+  std::string bytes_;
+  std::map<std::uint16_t, std::string> texts_;
+  std::map<std::uint16_t, std::size_t> open_;
+  std::map<std::uint16_t, std::size_t> last_;
+};
+
+Load::Load(transport::Scheduler& scheduler, Options options, std::uint64_t seed)
+    : scheduler_(scheduler), options_(std::move(options)), next_id_(seed) {}
+
+Load::~Load() {
+  for (const auto& [router, link] : links_) {
+    link->leave();
+  }
+}
+
+std::size_t Load::ask(const std::string& router, const transport::Address& address,
+                      const std::string& object) {
+  std::shared_ptr<Link>& link = links_[router];
+  if (!link || link->ended()) {
+    const Connection::Bounds bounds;
+    const auto connection = Connection::connect(scheduler_, address, bounds);
+    link = std::make_shared<Link>(*this, connection);
+    connection->start(link);
+  }
+  const std::size_t place = asked_.size();
+  Asked asked;
+  // Never the same id twice, and none that tells the order: a mixing of a counter.
+  asked.id = ++next_id_ * 0x9e3779b97f4a7c15ULL;
+  asked.router = router;
+  asked.object = object;
+  asked.sent = Clock::now();
+  asked_.push_back(std::move(asked));
+  ++open_;
+  link->send(place, object);
+  return place;
+}
+
+std::size_t Load::open_at(const std::string& router) const {
+  const auto found = links_.find(router);
+  return found == links_.end() ? 0 : found->second->open();
+}
+
+std::string object_name(std::uint64_t number) {
+  char text[17];
+  std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(number));
+  return text;
+}
+
+}  // namespace trailcourse::fleet
--- /dev/null
+++ b/src/fleet/ports.cpp
@@ -0,0 +1,32 @@
+#include "fleet/ports.h"
+
+#include <unistd.h>
+
+#include <stdexcept>
+
+namespace trailcourse::fleet {
+namespace {
+
+constexpr std::uint32_t kFirstHost = 0x7f400000U;  // 127.64.0.0
+constexpr std::uint32_t kHosts = 0x00400000U;      // as many as the system has process ids at most
+constexpr int kFirstPort = 10'000;
+constexpr int kLastPort = 32'000;  // below the range that is lent out
+
+int next_port = kFirstPort;  // of the process: books made one after the other give different ports
+
+}  // namespace
+
+PortBook::PortBook() : host_(kFirstHost + static_cast<std::uint32_t>(::getpid()) % kHosts) {}
+
+transport::Address PortBook::take() {
+  for (int tries = kFirstPort; tries < kLastPort; ++tries) {
+    const transport::Address address{host_, static_cast<std::uint16_t>(next_port)};
+    next_port = next_port + 1 < kLastPort ? next_port + 1 : kFirstPort;
+    if (transport::listen_on(address, 1).descriptor.valid()) {
+      return address;
+    }
+  }
+  throw std::runtime_error("no loopback port is free");
+}
+
+}  // namespace trailcourse::fleet
--- a/src/program/operator_file.cpp
+++ b/src/program/operator_file.cpp
@@ -42,6 +42,10 @@
       }
       need_address("cache.sources", source.substr(equals + 1), false);
     }
+    if (file.cache.value_kb << 10U < file.cache.answer_bytes) {
+      throw ConfigurationError("cache.answer_bytes: " + std::to_string(file.cache.answer_bytes) +
+                               " is over value_kb, " + std::to_string(file.cache.value_kb));
+    }
     if (file.classes.empty()) {
       throw ConfigurationError("classes: a cache needs one at least");
     }
--- a/src/protocol/cache_answer.h
+++ b/src/protocol/cache_answer.h
@@ -3,6 +3,7 @@
 
 #include <trailcourse/decider.h>
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -15,6 +16,9 @@
 
 enum class AnswerWord { kOk, kSame, kMiss, kBusy, kError, kVoid };
 
+// The most that an object may hold, by the protocol of routers and caches; nothing larger can be answered.
+constexpr std::size_t kMostObjectBytes = 240'000;
+
 // What an answer tells beside its bytes.
 struct AnswerFields {
   Note note = Note::kNone;
--- a/tests/decider_test.cpp
+++ b/tests/decider_test.cpp
@@ -929,6 +929,63 @@
   EXPECT_LE(ask_all(40), 8) << "only trials go there";
 }
 
+// Two caches that refuse every connection, after `took` each time, until both are ejected: the one that
+// failed longer ago.
+std::string eject_both(Router& router, Micros took) {
+  router.list({node("c1"), node("c2"), node("o", Role::kOrigin)});
+  std::map<std::string, Micros> failed;
+  for (RequestId id = 1; id <= 6; ++id) {
+    router.now += milliseconds(20);
+    router.ask(id);
+    for (std::size_t attempt = 0; attempt < router.sends[id].size(); ++attempt) {
+      router.now += milliseconds(1);
+      failed[router.sends[id][attempt].cache] = router.now;
+      AttemptEnded ended;
+      ended.id = id;
+      ended.attempt = static_cast<int>(attempt);
+      ended.status = Status::kConnectFailed;
+      ended.latency = took;
+      router.handle(ended);
+    }
+  }
+  EXPECT_EQ(failed.size(), 2U);
+  return failed["c1"] < failed["c2"] ? "c1" : "c2";
+}
+
+// Provokes: a cache that was killed and is back while the other is killed. Left out for its whole ejection,
+// it costs every request of that time though it would serve.
+TEST(Failures, WithNoneSoundTheCacheThatFailedLongestAgoIsAskedAgain) {
+  Router router;
+  const std::string first = eject_both(router, Micros(300));
+  router.now += milliseconds(20);
+  for (RequestId id = 100; id < 105; ++id) {
+    const auto out = router.ask(id);
+    ASSERT_EQ(count<Send>(out), 1) << "none is refused while connections are refused at once";
+    EXPECT_EQ(all<Send>(out)[0].cache, first);
+  }
+  EXPECT_EQ(finals(router.end(100, 0, Status::kOk, Note::kHit)), 0);
+  const auto after = router.ask(106);
+  ASSERT_EQ(count<Send>(after), 1);
+  EXPECT_EQ(all<Send>(after)[0].cache, first) << "it answers, so it is used";
+}
+
+// Provokes: machines that are gone say nothing, and each request sent there waits for its connection. One at
+// a time finds out whether they are back; the others are refused at once, as before.
+TEST(Failures, WithNoneSoundASilentCacheGetsOneRequestAtATime) {
+  Router router;
+  const std::string first = eject_both(router, milliseconds(400));
+  router.now += milliseconds(20);
+  const auto out = router.ask(100);
+  ASSERT_EQ(count<Send>(out), 1);
+  EXPECT_EQ(all<Send>(out)[0].cache, first);
+  const auto second = router.ask(101);
+  ASSERT_EQ(count<Send>(second), 1);
+  EXPECT_NE(all<Send>(second)[0].cache, first) << "one at a time at each";
+  const auto third = router.ask(102);
+  EXPECT_EQ(count<Send>(third), 0);
+  EXPECT_EQ(finals(third), 1);
+}
+
 TEST(Failures, AGeneralSymptomEjectsNobody) {
   Router router;
   router.list(plain_list());
--- /dev/null
+++ b/tests/fleet/rig.cpp
@@ -0,0 +1,118 @@
+#include "fleet/rig.h"
+
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+
+#include "program/board_server.h"
+#include "protocol/fastcgi_peer.h"
+#include "stand_ins.h"
+
+namespace trailcourse::testing_support {
+
+using fleet::Kind;
+using std::chrono::milliseconds;
+using transport::Clock;
+
+Rig::Rig(const fleet::Shape& shape) {
+  static int made = 0;
+  folder_ =
+      testing::TempDir() + "trailcourse-fleet-" + std::to_string(::getpid()) + "-" + std::to_string(++made);
+  std::filesystem::remove_all(folder_);
+  std::filesystem::create_directories(folder_);
+  layout_ = std::make_unique<fleet::Layout>(shape, folder_, ports_);
+  supervisor_ = std::make_unique<fleet::Supervisor>(scheduler_, *layout_, TRAILCOURSE_PROGRAM);
+  load_ = std::make_unique<fleet::Load>(scheduler_, fleet::Load::Options{}, 1);
+  layout_->write();
+}
+
+Rig::~Rig() {
+  load_.reset();
+  supervisor_.reset();
+  if (!testing::Test::HasFailure()) {
+    std::filesystem::remove_all(folder_);
+  }
+}
+
+void Rig::start(const std::string& name) {
+  supervisor_->start(name);
+  ASSERT_TRUE(supervisor_->await_up(name, kAwaited)) << name << ": " << supervisor_->log(name);
+}
+
+void Rig::start(Kind kind) {
+  supervisor_->start_all(kind);
+  for (const std::string& name : layout_->names(kind)) {
+    ASSERT_TRUE(supervisor_->await_up(name, kAwaited)) << name << ": " << supervisor_->log(name);
+  }
+}
+
+void Rig::start_all() {
+  for (const Kind kind : {Kind::kBoard, Kind::kOrigin, Kind::kParent, Kind::kCache}) {
+    start(kind);
+  }
+  for (const Kind kind : {Kind::kParent, Kind::kCache}) {
+    for (const std::string& name : layout_->names(kind)) {
+      ASSERT_TRUE(supervisor_->await_log(name, "board was heard", kAwaited)) << supervisor_->log(name);
+    }
+  }
+  start(Kind::kRouter);
+}
+
+std::size_t Rig::ask(const std::string& router, std::uint64_t object) {
+  return load_->ask(router, *transport::parse_address(layout_->member(router).address),
+                    fleet::object_name(object));
+}
+
+bool Rig::await_answers() {
+  return until([this] { return load_->open() == 0; });
+}
+
+std::uint64_t Rig::post(const nlohmann::json& event) {
+  return program::add_notice(layout_->board_file(), event);
+}
+
+std::string Rig::logs() const {
+  std::string out;
+  for (const fleet::Member& member : layout_->members()) {
+    std::ifstream file(layout_->log_file(member.name));
+    out += "== " + member.name + "\n" +
+           std::string{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+  }
+  return out;
+}
+
+bool Rig::await_ready(const std::string& router) {
+  const transport::Address address = *transport::parse_address(layout_->member(router).address);
+  return until([&] {
+    try {
+      Client client(address);
+      const std::optional<Answer> answer = client.ask(1, {{"SCRIPT_NAME", "/healthz"}});
+      return answer && answer->status == 200;
+    } catch (const std::runtime_error&) {
+      return false;  // it does not listen yet
+    }
+  });
+}
+
+std::vector<std::string> broken_answers(const std::vector<fleet::Asked>& all, milliseconds patience,
+                                        std::size_t object_bytes) {
+  std::vector<std::string> out;
+  for (const fleet::Asked& one : all) {
+    const std::string what = "request for " + one.object + " to " + one.router;
+    if (one.answers != 1) {
+      out.push_back(what + ": " + std::to_string(one.answers) + " answers" +
+                    (one.connection_ended ? ", the connection ended" : ""));
+    } else if (one.status == 200 && one.bytes != object_bytes) {
+      out.push_back(what + ": " + std::to_string(one.bytes) + " bytes");
+    } else if (one.status == 0) {
+      out.push_back(what + ": an answer that cannot be read");
+    } else if (*one.answered - one.sent > patience + milliseconds(2'000)) {
+      out.push_back(what + ": answered late");
+    }
+  }
+  return out;
+}
+
+}  // namespace trailcourse::testing_support
--- /dev/null
+++ b/tests/fleet/rig.h
@@ -0,0 +1,75 @@
+// A fleet of real processes for a test: a folder, addresses, children, load, and checkers over what was seen.
+// Verdicts come from order and counts, never from how fast the machine was.
+#pragma once
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "fleet/layout.h"
+#include "fleet/load.h"
+#include "fleet/ports.h"
+#include "fleet/supervisor.h"
+#include "transport/scheduler.h"
+
+namespace trailcourse::testing_support {
+
+// How long a test waits for what must come; only a failing test waits so long.
+constexpr std::chrono::milliseconds kAwaited{60'000};
+
+class Rig {
+ public:
+  explicit Rig(const fleet::Shape& shape);
+  ~Rig();
+  Rig(const Rig&) = delete;
+  Rig& operator=(const Rig&) = delete;
+
+  transport::Scheduler& scheduler() { return scheduler_; }
+  fleet::Layout& layout() { return *layout_; }
+  fleet::Supervisor& fleet() { return *supervisor_; }
+  fleet::Load& load() { return *load_; }
+  fleet::PortBook& ports() { return ports_; }
+  const std::string& folder() const { return folder_; }
+
+  // Starts one and waits until it listens; fails the test where it does not.
+  void start(const std::string& name);
+  void start(fleet::Kind kind);
+  // Board, origin, parents, caches that know their sources, then routers.
+  void start_all();
+  // Waits until /healthz of the router answers 200.
+  bool await_ready(const std::string& router);
+
+  // Sends a request to the router.
+  std::size_t ask(const std::string& router, std::uint64_t object);
+  // Turns until nothing is open at the routers.
+  bool await_answers();
+  // Adds an event to the board's page; its number.
+  std::uint64_t post(const nlohmann::json& event);
+
+  bool until(const std::function<bool()>& done, std::chrono::milliseconds longest = kAwaited) {
+    return supervisor_->until(done, longest);
+  }
+  void run_for(std::chrono::milliseconds time) {
+    supervisor_->until([] { return false; }, time);
+  }
+  std::string logs() const;
+
+ private:
+  transport::Scheduler scheduler_;
+  fleet::PortBook ports_;
+  std::string folder_;
+  std::unique_ptr<fleet::Layout> layout_;
+  std::unique_ptr<fleet::Supervisor> supervisor_;
+  std::unique_ptr<fleet::Load> load_;
+};
+
+// Checker: every request to a router that lived on got exactly one whole final answer, before its time was
+// up, and none that is torn. `slack` covers the client's own delay and is not judged finely.
+std::vector<std::string> broken_answers(const std::vector<fleet::Asked>& all,
+                                        std::chrono::milliseconds patience, std::size_t object_bytes);
+
+}  // namespace trailcourse::testing_support
--- a/tests/node_core_test.cpp
+++ b/tests/node_core_test.cpp
@@ -170,6 +170,52 @@
   EXPECT_EQ(all<Keep>().size(), 1U) << "a cache keeps its own";
 }
 
+// Provokes: an object that no answer can hold, from a source, for a class that is passed on, and as a copy
+// kept under another bound. Without the bound routers get what they cannot read.
+TEST_F(NodeCoreTest, AnObjectLargerThanAnAnswerMayHoldIsAnErrorAndNotKept) {
+  const std::string large(protocol::kMostObjectBytes + 1, 'x');
+  ServeFields asked = fields("a");
+  asked.join = true;
+  miss(1, asked);
+  miss(2, asked);
+  fetched(all<Fetch>()[0].fill, answer(AnswerWord::kOk, large));
+  for (const RequestNumber number : {RequestNumber{1}, RequestNumber{2}}) {
+    EXPECT_EQ(answer_to(number).word, AnswerWord::kError);
+    EXPECT_EQ(answer_to(number).fields.note, Note::kOriginFailed);
+    EXPECT_EQ(answer_to(number).fields.why, "too_large");
+    EXPECT_EQ(answer_to(number).body, nullptr);
+  }
+  EXPECT_TRUE(all<Keep>().empty());
+  ASSERT_EQ(all<TooLarge>().size(), 1U);
+  EXPECT_EQ(all<TooLarge>()[0].item, "a");
+  EXPECT_EQ(all<TooLarge>()[0].bytes, large.size());
+  EXPECT_EQ(all<TooLarge>()[0].most, protocol::kMostObjectBytes);
+  miss(3, fields("a"));
+  fetched(all<Fetch>()[1].fill, answer(AnswerWord::kOk, large));
+  EXPECT_EQ(all<TooLarge>().size(), 1U) << "told once for each object";
+
+  ServeFields entry = fields("b", "origin");
+  entry.request_class = "entry";
+  core_.arrive(now(), 4, entry, "write", out_);
+  fetched(all<Fetch>()[2].fill, answer(AnswerWord::kOk, large));
+  EXPECT_EQ(answer_to(4).word, AnswerWord::kError);
+  EXPECT_EQ(answer_to(4).body, nullptr);
+
+  hold(5, fields("c"), Copy{"t", kNow, 4, bytes(large)});
+  EXPECT_EQ(all<Drop>().size(), 1U);
+  fetched(all<Fetch>()[3].fill, answer(AnswerWord::kOk, "small by now"));
+  EXPECT_EQ(*answer_to(5).body, "small by now");
+  EXPECT_EQ(core_.counts().too_large, 3U);
+}
+
+// The bound itself still fits.
+TEST_F(NodeCoreTest, AnObjectOfJustTheBoundIsServedAndKept) {
+  miss(1, fields("a"));
+  fetched(all<Fetch>()[0].fill, answer(AnswerWord::kOk, std::string(protocol::kMostObjectBytes, 'x')));
+  EXPECT_EQ(answer_to(1).body->size(), protocol::kMostObjectBytes);
+  EXPECT_EQ(all<Keep>().size(), 1U);
+}
+
 TEST_F(NodeCoreTest, WithoutASourceItIsAMiss) {
   miss(1, fields("a", ""));
   EXPECT_EQ(answer_to(1).word, AnswerWord::kMiss);
--- a/tests/stand_ins.cpp
+++ b/tests/stand_ins.cpp
@@ -289,7 +289,9 @@
   }
 }
 
-Client::Client(std::uint16_t port, bool small_window) {
+Client::Client(std::uint16_t port, bool small_window) : Client({kAnyPort.ip, port}, small_window) {}
+
+Client::Client(const transport::Address& address, bool small_window) {
   socket_ = transport::Descriptor(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
   if (small_window) {
     const int bytes = 4096;
@@ -297,8 +299,8 @@
   }
   sockaddr_in where{};
   where.sin_family = AF_INET;
-  where.sin_addr.s_addr = htonl(kAnyPort.ip);
-  where.sin_port = htons(port);
+  where.sin_addr.s_addr = htonl(address.ip);
+  where.sin_port = htons(address.port);
   if (::connect(socket_.get(), reinterpret_cast<sockaddr*>(&where), sizeof where) != 0) {
     throw std::runtime_error("cannot connect");
   }
--- a/tests/stand_ins.h
+++ b/tests/stand_ins.h
@@ -138,6 +138,7 @@
 class Client {
  public:
   explicit Client(std::uint16_t port, bool small_window = false);
+  explicit Client(const transport::Address& address, bool small_window = false);
 
   void send(const std::string& bytes) const;
   // Waits for the whole answer to a request; nothing where none came in time or the connection ended.
