--- a/src/cache_node/node.cpp
+++ b/src/cache_node/node.cpp
@@ -72,7 +72,8 @@
   }
   if (const auto address = transport::parse_address(options.board)) {
     routing::BoardWatcher::Bounds bounds;
-    bounds.most_pause = milliseconds(400);
+    bounds.asking.most_pause = milliseconds(400);
+    bounds.anew_after = Micros(0);  // taking all again changes nothing that is known
     bounds.answers.body_bytes = 64U << 20U;
     board_.emplace(scheduler, *address, *this, profile_, seed, bounds);
   }
@@ -110,12 +111,6 @@
 }
 
 void Node::take(const protocol::NoticePage& page) {
-  if (page.last < heard_) {
-    // A board that counts anew: all that it tells is taken again, which changes nothing that is known.
-    log_line(Level::kInfo) << "the notice board counts anew, from event " << page.last;
-    heard_ = 0;
-    return;
-  }
   std::vector<store::PurgeRecord> purges;
   for (const protocol::Notice& notice : page.notices) {
     if (const auto* pool = std::get_if<protocol::PoolNotice>(&notice.what)) {
--- a/src/cache_node/node.h
+++ b/src/cache_node/node.h
@@ -42,6 +42,7 @@
 
   void take(const protocol::NoticePage& page) override;
   std::uint64_t last() const override { return heard_; }
+  void forget_numbers() override { heard_ = 0; }
 
   // One line of figures.
   std::string report() const;
--- /dev/null
+++ b/src/fleet/figures.h
@@ -0,0 +1,29 @@
+// Figures over what was seen: the most in any window, quantiles, and what the system says of a process.
+//
+// Package `fleet`.
+#pragma once
+
+#include <sys/types.h>
+
+#include <chrono>
+#include <cstddef>
+#include <vector>
+
+#include "transport/scheduler.h"
+
+namespace trailcourse::fleet {
+
+// The most moments within any stretch of `window`. The moments may come in any order.
+std::size_t most_within(std::vector<transport::Clock::time_point> moments, std::chrono::milliseconds window);
+
+// The value below which `share` of them lie; 0 of none.
+double quantile(std::vector<double> values, double share);
+
+struct Footprint {
+  double resident_mb = 0.0;
+  int descriptors = 0;
+};
+// Of a living process of ours; zeros where it cannot be read.
+Footprint footprint_of(pid_t pid);
+
+}  // namespace trailcourse::fleet
--- a/src/fleet/layout.cpp
+++ b/src/fleet/layout.cpp
@@ -200,7 +200,7 @@
            {"board", member.board},
            {"seed", seed},
            {"limits", {{"memory_mb", shape_.memory_mb}, {"sockets", shape_.sockets}}},
-           {"known", first_page()},
+           {"known", shape_.known ? first_page() : json{{"rev", 0}, {"notices", json::array()}}},
            {"settings", settings(member.zone, static_cast<int>(index))}};
   if (!shape_.router.empty()) {
     out["router"] = shape_.router;
@@ -211,8 +211,16 @@
 // Of a router: the sections that its platform does not tell.
 json Layout::operator_config(const Member& member) const {
   json out = shape_.operators;
-  if (!member.relay.empty()) {
-    out["relay"]["listen"] = member.relay;
+  if (relay_degree_ > 0 && !member.relay.empty()) {
+    json& relay = out["relay"];
+    relay["listen"] = member.relay;
+    relay["degree"] = relay_degree_;
+    relay["peers"] = json::array();
+    for (const Member& peer : members_) {
+      if (peer.kind == Kind::kRouter && peer.zone == member.zone && !peer.relay.empty()) {
+        relay["peers"].push_back(peer.name + "=" + peer.relay);
+      }
+    }
   }
   if (out.contains("snapshot")) {
     out["snapshot"]["folder"] = folder_ + "/snapshot-" + member.name;
@@ -220,6 +228,8 @@
   return out;
 }
 
+void Layout::connect_relays(int degree) { relay_degree_ = degree; }
+
 void Layout::write(const Member& member) const {
   write_file(config_file(member.name), config(member));
   if (member.kind == Kind::kRouter) {
@@ -236,7 +246,8 @@
 
 std::vector<std::string> Layout::words(const Member& member, const std::string& program) const {
   if (member.kind == Kind::kRouter) {
-    return {program, "serve", "--config", config_file(member.name), "--operator", operator_file(member.name)};
+    const std::string& own = shape_.router_program.empty() ? program : shape_.router_program;
+    return {own, "serve", "--config", config_file(member.name), "--operator", operator_file(member.name)};
   }
   const char* command = member.kind == Kind::kParent ? "cache" : to_string(member.kind);
   return {program, command, "--config", config_file(member.name)};
--- a/src/fleet/layout.h
+++ b/src/fleet/layout.h
@@ -30,6 +30,8 @@
   double purge_grace_s = 0.3;
   double cold_s = 10.0;
   double cold_from = 0.3;
+  bool known = true;  // routers are started with the list; else they have none until they hear the board
+  std::string router_program;  // of the routers, where it is another
   int memory_mb = 192;
   int sockets = 1'024;
   nlohmann::json router = nlohmann::json::object();  // the routers' tuning keys
@@ -72,6 +74,9 @@
   // The settings that the platform would tell the routers of a zone.
   nlohmann::json settings(const std::string& zone, int index) const;
 
+  // Tells each router the relays of its zone. Those without a relay address are left out.
+  void connect_relays(int degree);
+
   // Writes the file of each member, and the board's first page. Throws std::runtime_error.
   void write() const;
   // The same for one member.
@@ -88,6 +93,7 @@
   nlohmann::json config(const Member& member) const;
   nlohmann::json operator_config(const Member& member) const;
 
+  int relay_degree_ = 0;
   Shape shape_;
   std::string folder_;
   std::vector<Member> members_;
--- /dev/null
+++ b/src/fleet/scenario.cpp
@@ -0,0 +1,211 @@
+#include "fleet/scenario.h"
+
+#include <algorithm>
+#include <csignal>
+#include <utility>
+
+#include "protocol/fastcgi_peer.h"
+#include "protocol/numbers.h"
+
+namespace trailcourse::fleet {
+
+using transport::Clock;
+using transport::Connection;
+using transport::ConnectionEnd;
+
+namespace {
+
+bool fits_any(const std::vector<std::string>& patterns, const std::string& name) {
+  return std::any_of(patterns.begin(), patterns.end(),
+                     [&name](const std::string& pattern) { return fits(pattern, name); });
+}
+
+}  // namespace
+
+Scenario::Scenario(transport::Scheduler& scheduler, Layout& layout, PortBook& ports, std::string program,
+                   const std::vector<std::string>& proxied)
+    : scheduler_(scheduler), layout_(layout), supervisor_(scheduler, layout, std::move(program)) {
+  const std::string board = layout.member(layout.names(Kind::kBoard).front()).address;
+  for (Member& member : layout.members()) {
+    const bool lists =
+        member.kind == Kind::kCache || member.kind == Kind::kParent || member.kind == Kind::kOrigin;
+    const std::string to_board = member.name + ">board";
+    const std::string to_node = "*>" + member.name;
+    const auto add = [&](const std::string& name, const std::string& target) {
+      const transport::Address at = ports.take();
+      proxies_.push_back(
+          std::make_unique<FaultProxy>(scheduler, name, at, *transport::parse_address(target)));
+      return transport::to_string(at);
+    };
+    if (member.kind != Kind::kBoard && member.kind != Kind::kOrigin && fits_any(proxied, to_board)) {
+      member.board = add(to_board, board);
+    }
+    if (lists && fits_any(proxied, to_node)) {
+      member.told_address = add(to_node, member.address);
+    }
+  }
+  layout_.write();
+}
+
+Scenario::~Scenario() = default;
+
+FaultProxy* Scenario::link(const std::string& name) {
+  const auto found = std::find_if(proxies_.begin(), proxies_.end(),
+                                  [&name](const auto& proxy) { return proxy->name() == name; });
+  return found == proxies_.end() ? nullptr : found->get();
+}
+
+std::vector<FaultProxy*> Scenario::links() {
+  std::vector<FaultProxy*> out;
+  for (const auto& proxy : proxies_) {
+    out.push_back(proxy.get());
+  }
+  return out;
+}
+
+void Scenario::apply(const Fault& fault) {
+  if (is_link_fault(fault.kind)) {
+    for (const auto& proxy : proxies_) {
+      if (fits(fault.target, proxy->name())) {
+        proxy->apply(fault);
+      }
+    }
+    return;
+  }
+  std::vector<std::string> names;
+  for (const Member& member : layout_.members()) {
+    if (fits(fault.target, member.name)) {
+      names.push_back(member.name);
+    }
+  }
+  for (const std::string& name : names) {
+    switch (fault.kind) {
+      case FaultKind::kStart:
+        supervisor_.start(name);
+        break;
+      case FaultKind::kKill:
+        supervisor_.kill(name);
+        break;
+      case FaultKind::kEnd:
+        supervisor_.signal(name, SIGTERM);
+        break;
+      case FaultKind::kStop:
+        supervisor_.signal(name, SIGSTOP);
+        break;
+      case FaultKind::kCont:
+        supervisor_.signal(name, SIGCONT);
+        break;
+      case FaultKind::kHup:
+        supervisor_.signal(name, SIGHUP);
+        break;
+      default:
+        break;
+    }
+  }
+}
+
+void Scenario::begin(std::vector<Fault> script) {
+  script_ = std::move(script);
+  next_ = 0;
+  begun_ = Clock::now();
+}
+
+void Scenario::play() {
+  const auto passed = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - begun_).count();
+  while (next_ < script_.size() && script_[next_].at_ms <= passed) {
+    apply(script_[next_++]);
+  }
+}
+
+// One connection to a router's front.
+class StatusBoard::Link : public Connection::Handler {
+ public:
+  Link(Row& row, std::shared_ptr<Connection> connection) : row_(&row), connection_(std::move(connection)) {}
+
+  bool ended() const { return connection_->ended(); }
+  void ask() {
+    if (!asked_) {
+      asked_ = true;
+      connection_->write(protocol::fastcgi_peer::request_bytes(1, {{"SCRIPT_NAME", "/healthz"}}, ""));
+    }
+  }
+  void leave() {
+    row_ = nullptr;
+    connection_->close(ConnectionEnd::kDropped);
+  }
+  void on_bytes(std::string_view bytes) override {
+    constexpr std::uint8_t kStdout = 6;
+    constexpr std::uint8_t kEndRequest = 3;
+    bytes_ += bytes;
+    for (const protocol::fastcgi_peer::Record& record : protocol::fastcgi_peer::take_records(bytes_)) {
+      if (record.type == kStdout) {
+        text_ += record.content;
+      } else if (record.type == kEndRequest) {
+        asked_ = false;
+        take(std::exchange(text_, {}));
+      }
+    }
+  }
+  void on_end(ConnectionEnd) override {
+    if (row_ != nullptr) {
+      row_->up = false;
+      row_->ready = false;
+      row_->state = "-";
+    }
+  }
+
+ private:
+  void take(const std::string& text) {
+    if (row_ == nullptr) {
+      return;
+    }
+    row_->up = true;
+    row_->ready = text.starts_with("Status: 200");
+    const std::size_t end = text.find("\r\n\r\n");
+    const nlohmann::json said =
+        nlohmann::json::parse(end == std::string::npos ? "" : text.substr(end + 4), nullptr, false);
+    if (said.is_object()) {
+      row_->state = said.value("state", std::string("plain"));
+      row_->calls = said.value("calls", std::uint64_t{0});
+      row_->failed = said.value("failed", std::uint64_t{0});
+      row_->age_ms = said.value("age_ms", std::int64_t{-1});
+    } else {
+      row_->state = "plain";
+    }
+  }
+
+  Row* row_;
+  std::shared_ptr<Connection> connection_;
+  std::string bytes_;
+  std::string text_;
+  bool asked_ = false;
+};
+
+StatusBoard::StatusBoard(transport::Scheduler& scheduler, const Layout& layout)
+    : scheduler_(scheduler), layout_(layout) {
+  for (const std::string& router : layout.names(Kind::kRouter)) {
+    rows_[router].router = router;
+  }
+}
+
+StatusBoard::~StatusBoard() {
+  for (const auto& [router, link] : links_) {
+    link->leave();
+  }
+}
+
+void StatusBoard::refresh(const std::vector<std::string>& routers) {
+  for (const std::string& router : routers) {
+    std::shared_ptr<Link>& link = links_[router];
+    if (!link || link->ended()) {
+      const Connection::Bounds bounds;
+      const auto connection =
+          Connection::connect(scheduler_, *transport::parse_address(layout_.member(router).address), bounds);
+      link = std::make_shared<Link>(rows_[router], connection);
+      connection->start(link);
+    }
+    link->ask();
+  }
+}
+
+}  // namespace trailcourse::fleet
--- a/src/program/board_server.h
+++ b/src/program/board_server.h
@@ -1,22 +1,22 @@
-// A small notice board for trying things out: it tells what stands in a file, and holds calls back until
-// there is news.
+// A notice board that tells what stands in a file: `trailcourse board`. Which call is answered, held or sent
+// away is decided in `board`; this reads the file and puts the parts together.
 #pragma once
 
 #include <cstdint>
 #include <memory>
 #include <nlohmann/json.hpp>
-#include <set>
 #include <string>
 
-#include "transport/connection.h"
+#include "board/page_log.h"
+#include "board/page_server.h"
 
 namespace trailcourse::program {
 
 class BoardServer {
  public:
-  // Throws ConfigurationError where the file cannot be used.
-  BoardServer(transport::Scheduler& scheduler, std::string file);
-  ~BoardServer();
+  // Throws ConfigurationError where the file cannot be used. `id` names this start of the board: a file with
+  // numbers of its own is another board. The file may name itself by `"board"`; else it is `id`.
+  BoardServer(transport::Scheduler& scheduler, const board::BoardOptions& options, std::uint64_t seed);
   BoardServer(const BoardServer&) = delete;
   BoardServer& operator=(const BoardServer&) = delete;
 
@@ -24,22 +24,18 @@
   void listen(const transport::Address& address);
   // Reads the file again; one that cannot be used changes nothing.
   void reread();
+  // One line of figures.
+  std::string report() const;
 
  private:
-  class Session;
-
-  transport::Task<void> accept_loop();
   transport::Task<void> watch_file();
-  nlohmann::json later_than(std::uint64_t number) const;
+  nlohmann::json read_file() const;
 
   transport::Scheduler& scheduler_;
   std::string file_;
   std::string text_;
-  std::uint64_t last_ = 0;
-  nlohmann::json notices_;
-  transport::Descriptor listener_;
-  std::unique_ptr<transport::Watch> watch_;
-  std::set<std::shared_ptr<Session>> sessions_;
+  board::PageLog log_;
+  board::PageServer server_;
 };
 
 // Adds an event to such a file, atomically; it gets the next number, which is given. Throws
--- a/src/program/command_line.cpp
+++ b/src/program/command_line.cpp
@@ -3,6 +3,7 @@
 #include <cstdlib>
 #include <cxxopts.hpp>
 #include <exception>
+#include <filesystem>
 #include <iostream>
 #include <ostream>
 #include <string>
@@ -11,6 +12,7 @@
 
 #include "program/board_server.h"
 #include "program/configuration.h"
+#include "program/fleet_command.h"
 #include "program/get_command.h"
 #include "program/node_commands.h"
 #include "program/operator_file.h"
@@ -255,6 +257,74 @@
   return worst;
 }
 
+void add_fleet_options(cxxopts::Options& options) {
+  add_words(options);
+  options.add_options()("folder", "where its files stand", cxxopts::value<std::string>()->default_value(""),
+                        "DIR")("routers", "so many", cxxopts::value<int>()->default_value("4"), "N")(
+      "caches", "so many", cxxopts::value<int>()->default_value("2"), "N")(
+      "parents", "so many", cxxopts::value<int>()->default_value("1"), "N")(
+      "zones", "names, to which caches and routers are dealt out",
+      cxxopts::value<std::vector<std::string>>()->default_value("edge"), "A,B")(
+      "stagger", "between two routers; 0: all at once", cxxopts::value<std::int64_t>()->default_value("0"),
+      "MS")("spread", "routers spread their calls and connections (section startup)")(
+      "board-calls", "calls a second that the board bears", cxxopts::value<double>()->default_value("100"),
+      "N")("node-opens", "connections a second that a node accepts; 0: as they come",
+           cxxopts::value<double>()->default_value("0"),
+           "N")("relays", "degree of the tree by which routers pass pages on; 0: none",
+                cxxopts::value<int>()->default_value("0"), "N")("snapshots", "routers keep snapshots")(
+      "without-list", "routers are started without a list")(
+      "faults", "a script of faults (docs/operating-start.md)",
+      cxxopts::value<std::string>()->default_value(""), "FILE")(
+      "draw", "so many faults are drawn from the seed", cxxopts::value<int>()->default_value("0"), "N")(
+      "seed", "of the drawn faults and the load", cxxopts::value<std::uint64_t>()->default_value("1"), "N")(
+      "for", "ends after so long; 0: when it is told to", cxxopts::value<double>()->default_value("0"),
+      "SECONDS")("load", "requests a second to routers that are ready",
+                 cxxopts::value<double>()->default_value("0"),
+                 "N")("proxies", "a proxy on each link, so that what passes is counted")(
+      "router-program", "another build for the routers", cxxopts::value<std::string>()->default_value(""),
+      "FILE")("json", "print JSON")("quiet", "only the figures at the end");
+}
+
+int run_fleet(const cxxopts::ParseResult& parsed, const Output& output) {
+  FleetCommand command;
+  command.action = word(parsed, 0, "start, status or stop");
+  if (command.action != "start" && command.action != "status" && command.action != "stop") {
+    throw WrongUse("no action '" + command.action + "': start, status or stop");
+  }
+  command.folder = parsed["folder"].as<std::string>();
+  if (command.folder.empty()) {
+    throw WrongUse("--folder DIR is needed");
+  }
+  command.program = std::filesystem::read_symlink("/proc/self/exe");
+  command.router_program = parsed["router-program"].as<std::string>();
+  command.routers = parsed["routers"].as<int>();
+  command.caches = parsed["caches"].as<int>();
+  command.parents = parsed["parents"].as<int>();
+  command.zones = parsed["zones"].as<std::vector<std::string>>();
+  command.stagger_ms = parsed["stagger"].as<std::int64_t>();
+  command.spread = parsed.count("spread") > 0;
+  command.board_calls_per_s = parsed["board-calls"].as<double>();
+  command.node_opens_per_s = parsed["node-opens"].as<double>();
+  command.relay_degree = parsed["relays"].as<int>();
+  command.snapshots = parsed.count("snapshots") > 0;
+  command.without_list = parsed.count("without-list") > 0;
+  command.faults = parsed["faults"].as<std::string>();
+  command.draw = parsed["draw"].as<int>();
+  command.seed = parsed["seed"].as<std::uint64_t>();
+  command.seconds = parsed["for"].as<double>();
+  command.load_per_s = parsed["load"].as<double>();
+  command.proxies = parsed.count("proxies") > 0;
+  command.json = parsed.count("json") > 0;
+  command.quiet = parsed.count("quiet") > 0;
+  const bool sound = command.routers >= 1 && command.routers <= 2'000 && command.caches >= 0 &&
+                     command.caches <= 500 && command.parents >= 0 && command.parents <= 100 &&
+                     !command.zones.empty() && command.relay_degree >= 0;
+  if (!sound) {
+    throw WrongUse("1 to 2000 routers, up to 500 caches and 100 parents, one zone at least");
+  }
+  return run_fleet_command(command, output.out, output.errors);
+}
+
 const std::vector<Command>& commands() {
   static const std::vector<Command> kCommands{
       {"serve", "[OPTION...]", "runs the router", "trailcourse serve --config config.json",
@@ -276,6 +346,10 @@
        "trailcourse board --config operator.json", add_config_option, run_board_command},
       {"notice", "FILE object ID|group N", "adds a purge to a notice board's file",
        "trailcourse notice board.json object 7f3a9c21e0b4d655", add_words, run_notice},
+      {"fleet", "start|status|stop --folder DIR",
+       "runs a fleet of this program on loopback, with faults played against it, for trying things out",
+       "trailcourse fleet start --folder /tmp/fleet --routers 20 --spread --for 10", add_fleet_options,
+       run_fleet},
       {"version", "", "says which version this is", "trailcourse version", add_nothing, run_version}};
   return kCommands;
 }
--- a/src/program/configuration.cpp
+++ b/src/program/configuration.cpp
@@ -107,6 +107,27 @@
   }
 }
 
+// The sections of the operator's file that the start goes by.
+StartSections read_start(const Sources& sources) {
+  StartSections out;
+  if (sources.operator_file.empty()) {
+    return out;
+  }
+  const json file = read_file("--operator", sources.operator_file);
+  const auto read = [&file](const auto& record, auto& into) {
+    const json* section = protocol::find(file, record.section().c_str());
+    if (section != nullptr) {
+      into = record.read(*section);
+    }
+    return section != nullptr;
+  };
+  out.has_startup = read(startup::start_record(), out.startup);
+  out.has_snapshot = read(snapshot::snapshot_record(), out.snapshot);
+  out.has_relay = read(relay_record(), out.relay);
+  check_relay(out.relay);
+  return out;
+}
+
 void read_limits(const json& source, Configuration& out) {
   const json& limits = under("limits", [&]() -> const json& { return protocol::section(source, "limits"); });
   out.memory_mb = under("limits.memory_mb", [&] { return protocol::whole_at(limits, "memory_mb", 0); });
@@ -127,6 +148,19 @@
 
 }  // namespace
 
+void check_relay(const RelayOptions& relay) {
+  if (!relay.listen.empty()) {
+    address_of("relay.listen", relay.listen);
+  }
+  for (const std::string& peer : relay.peers) {
+    const std::size_t equals = peer.find('=');
+    const bool named = equals != std::string::npos && equals > 0 && peer.find(',') == std::string::npos;
+    if (!named || !transport::parse_address(peer.substr(equals + 1))) {
+      fail("relay.peers", "'" + peer + "' is not of the form NAME=IP:PORT");
+    }
+  }
+}
+
 const config::Record<Tuning>& tuning_record() {
   using config::WholeRange;
   static const config::Record<Tuning> kRecord = [] {
@@ -268,6 +302,7 @@
   out.fixed = fixed.dump();
   read_limits(source, out);
   under("router", [&] { read_tuning(source, sources, out.tuning); });
+  out.start = under("--operator", [&] { return read_start(sources); });
   if (protocol::find(source, "settings") == nullptr) {
     fail("settings", "missing");
   }
@@ -281,6 +316,7 @@
   if (protocol::find(source, "known") == nullptr) {
     fail("known", "missing");
   }
+  out.known_text = source.at("known").dump();
   out.known = under("known", [&] { return protocol::read_notices(source.at("known"), out.profile); });
   return out;
 }
--- a/src/program/configuration.h
+++ b/src/program/configuration.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "config/record.h"
+#include "program/start_options.h"
 #include "protocol/notice_board.h"
 #include "protocol/settings.h"
 #include "transport/socket.h"
@@ -61,7 +62,9 @@
   std::int64_t sockets = 0;
   protocol::Profile profile;
   protocol::NoticePage known;
+  std::string known_text;  // the same as it was given
   Tuning tuning;
+  StartSections start;
   std::string fixed;  // the file but for what a router that serves can take in: a change needs a restart
 
   // Derived from the limits and settings.
@@ -76,6 +79,9 @@
   std::chrono::milliseconds drain_answer() const;  // after SIGTERM; what is open then is failed
 };
 
+// What one key of the section `relay` alone cannot tell. Throws ConfigurationError.
+void check_relay(const RelayOptions& relay);
+
 // The declaration of the tuning keys: the section `router`.
 const config::Record<Tuning>& tuning_record();
 
--- a/src/program/node_commands.cpp
+++ b/src/program/node_commands.cpp
@@ -134,12 +134,18 @@
 int run_board(const OperatorFile& file) {
   transport::Scheduler scheduler;
   Signals signals(scheduler);
-  BoardServer board(scheduler, file.board.file);
+  std::random_device entropy;
+  const std::uint64_t seed = (std::uint64_t{entropy()} << 32U) | entropy();
+  BoardServer board(scheduler, file.board, seed);
   board.listen(*transport::parse_address(file.board.listen));
-  const std::function<void()> reread = [&board] { board.reread(); };
+  const std::function<void()> reread = [&board] {
+    board.reread();
+    log_line(Level::kInfo) << board.report();
+  };
   scheduler.spawn(heed(scheduler, signals, reread));
   log_line(Level::kInfo) << "notice board listens on " << file.board.listen;
   scheduler.run();
+  log_line(Level::kInfo) << board.report();
   return 0;
 }
 
--- a/src/program/operator_file.cpp
+++ b/src/program/operator_file.cpp
@@ -17,7 +17,10 @@
   visit(store::options_record(), file.store);
   visit(cache_node::node_record(), file.cache);
   visit(cache_node::origin_record(), file.origin);
-  visit(board_record(), file.board);
+  visit(board::board_record(), file.board);
+  visit(startup::start_record(), file.startup);
+  visit(snapshot::snapshot_record(), file.snapshot);
+  visit(relay_record(), file.relay);
   visit(tuning_record(), file.router);
 }
 
@@ -56,6 +59,9 @@
   if (has("board")) {
     need_address("board.listen", file.board.listen, false);
   }
+  if (has("relay")) {
+    check_relay(file.relay);
+  }
   if (file.store.segment_mb * 4 > file.store.disk_mb && !file.store.folder.empty()) {
     throw ConfigurationError("store.segment_mb: " + std::to_string(file.store.segment_mb) +
                              " is over a quarter of disk_mb, " + std::to_string(file.store.disk_mb));
@@ -64,19 +70,6 @@
 
 }  // namespace
 
-const config::Record<BoardOptions>& board_record() {
-  using config::Words;
-  static const config::Record<BoardOptions> kRecord = [] {
-    config::Record<BoardOptions> record("board",
-                                        "A small notice board for trying things out: `trailcourse board`.");
-    record.text("listen", &BoardOptions::listen, "IP:PORT", Words{{}, true}, "where routers and nodes ask")
-        .text("file", &BoardOptions::file, "-", Words{{}, true},
-              "what it tells, as {\"rev\":N,\"notices\":[...]}; a new one is told at once");
-    return record;
-  }();
-  return kRecord;
-}
-
 OperatorFile parse_operator_file(const std::string& text, const std::string& path,
                                  const std::vector<std::string>& needed) {
   json source;
--- a/src/program/operator_file.h
+++ b/src/program/operator_file.h
@@ -6,25 +6,22 @@
 #include <string>
 #include <vector>
 
+#include "board/board_core.h"
 #include "cache_node/node_options.h"
 #include "program/configuration.h"
 #include "store/options.h"
 
 namespace trailcourse::program {
 
-// The section `board`: a small notice board for trying things out.
-struct BoardOptions {
-  std::string listen;
-  std::string file;
-};
-const config::Record<BoardOptions>& board_record();
-
 struct OperatorFile {
   store::Options store;
   cache_node::NodeOptions cache;
   cache_node::ClassMap classes;
   cache_node::OriginOptions origin;
-  BoardOptions board;
+  board::BoardOptions board;
+  startup::StartOptions startup;
+  snapshot::SnapshotOptions snapshot;
+  RelayOptions relay;
   Tuning router;
   std::vector<std::string> sections;  // that the file has
 };
--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -12,6 +12,7 @@
 #include <utility>
 
 #include "program/signals.h"
+#include "program/start_support.h"
 #include "routing/board_watcher.h"
 #include "routing/cache_client.h"
 #include "routing/directory.h"
@@ -37,12 +38,12 @@
 constexpr milliseconds kDefaultIdle{15'000};
 constexpr int kDefaultStreams = 32;
 
-routing::CacheClient::Bounds cache_bounds(const Configuration& configuration) {
+routing::CacheClient::Bounds cache_bounds(const Configuration& configuration, const StartSupport& start) {
   const protocol::Profile& profile = configuration.profile;
   const Tuning& tuning = configuration.tuning;
   routing::CacheClient::Bounds bounds;
   bounds.pool.streams = profile.streams_per_connection > 0 ? profile.streams_per_connection : kDefaultStreams;
-  bounds.pool.per_peer = static_cast<int>(tuning.cache_connections);
+  bounds.pool.per_peer = start.connections(static_cast<int>(tuning.cache_connections));
   bounds.pool.in_all = configuration.most_cache_connections();
   // The cache closes after the told time, and a request may cross that: it ends earlier from here.
   const Micros idle = profile.connection_idle.count() > 0 ? profile.connection_idle : Micros(kDefaultIdle);
@@ -84,15 +85,6 @@
   return bounds;
 }
 
-routing::BoardWatcher::Bounds board_bounds(const Tuning& tuning) {
-  routing::BoardWatcher::Bounds bounds;
-  bounds.linger = milliseconds(tuning.board_linger_ms);
-  bounds.grace = milliseconds(tuning.board_grace_ms);
-  bounds.least_pause = milliseconds(tuning.board_pause_ms);
-  bounds.most_pause = milliseconds(tuning.board_most_pause_ms);
-  return bounds;
-}
-
 // Serves on until arrivals have ceased and all is answered.
 transport::Task<void> drain(transport::Scheduler& scheduler, routing::Front& front, routing::Router& router,
                             const Configuration& configuration) {
@@ -184,24 +176,34 @@
   Signals signals(scheduler);
   const routing::ModuleClock clock;
   Decider decider(profile.settings, configuration.seed);
+  StartSupport start(scheduler, configuration);
   routing::Router router(
       scheduler, clock, profile.settings,
-      [&decider](Micros now, const Event& event, std::vector<Action>& out) {
+      [&decider, &start](Micros now, const Event& event, std::vector<Action>& out) {
+        std::vector<Event> first;
+        start.before(now, first);
+        for (const Event& one : first) {
+          decider.handle(now, one, out);
+        }
         decider.handle(now, event, out);
       },
       router_bounds(configuration));
   routing::Directory directory;
   routing::CacheClient caches(scheduler, router, directory, profile.report_fields,
-                              cache_bounds(configuration));
+                              cache_bounds(configuration, start));
   router.use(caches);
   routing::NoticeTaker taker(router, directory, [&caches](const std::string& name) { caches.drop(name); });
-  taker.take(configuration.known);
+  start.begin(router, taker);
   routing::Front front(
       scheduler, router, profile.settings, profile.class_index, front_bounds(configuration),
-      [&taker] { return taker.ready(); }, [&caches] { return caches.close_one_idle(); });
+      [&taker, &start] { return taker.ready() && start.ready(); },
+      [&caches] { return caches.close_one_idle(); });
+  front.tell_status([&start] { return start.status(); });
   front.listen(configuration.listen);
+  start.listen();
   routing::BoardWatcher board(scheduler, configuration.board, taker, profile, configuration.seed,
-                              board_bounds(configuration.tuning));
+                              start.watcher_bounds(), start.hooks(), start.relays());
+  start.use(board);
   board.start();
   scheduler.spawn(heed_signals(scheduler, signals, front, router, board, taker, configuration, reread));
   log_line(Level::kInfo) << "router " << configuration.name << " listens on "
--- /dev/null
+++ b/src/program/start_options.h
@@ -0,0 +1,41 @@
+// The sections of the operator's file that a router's start goes by: `startup`, `snapshot` and `relay`.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "config/record.h"
+#include "snapshot/snapshot.h"
+#include "startup/rules.h"
+#include "startup/upstream.h"
+
+namespace trailcourse::program {
+
+// The section `relay`: off unless it names peers.
+struct RelayOptions {
+  std::string listen;
+  std::vector<std::string> peers;
+  std::int64_t degree = 8;
+  std::int64_t linger_ms = 100;
+  std::int64_t grace_ms = 100;
+  std::int64_t most_age_ms = 1'000;
+  std::int64_t pass_over_ms = 500;
+  std::int64_t distrust_s = 300;
+  double audits_per_s = 1.0;
+  std::int64_t connections = 256;
+};
+const config::Record<RelayOptions>& relay_record();
+startup::UpstreamRules upstream_rules(const RelayOptions& options);
+
+// What stands in the operator's file of a router beside its tuning.
+struct StartSections {
+  bool has_startup = false;
+  startup::StartOptions startup;
+  bool has_snapshot = false;
+  snapshot::SnapshotOptions snapshot;
+  bool has_relay = false;
+  RelayOptions relay;
+};
+
+}  // namespace trailcourse::program
--- a/src/protocol/http_client.cpp
+++ b/src/protocol/http_client.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <ctime>
 #include <utility>
 
 #include "protocol/numbers.h"
@@ -130,7 +131,9 @@
     return;
   }
   const std::string name = lower(line.substr(0, colon));
-  const std::string value = lower(trimmed(line.substr(colon + 1)));
+  const std::string_view told = trimmed(line.substr(colon + 1));
+  const std::string value = lower(told);
+  response_.headers[name] = told;
   if (name == "content-length") {
     const std::optional<std::size_t> size = read_number<std::size_t>(value);
     if (!size || *size > bounds_.body_bytes) {
@@ -177,6 +180,19 @@
   }
 }
 
+std::optional<std::int64_t> read_retry_after(const std::string& value, std::int64_t unix_s) {
+  constexpr std::size_t kMostDigits = 9;
+  if (const auto seconds = read_number<std::int64_t>(value)) {
+    return *seconds >= 0 && value.size() <= kMostDigits ? seconds : std::nullopt;
+  }
+  std::tm date{};
+  const char* end = ::strptime(value.c_str(), "%a, %d %b %Y %H:%M:%S GMT", &date);
+  if (value.empty() || end == nullptr || *end != '\0') {
+    return std::nullopt;
+  }
+  return std::max<std::int64_t>(0, static_cast<std::int64_t>(::timegm(&date)) - unix_s);
+}
+
 std::string write_get(std::string_view path, std::string_view host) {
   std::string out = "GET ";
   out.append(path).append(" HTTP/1.1\r\nHost: ").append(host);
--- a/src/protocol/http_client.h
+++ b/src/protocol/http_client.h
@@ -3,6 +3,8 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -13,8 +15,19 @@
   int status = 0;
   std::string body;
   bool keep_open = true;
+  std::map<std::string, std::string> headers;  // by name in lower case; of a name that comes twice the last
+
+  // The value of a header, empty where it did not come.
+  std::string header(const std::string& name) const {
+    const auto found = headers.find(name);
+    return found == headers.end() ? std::string() : found->second;
+  }
 };
 
+// The wait that `Retry-After` names (RFC 9110, section 10.2.3): seconds, or a date, which is set against
+// `unix_s`. Nothing where it is neither.
+std::optional<std::int64_t> read_retry_after(const std::string& value, std::int64_t unix_s);
+
 struct Bounds {
   std::size_t line_bytes = 4096;
   std::size_t header_lines = 64;
--- a/src/routing/board_watcher.cpp
+++ b/src/routing/board_watcher.cpp
@@ -2,14 +2,19 @@
 
 #include <algorithm>
 #include <exception>
+#include <sstream>
 #include <utility>
 
 #include "protocol/json_fields.h"
 #include "protocol/notice_board.h"
+#include "protocol/numbers.h"
 #include "transport/log.h"
 
 namespace trailcourse::routing {
 
+using startup::Call;
+using startup::CallEnd;
+using std::chrono::milliseconds;
 using transport::Clock;
 using transport::Connection;
 using transport::ConnectionEnd;
@@ -18,11 +23,28 @@
 
 namespace {
 
-constexpr int kMostDoublings = 10;
+constexpr int kOkay = 200;
+
+std::int64_t unix_seconds() {
+  return std::chrono::duration_cast<std::chrono::seconds>(std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+startup::Upstream::Said said_by(const protocol::http::Response& response) {
+  startup::Upstream::Said said;
+  // A relay that does not say how old its page is says nothing that can be believed.
+  const auto age = protocol::read_number<std::int64_t>(response.header("x-age-ms"));
+  said.age = age ? Micros(milliseconds(*age)) : Micros::max();
+  std::istringstream path(response.header("x-path"));
+  for (std::string name; std::getline(path, name, ',');) {
+    said.path.push_back(name);
+  }
+  return said;
+}
 
 }  // namespace
 
-// The connection to the board: keeps what was read until the watcher takes it.
+// A connection to the board or a relay: keeps what was read until the watcher takes it.
 class BoardWatcher::Link : public Connection::Handler {
  public:
   Link(transport::Scheduler& scheduler, const protocol::http::Bounds& bounds)
@@ -41,35 +63,113 @@
   transport::Signal changed;
   protocol::http::ResponseParser parser;
   std::optional<ConnectionEnd> end;
+  std::shared_ptr<Connection> connection;
+  transport::Address to;
 };
 
 BoardWatcher::BoardWatcher(transport::Scheduler& scheduler, const transport::Address& board,
                            NoticeSink& taker, const protocol::Profile& profile, std::uint64_t seed,
                            const Bounds& bounds)
+    : BoardWatcher(scheduler, board, taker, profile, seed, bounds, Hooks(), Relays()) {}
+
+BoardWatcher::BoardWatcher(transport::Scheduler& scheduler, const transport::Address& board,
+                           NoticeSink& taker, const protocol::Profile& profile, std::uint64_t seed,
+                           const Bounds& bounds, Hooks hooks, Relays relays)
     : scheduler_(scheduler),
       board_(board),
       moved_(scheduler),
       taker_(taker),
       profile_(profile),
-      random_(seed),
-      bounds_(bounds) {}
+      bounds_(bounds),
+      hooks_(std::move(hooks)),
+      relays_(std::move(relays)),
+      asking_(bounds.asking, seed),
+      numbering_(bounds.anew_after) {}
+
+BoardWatcher::~BoardWatcher() = default;
+
+Micros BoardWatcher::now() { return std::chrono::duration_cast<Micros>(Clock::now().time_since_epoch()); }
 
+// The board itself is asked only when asking.h says so; a relay, which has few askers, as soon as one may be
+// asked.
 transport::Task<void> BoardWatcher::watch() {
+  constexpr Micros kRelayLook = milliseconds(50);  // whether a relay may be asked again
+  const bool relays = relays_.choice != nullptr;
+  Call board = asking_.first(now());
+  Micros relay_at = now();
+  bool drawn = true;  // the board's turn is of this want of a relay, and not of an earlier one
+  if (relays) {
+    scheduler_.spawn(audit());
+  }
   for (;;) {
-    const Clock::time_point asked = Clock::now();
-    const std::uint64_t had = taker_.last();
     const transport::Address at = board_;
-    const bool good = co_await poll();
+    const Micros until = relays ? std::min(board.at, relay_at) : board.at;
+    const Micros wait = until - now();
+    if (wait > Micros(0)) {
+      const bool moved = co_await moved_.wait(wait);
+      if (moved || at != board_) {
+        board = asking_.first(now());
+        continue;
+      }
+    }
+    const Micros asked = now();
+    std::optional<std::string> relay;
+    if (relays) {
+      relay = relays_.choice->choose(asked);
+      if (!relay && asked < board.at) {
+        relay_at = asked + kRelayLook;
+        continue;
+      }
+    }
+    const Micros linger = relay ? std::chrono::duration_cast<Micros>(bounds_.relay_linger) : board.linger;
+    const Ended ended = co_await call(relay, linger);
     if (at != board_) {
-      continue;  // the call was broken off to ask elsewhere: no failure
+      board = asking_.first(now());  // the call was broken off to ask elsewhere: no failure
+      continue;
+    }
+    note(ended, relay);
+    const bool good = ended.end == CallEnd::kNews || ended.end == CallEnd::kNothing;
+    relay_at = now();
+    if (!relay) {
+      board = asking_.after(asked, now(), ended.end, ended.retry_after);
+    } else if (good) {
+      drawn = false;
+    } else if (!std::exchange(drawn, true)) {
+      board = asking_.first(now());
+    }
+  }
+}
+
+// Behind the relay's back the board itself is asked for its last number, now and then.
+transport::Task<void> BoardWatcher::audit() {
+  constexpr Micros kLook = milliseconds(50);
+  std::uint64_t asked_for = 0;
+  for (;;) {
+    co_await scheduler_.sleep(kLook);
+    const std::optional<std::string> relay = relays_.choice->choose(now());
+    if (relay && relays_.choice->withholds(now(), *relay, taker_.last())) {
+      log_line(Level::kWarning) << "relay " << *relay
+                                << " withholds what the board tells: not asked any more";
+    }
+    const std::optional<Micros> due = relays_.choice->audit_due(now());
+    if (!relay || !due || now() < *due) {
+      continue;
     }
-    note(good);
-    // A board that does not hold calls back is not flooded.
-    const bool hasty = taker_.last() == had && Clock::now() - asked < bounds_.least_pause;
-    const Clock::duration wait = !good ? pause() : hasty ? bounds_.least_pause : Clock::duration::zero();
-    if (wait > Clock::duration::zero()) {
-      co_await moved_.wait(wait);
+    ++counts_.audits;
+    const std::shared_ptr<Link> link = link_to(board_);
+    asked_for = taker_.last();
+    const std::string request =
+        protocol::http::write_get(protocol::poll_path(asked_for, 0), transport::to_string(board_));
+    const std::optional<protocol::http::Response> response = co_await exchange(link, request, bounds_.grace);
+    link->connection->close(ConnectionEnd::kDropped);
+    std::uint64_t board_last = 0;
+    if (response && response->status == kOkay) {
+      const nlohmann::json page = nlohmann::json::parse(response->body, nullptr, false);
+      if (page.is_object() && page.contains("rev") && page["rev"].is_number_unsigned()) {
+        board_last = page["rev"].get<std::uint64_t>();
+      }
     }
+    relays_.choice->audited(now(), board_last, taker_.last());
   }
 }
 
@@ -80,79 +180,169 @@
     return false;
   }
   board_ = board;
-  failures_ = 0;
-  if (connection_) {
-    connection_->close(ConnectionEnd::kDropped);
+  if (link_) {
+    link_->connection->close(ConnectionEnd::kDropped);
   }
   moved_.notify();
   return true;
 }
 
-// One call; a connection that broke between two calls is not yet a failure of the board.
-transport::Task<bool> BoardWatcher::poll() {
-  if (!connection_ || connection_->ended()) {
-    connection_ = Connection::connect(scheduler_, board_, bounds_.connection);
-    link_ = std::make_shared<Link>(scheduler_, bounds_.answers);
-    connection_->start(link_);
-  }
-  const std::shared_ptr<Link> link = link_;
-  const std::shared_ptr<Connection> connection = connection_;
-  const auto linger = std::chrono::duration_cast<std::chrono::milliseconds>(bounds_.linger);
-  connection->write(protocol::http::write_get(protocol::poll_path(taker_.last(), linger.count()),
-                                              transport::to_string(board_)));
-  const Clock::time_point until = Clock::now() + bounds_.linger + bounds_.grace;
+std::shared_ptr<BoardWatcher::Link> BoardWatcher::link_to(const transport::Address& address) {
+  const auto link = std::make_shared<Link>(scheduler_, bounds_.answers);
+  link->to = address;
+  link->connection = Connection::connect(scheduler_, address, bounds_.connection);
+  link->connection->start(link);
+  return link;
+}
+
+// One request and its answer; nothing where none came, with the reason in why_.
+transport::Task<std::optional<protocol::http::Response>> BoardWatcher::exchange(
+    const std::shared_ptr<Link>& link, const std::string& request, Clock::duration longest) {
+  link->connection->write(request);
+  const Clock::time_point until = Clock::now() + longest;
   for (;;) {
     std::optional<protocol::http::Response> response = link->parser.take();
     if (response) {
       if (!response->keep_open) {
-        connection->close(ConnectionEnd::kDropped);
+        link->connection->close(ConnectionEnd::kDropped);
       }
-      co_return take(*response);
+      co_return response;
     }
     const Clock::duration left = until - Clock::now();
     if (link->parser.failed() || link->end || left <= Clock::duration::zero()) {
       why_ = link->end               ? std::string(to_string(*link->end))
              : link->parser.failed() ? link->parser.why()
                                      : "silent";
-      connection->close(link->parser.failed() ? ConnectionEnd::kMalformed : ConnectionEnd::kSilent);
-      co_return false;
+      link->connection->close(link->parser.failed() ? ConnectionEnd::kMalformed : ConnectionEnd::kSilent);
+      co_return std::nullopt;
     }
     co_await link->changed.wait(left);
   }
 }
 
-bool BoardWatcher::take(const protocol::http::Response& response) {
-  constexpr int kOkay = 200;
+transport::Task<BoardWatcher::Ended> BoardWatcher::call(const std::optional<std::string>& relay,
+                                                        Micros linger) {
+  ++counts_.calls;
+  counts_.to_relays += relay ? 1 : 0;
+  const transport::Address to = relay ? relays_.addresses.at(*relay) : board_;
+  if (!link_ || link_->connection->ended() || link_->to != to) {
+    if (link_) {
+      link_->connection->close(ConnectionEnd::kDropped);
+    }
+    link_ = link_to(to);
+  }
+  const std::shared_ptr<Link> link = link_;
+  const Micros asked = now();
+  const auto linger_ms = std::chrono::duration_cast<milliseconds>(linger).count();
+  const Clock::duration longest = linger + (relay ? bounds_.relay_grace : bounds_.grace);
+  const std::string request =
+      protocol::http::write_get(protocol::poll_path(taker_.last(), linger_ms), transport::to_string(to));
+  const std::optional<protocol::http::Response> response = co_await exchange(link, request, longest);
+  Ended out;
+  if (response) {
+    out = take(*response, relay, asked, linger);
+  } else {
+    const bool silent = !link->end && !link->parser.failed();
+    out.end = link->parser.failed() && !link->end ? CallEnd::kSpoilt
+              : silent                            ? CallEnd::kSilent
+                                                  : CallEnd::kBroken;
+    if (relay) {
+      relays_.choice->failed(now(), *relay);
+    }
+  }
+  co_return out;
+}
+
+BoardWatcher::Ended BoardWatcher::take(const protocol::http::Response& response,
+                                       const std::optional<std::string>& relay, Micros asked, Micros linger) {
+  Ended out;
   if (response.status != kOkay) {
     why_ = "status " + std::to_string(response.status);
-    return false;
+    out.end = CallEnd::kRefused;
+    const auto wait = protocol::http::read_retry_after(response.header("retry-after"), unix_seconds());
+    out.retry_after = std::chrono::seconds(std::min<std::int64_t>(wait.value_or(0), 86'400));
+    if (relay) {
+      relays_.choice->failed(now(), *relay);
+    }
+    return out;
   }
+  out.end = CallEnd::kSpoilt;
   try {
-    taker_.take(protocol::parse_notices(response.body, profile_));
-    return true;
+    const nlohmann::json page = nlohmann::json::parse(response.body, nullptr, false);
+    if (page.is_discarded()) {
+      throw protocol::FormatError("not JSON");
+    }
+    const protocol::NoticePage notices = protocol::read_notices(page, profile_);
+    startup::Upstream::Said said;
+    if (relay) {
+      said = said_by(response);
+      const auto belief = relays_.choice->answered(now(), *relay, relays_.self, said);
+      if (belief != startup::Upstream::Belief::kGood) {
+        why_ =
+            belief == startup::Upstream::Belief::kTooOld ? "a page too old" : "a page that came in a circle";
+        return out;
+      }
+    }
+    const std::string id = protocol::word_at(page, "board", "");
+    const std::uint64_t before = taker_.last();
+    switch (numbering_.judge(now(), before, notices.last, id)) {
+      case startup::PageVerdict::kStale:
+        ++counts_.stale;
+        why_ = "an older number, " + std::to_string(notices.last) + " after " + std::to_string(before);
+        return out;
+      case startup::PageVerdict::kAnew:
+        log_line(Level::kWarning) << "the notice board began anew: it is at event " << notices.last
+                                  << ", we knew " << before;
+        taker_.forget_numbers();
+        if (hooks_.anew) {
+          hooks_.anew();
+        }
+        out.end = CallEnd::kNews;  // asked again at once, from its start
+        return out;
+      case startup::PageVerdict::kTake:
+        break;
+    }
+    taker_.take(notices);
+    const bool news = taker_.last() > before;
+    out.end = news ? CallEnd::kNews : CallEnd::kNothing;
+    // A call that brought nothing was held to its end: the board had nothing then, however late this is read.
+    // One that brought news was answered at some time since it was asked.
+    const Micros known = news ? asked : std::min(now(), asked + linger);
+    if (hooks_.page) {
+      hooks_.page(page, known - (relay ? said.age : Micros(0)), response.header("x-path"));
+    }
+    if (const auto askers = protocol::read_number<std::int64_t>(response.header("x-askers"));
+        askers && !relay && hooks_.askers) {
+      hooks_.askers(*askers);
+    }
   } catch (const std::exception& error) {  // whatever fails, the board is asked again
     why_ = error.what();
-    return false;
+    out.end = CallEnd::kSpoilt;
+    if (relay) {
+      relays_.choice->failed(now(), *relay);
+    }
   }
-}
-
-Clock::duration BoardWatcher::pause() {
-  const int doublings = std::min(failures_ - 1, kMostDoublings);
-  const Clock::duration longest = std::min(bounds_.most_pause, bounds_.least_pause * (1 << doublings));
-  std::uniform_real_distribution<double> part(0.5, 1.0);
-  return std::chrono::duration_cast<Clock::duration>(longest * part(random_));
+  return out;
 }
 
 // Operators are told when it is lost and when it is back, not of each try.
-void BoardWatcher::note(bool good) {
-  if (good && failures_ > 0) {
-    log_line(Level::kInfo) << "notice board " << to_string(board_) << " is back after " << failures_
-                           << " failed calls";
+void BoardWatcher::note(const Ended& ended, const std::optional<std::string>& relay) {
+  const bool good = ended.end == CallEnd::kNews || ended.end == CallEnd::kNothing;
+  counts_.failed += good ? 0 : 1;
+  counts_.refused += ended.end == CallEnd::kRefused ? 1 : 0;
+  if (relay) {
+    if (!good) {
+      log_line(Level::kInfo) << "relay " << *relay << ": " << why_;
+    }
+    return;
   }
-  failures_ = good ? 0 : failures_ + 1;
-  if (failures_ == 1) {
+  const int failures = asking_.failures();
+  if (good && failures > 0) {
+    log_line(Level::kInfo) << "notice board " << to_string(board_) << " is back after " << failures
+                           << " failed calls";
+  } else if (!good && failures == 0) {
     log_line(Level::kDebug) << "notice board " << to_string(board_) << ": " << why_;
-  } else if (failures_ == 2) {
+  } else if (!good && failures == 1) {
     log_line(Level::kWarning) << "notice board " << to_string(board_) << " is lost: " << why_;
   }
 }
--- a/src/routing/board_watcher.h
+++ b/src/routing/board_watcher.h
@@ -1,16 +1,22 @@
-// Watches the notice board: asks for what is new, again and again, and waits longer between tries while it
-// fails. No request ever waits for it.
+// Watches the notice board, itself or by way of a relay: asks for what is new, again and again. When to ask
+// is decided by startup/asking.h, whom by startup/upstream.h, whether a page goes on from what is known by
+// startup/numbering.h; this carries it out. No request ever waits for it.
 #pragma once
 
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <optional>
-#include <random>
 #include <string>
 
 #include "protocol/http_client.h"
 #include "protocol/settings.h"
 #include "routing/notice_sink.h"
+#include "startup/asking.h"
+#include "startup/numbering.h"
+#include "startup/upstream.h"
 #include "transport/connection.h"
 #include "transport/scheduler.h"
 
@@ -19,42 +25,85 @@
 class BoardWatcher {
  public:
   struct Bounds {
-    transport::Clock::duration linger =
-        std::chrono::milliseconds(2000);                                 // how long the board may hold a call
-    transport::Clock::duration grace = std::chrono::milliseconds(1000);  // beyond that it counts as silent
-    transport::Clock::duration least_pause = std::chrono::milliseconds(50);
-    transport::Clock::duration most_pause = std::chrono::milliseconds(2000);
+    startup::AskingRules asking;
+    transport::Clock::duration grace = std::chrono::milliseconds(1000);  // beyond the linger it is silent
+    transport::Clock::duration relay_linger = std::chrono::milliseconds(100);
+    transport::Clock::duration relay_grace = std::chrono::milliseconds(100);
+    Micros anew_after = Micros::max();  // a board without a name that says lower numbers for so long
     transport::Connection::Bounds connection;
     protocol::http::Bounds answers;
   };
+  // What else is done with what the board says; each may be empty.
+  struct Hooks {
+    // A page was taken in. `known_at`: steady time at which all that the board had was surely in it.
+    std::function<void(const nlohmann::json& page, Micros known_at, const std::string& path)> page;
+    // The board began anew; what it tells from now on is numbered from its start.
+    std::function<void()> anew;
+    // How many ask the board, by its own word.
+    std::function<void(std::int64_t)> askers;
+  };
+  // The relays that this router may ask, by name, and who chooses among them.
+  struct Relays {
+    std::string self;
+    std::map<std::string, transport::Address> addresses;
+    startup::Upstream* choice = nullptr;  // null: the board itself is asked
+  };
+  struct Counts {
+    std::uint64_t calls = 0, to_relays = 0, audits = 0, failed = 0, refused = 0, stale = 0;
+  };
 
   BoardWatcher(transport::Scheduler& scheduler, const transport::Address& board, NoticeSink& taker,
                const protocol::Profile& profile, std::uint64_t seed, const Bounds& bounds);
+  BoardWatcher(transport::Scheduler& scheduler, const transport::Address& board, NoticeSink& taker,
+               const protocol::Profile& profile, std::uint64_t seed, const Bounds& bounds, Hooks hooks,
+               Relays relays);
+  ~BoardWatcher();
 
   void start() { scheduler_.spawn(watch()); }
-  // The board is to be asked at this address from now on, at once; false where that is the one in use.
+  // The board is to be asked at this address from now on; false where that is the one in use.
   bool move(const transport::Address& board);
+  void fleet_size(int routers) { asking_.fleet_size(routers); }
+  // What a snapshot knew of the board's name.
+  void starts_with(const std::string& id) { numbering_.starts_with(id); }
+
+  const transport::Address& board() const { return board_; }
+  const std::string& board_id() const { return numbering_.id(); }
+  const Counts& counts() const { return counts_; }
+  bool lost() const { return asking_.failures() > 1; }
 
  private:
   class Link;
+  struct Ended {
+    startup::CallEnd end = startup::CallEnd::kBroken;
+    Micros retry_after{0};
+  };
 
   transport::Task<void> watch();
-  transport::Task<bool> poll();
-  bool take(const protocol::http::Response& response);
-  transport::Clock::duration pause();
-  void note(bool good);
+  transport::Task<void> audit();
+  // What is passed by reference has to live until the task is done.
+  transport::Task<Ended> call(const std::optional<std::string>& relay, Micros linger);
+  transport::Task<std::optional<protocol::http::Response>> exchange(const std::shared_ptr<Link>& link,
+                                                                    const std::string& request,
+                                                                    transport::Clock::duration longest);
+  std::shared_ptr<Link> link_to(const transport::Address& address);
+  Ended take(const protocol::http::Response& response, const std::optional<std::string>& relay, Micros asked,
+             Micros linger);
+  static Micros now();
+  void note(const Ended& ended, const std::optional<std::string>& relay);
 
   transport::Scheduler& scheduler_;
   transport::Address board_;
   transport::Signal moved_;
   NoticeSink& taker_;
   const protocol::Profile& profile_;
-  std::mt19937_64 random_;
   Bounds bounds_;
-  int failures_ = 0;
+  Hooks hooks_;
+  Relays relays_;
+  startup::Asking asking_;
+  startup::Numbering numbering_;
+  Counts counts_;
   std::string why_;
   std::shared_ptr<Link> link_;
-  std::shared_ptr<transport::Connection> connection_;
 };
 
 }  // namespace trailcourse::routing
--- a/src/routing/front.cpp
+++ b/src/routing/front.cpp
@@ -257,8 +257,11 @@
   if (field(read.parameters, "SCRIPT_NAME") == kHealthPath) {
     useful_ = true;
     const bool ready = front_.ready_() && !front_.draining_;
-    answer(key, ready ? cgi_head(200, "OK") + "Content-Type: text/plain\r\n\r\nok\n"
-                      : cgi_head(503, "Service Unavailable") + "\r\n");
+    const std::string status = front_.status_ ? front_.status_() : std::string();
+    const std::string type = "Content-Type: text/plain\r\n\r\n";
+    answer(key,
+           ready ? cgi_head(200, "OK") + type + (status.empty() ? "ok" : status) + "\n"
+                 : cgi_head(503, "Service Unavailable") + (status.empty() ? "\r\n" : type + status + "\n"));
     return;
   }
   front_.last_arrival_ = front_.scheduler_.turn_time();
--- a/src/routing/front.h
+++ b/src/routing/front.h
@@ -116,6 +116,8 @@
   };
   // Whether requests can be served; asked for each health check.
   using Ready = std::function<bool()>;
+  // What a health check says beside that.
+  using Status = std::function<std::string()>;
   // Frees a descriptor elsewhere; false where none can be had.
   using FreeDescriptor = std::function<bool()>;
 
@@ -130,6 +132,7 @@
   void listen(const transport::Address& address);
   // Health checks fail from now on; requests are served as before.
   void start_draining() { draining_ = true; }
+  void tell_status(Status status) { status_ = std::move(status); }
   // Whether nothing is owed to any client.
   bool quiet() const;
   // Of a request; health checks do not count.
@@ -152,6 +155,7 @@
   const std::unordered_map<std::string, int>& class_index_;
   Bounds bounds_;
   Ready ready_;
+  Status status_;
   FreeDescriptor free_descriptor_;
   bool draining_ = false;
   transport::Clock::time_point last_arrival_ = transport::Clock::now();
--- a/src/routing/notice_sink.h
+++ b/src/routing/notice_sink.h
@@ -17,6 +17,8 @@
   virtual void take(const protocol::NoticePage& page) = 0;
   // The number of the last event taken in: the board is asked for what is later.
   virtual std::uint64_t last() const = 0;
+  // The board began anew: its next events are numbered from its start, and the list among them is whole.
+  virtual void forget_numbers() {}
 };
 
 }  // namespace trailcourse::routing
--- a/src/routing/notice_taker.cpp
+++ b/src/routing/notice_taker.cpp
@@ -63,7 +63,11 @@
       leave_out(name);
     }
   }
-  router_.list_received(std::move(list));
+  if (list_to_) {
+    list_to_(std::move(list));
+  } else {
+    router_.list_received(std::move(list));
+  }
 }
 
 // Keeps the address; false where the entry cannot be used.
--- a/src/routing/notice_taker.h
+++ b/src/routing/notice_taker.h
@@ -25,8 +25,17 @@
 
   void take(const protocol::NoticePage& page) override;
 
+  // Lists go there instead of to the router, as where a gate stands before the decision module.
+  using ListTo = std::function<void(ListReceived)>;
+  void lists_to(ListTo to) { list_to_ = std::move(to); }
+
   // The number of the last event taken in.
   std::uint64_t last() const override { return last_; }
+  // Caches known before stay until the new list says otherwise; purges go on binding.
+  void forget_numbers() override {
+    last_ = 0;
+    listed_ = false;
+  }
   // Whether any cache is up: before that no request can be served.
   bool ready() const { return !up_.empty(); }
 
@@ -39,6 +48,7 @@
   Router& router_;
   Directory& directory_;
   Unwanted unwanted_;
+  ListTo list_to_;
   std::uint64_t last_ = 0;
   bool listed_ = false;
   std::map<std::string, std::pair<NodeState, std::int64_t>> known_;  // state and start of those listed
--- /dev/null
+++ b/src/snapshot/folder.cpp
@@ -0,0 +1,94 @@
+#include "snapshot/folder.h"
+
+#include <fcntl.h>
+#include <sys/file.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstdio>
+#include <filesystem>
+#include <system_error>
+#include <utility>
+
+namespace trailcourse::snapshot {
+
+using transport::Descriptor;
+
+namespace {
+
+[[noreturn]] void fail(const std::string& what) {
+  throw std::system_error(errno, std::generic_category(), what);
+}
+
+Descriptor open_file(const std::string& path, int flags) {
+  Descriptor file(::open(path.c_str(), flags | O_CLOEXEC, 0600));
+  if (!file.valid()) {
+    fail(path);
+  }
+  return file;
+}
+
+}  // namespace
+
+SnapshotFolder::SnapshotFolder(std::string path) : path_(std::move(path)) {
+  std::error_code error;
+  std::filesystem::create_directories(path_, error);
+  if (error) {
+    throw std::system_error(error, path_);
+  }
+  lock_ = open_file(path_ + "/lock", O_RDWR | O_CREAT);
+  if (::flock(lock_.get(), LOCK_EX | LOCK_NB) != 0) {
+    fail(path_ + " is in use by another process");
+  }
+}
+
+std::optional<std::string> SnapshotFolder::load() const {
+  const std::string path = path_ + "/snapshot";
+  const Descriptor file(::open(path.c_str(), O_RDONLY | O_CLOEXEC));
+  if (!file.valid()) {
+    if (errno == ENOENT) {
+      return std::nullopt;
+    }
+    fail(path);
+  }
+  std::string out;
+  char buffer[65'536];
+  for (;;) {
+    const ssize_t count = ::read(file.get(), buffer, sizeof buffer);
+    if (count < 0 && errno != EINTR) {
+      fail(path);
+    }
+    if (count == 0) {
+      return out;
+    }
+    out.append(buffer, count > 0 ? static_cast<std::size_t>(count) : 0);
+  }
+}
+
+void SnapshotFolder::store(const std::string& bytes) const {
+  const std::string next = path_ + "/snapshot.next";
+  const std::string path = path_ + "/snapshot";
+  {
+    const Descriptor file = open_file(next, O_WRONLY | O_CREAT | O_TRUNC);
+    std::size_t written = 0;
+    while (written < bytes.size()) {
+      const ssize_t count = ::write(file.get(), bytes.data() + written, bytes.size() - written);
+      if (count < 0 && errno != EINTR) {
+        fail(next);
+      }
+      written += count > 0 ? static_cast<std::size_t>(count) : 0;
+    }
+    if (::fsync(file.get()) != 0) {
+      fail(next);
+    }
+  }
+  if (std::rename(next.c_str(), path.c_str()) != 0) {
+    fail(path);
+  }
+  const Descriptor folder = open_file(path_, O_RDONLY | O_DIRECTORY);
+  if (::fsync(folder.get()) != 0) {
+    fail(path_);
+  }
+}
+
+}  // namespace trailcourse::snapshot
--- a/tests/config_record_test.cpp
+++ b/tests/config_record_test.cpp
@@ -70,8 +70,7 @@
          {"cache.sources", "NAME=IP:PORT"});
   expect(R"({"cache": {"name": "a", "listen": "127.0.0.1:1", "sources": [1]}})",
          {"cache.sources", "list of texts"});
-  expect(R"({"origin": {"listen": "127.0.0.1:1", "size_kb": 900}})",
-         {"origin.size_kb", "900", "0 and 234"});
+  expect(R"({"origin": {"listen": "127.0.0.1:1", "size_kb": 900}})", {"origin.size_kb", "900", "0 and 234"});
   expect(R"({"cache": {"name": "a", "listen": "127.0.0.1:1", "value_kb": 200}, "classes": {"m": {}}})",
          {"cache.answer_bytes", "240000", "value_kb"});
   expect(R"({"shop": {}})", {"shop", "no such section"});
