Prove the cold start with fleets of real processes; leave relays that are behind or lie

Need: the machines of the start are only worth what fleets of real processes do with faults on their links.

It found two faults: a relay that had slept answered an older number and was asked again thousands of times a second (board_watcher.cpp passed over no relay for a stale page), and audits in a row gave a lying relay new time each (upstream.cpp replaced the open audit). Both are mended.

--- a/src/routing/board_watcher.cpp
+++ b/src/routing/board_watcher.cpp
@@ -129,7 +129,9 @@
     }
     note(ended, relay);
     const bool good = ended.end == CallEnd::kNews || ended.end == CallEnd::kNothing;
-    relay_at = now();
+    // A relay that holds nothing back is not flooded either.
+    const bool hasty = ended.end != CallEnd::kNews && now() - asked < linger / 2;
+    relay_at = hasty ? asked + linger / 2 : now();
     if (!relay) {
       board = asking_.after(asked, now(), ended.end, ended.retry_after);
     } else if (good) {
@@ -289,6 +291,9 @@
       case startup::PageVerdict::kStale:
         ++counts_.stale;
         why_ = "an older number, " + std::to_string(notices.last) + " after " + std::to_string(before);
+        if (relay) {
+          relays_.choice->failed(now(), *relay);  // it is behind: it may have slept
+        }
         return out;
       case startup::PageVerdict::kAnew:
         log_line(Level::kWarning) << "the notice board began anew: it is at event " << notices.last
--- a/src/startup/upstream.cpp
+++ b/src/startup/upstream.cpp
@@ -75,8 +75,11 @@
 
 void Upstream::audited(Micros now, std::uint64_t board_last, std::uint64_t own_last) {
   audit_at_.reset();
-  open_audit_.reset();
-  if (board_last > own_last) {
+  if (open_audit_ && own_last >= open_audit_->number) {
+    open_audit_.reset();
+  }
+  // A later audit does not give the relay more time for what it should have told by an earlier one.
+  if (!open_audit_ && board_last > own_last) {
     open_audit_ = Audit{board_last, now};
   }
 }
--- /dev/null
+++ b/tests/fleet/cold_start_test.cpp
@@ -0,0 +1,640 @@
+// Fleets of real processes that start, lose their board and get it back, with faults on the links between.
+// What is judged: exactly one final answer for each request, no copy older than a purge, calls at the board
+// by count.
+#include <sys/stat.h>
+#include <sys/un.h>
+
+#include <algorithm>
+#include <chrono>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <random>
+#include <string>
+
+#include "fleet/rig.h"
+#include "snapshot/snapshot.h"
+#include "stand_ins.h"
+#include "startup/relay_tree.h"
+
+namespace trailcourse::testing_support {
+namespace {
+
+using fleet::Asked;
+using fleet::Kind;
+using fleet::Shape;
+using nlohmann::json;
+using std::chrono::milliseconds;
+using transport::Clock;
+
+const std::vector<std::string> kNone;
+
+Shape spread_shape(int routers, double calls_per_s = 40.0) {
+  Shape shape;
+  shape.routers = routers;
+  shape.operators["startup"] = {
+      {"spread", true}, {"board_calls_per_s", calls_per_s}, {"window_most_ms", 2'000}};
+  return shape;
+}
+
+// Calls that the fleet may have made in a time, by the bound of startup/asking.h, and what settled routers
+// make.
+std::size_t allowed_calls(int routers, double calls_per_s, Clock::duration time) {
+  const double seconds = std::chrono::duration<double>(time).count();
+  const double mean = calls_per_s * seconds;
+  return static_cast<std::size_t>(mean + 6.0 * std::sqrt(mean) + 12.0 + routers * (1.0 + seconds / 2.0));
+}
+
+std::vector<std::string> ask_all(Rig& rig, const std::vector<std::string>& routers, int each) {
+  std::mt19937_64 random(7);
+  const std::size_t before = rig.load().all().size();
+  for (int i = 0; i < each; ++i) {
+    for (const std::string& router : routers) {
+      rig.ask(router, 1'000 + random() % 30);
+    }
+    rig.run_for(milliseconds(2));
+  }
+  EXPECT_TRUE(rig.await_answers());
+  const std::vector<Asked> asked(rig.load().all().begin() + static_cast<std::ptrdiff_t>(before),
+                                 rig.load().all().end());
+  return broken_answers(asked, milliseconds(2'000), 20U << 10U);
+}
+
+std::size_t served(Rig& rig, std::size_t from) {
+  const auto& all = rig.load().all();
+  return static_cast<std::size_t>(std::count_if(all.begin() + static_cast<std::ptrdiff_t>(from), all.end(),
+                                                [](const Asked& one) { return one.status == 200; }));
+}
+
+// Makes all objects of a new version and purges the group of each object that is asked for here.
+void edit_and_purge(Rig& rig) {
+  rig.fleet().signal("origin", SIGHUP);
+  ASSERT_TRUE(rig.fleet().await_log("origin", "of a new version", kAwaited));
+  const auto now =
+      std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch());
+  for (std::uint64_t object = 1'000; object < 1'030; ++object) {
+    rig.post({{"flush", {{"asset", fleet::object_name(object)}, {"ms", now.count()}}}});
+  }
+}
+
+// Answers of an old version to requests that were sent after `from`.
+std::size_t old_answers(Rig& rig, Clock::time_point from, int version) {
+  const auto& all = rig.load().all();
+  return static_cast<std::size_t>(std::count_if(all.begin(), all.end(), [&](const Asked& one) {
+    return one.sent >= from && one.status == 200 && one.version < version;
+  }));
+}
+
+TEST(ColdStartTest, AllAtOnceWithoutAListEachHasItWithinTheBoundOfCalls) {
+  constexpr int kRouters = 12;
+  Shape shape = spread_shape(kRouters);
+  shape.known = false;
+  Rig rig(shape, {"router*>board"});
+  rig.start(Kind::kBoard);
+  rig.start(Kind::kOrigin);
+  rig.start(Kind::kParent);
+  rig.start(Kind::kCache);
+  const Clock::time_point begun = Clock::now();
+  rig.fleet().start_all(Kind::kRouter);
+  ASSERT_EQ(rig.await_states(rig.routers(), {"current"}), "");
+  EXPECT_LE(rig.calls("router*>board"), allowed_calls(kRouters, 40.0, Clock::now() - begun));
+  for (const std::string& router : rig.routers()) {
+    EXPECT_TRUE(rig.await_ready(router));
+  }
+  EXPECT_EQ(ask_all(rig, rig.routers(), 5), kNone);
+  EXPECT_EQ(served(rig, 0), 60U);
+  EXPECT_EQ(rig.fleet().missing(), kNone);
+}
+
+// A board that is down, silent, slow, refuses connections, breaks off in mid-event, or whose answers come
+// late. The routers serve on from what they know, call within the bound, and are current once it is sound.
+class TroubledBoard : public testing::TestWithParam<const char*> {};
+
+TEST_P(TroubledBoard, RoutersServeOnCallWithinTheBoundAndComeBack) {
+  constexpr int kRouters = 8;
+  Rig rig(spread_shape(kRouters), {"router*>board"});
+  rig.start_all();
+  ASSERT_FALSE(testing::Test::HasFatalFailure());
+  for (const std::string& router : rig.routers()) {
+    ASSERT_TRUE(rig.await_ready(router));
+  }
+  const std::string trouble = GetParam();
+  const bool process = trouble.find('>') == std::string::npos;
+  const std::size_t before = rig.calls("router*>board");
+  const Clock::time_point begun = Clock::now();
+  rig.fault(trouble);
+  rig.post({{"pool",
+             {{"index", 2},
+              {"snapshot", false},
+              {"endpoints", {rig.layout().entry(rig.layout().member("cache1"), "draining")}}}}});
+  EXPECT_EQ(ask_all(rig, rig.routers(), 60), kNone);
+  EXPECT_GT(served(rig, 0), 8U * 55U);
+  EXPECT_LE(rig.calls("router*>board") - before, allowed_calls(kRouters, 40.0, Clock::now() - begun));
+  if (process) {
+    rig.fault(trouble.starts_with("stop") ? "cont board" : "start board");
+  } else {
+    rig.fault("heal router*>board");
+  }
+  for (const std::string& router : rig.routers()) {
+    EXPECT_TRUE(rig.fleet().await_log(router, "cache cache1 is draining", kAwaited))
+        << rig.fleet().log(router);
+  }
+  ASSERT_EQ(rig.await_states(rig.routers(), {"current"}), "");
+  EXPECT_EQ(ask_all(rig, rig.routers(), 3), kNone);
+  EXPECT_EQ(rig.fleet().missing(), kNone);
+}
+
+INSTANTIATE_TEST_SUITE_P(ColdStart, TroubledBoard,
+                         testing::Values("kill board", "stop board", "cut router*>board both",
+                                         "cut router*>board in", "refuse router*>board",
+                                         "truncate router*>board 90", "slow router*>board 300",
+                                         "delay router*>board 700", "reset router*>board"),
+                         [](const auto& one) {
+                           std::string name = one.param;
+                           std::replace_if(
+                               name.begin(), name.end(), [](char c) { return std::isalnum(c) == 0; }, '_');
+                           return name;
+                         });
+
+// Provokes: a board restored from nothing: another list, numbered from 1 again. What was known by its old
+// numbers would hide every new event until they are passed.
+TEST(ColdStartTest, ABoardThatBeganAnewIsHeardFromItsStart) {
+  Shape shape = spread_shape(4);
+  shape.caches = 3;
+  Rig rig(shape);
+  rig.start_all();
+  ASSERT_FALSE(testing::Test::HasFatalFailure());
+  for (int i = 0; i < 5; ++i) {
+    rig.post({{"flush", {{"collection", 3}, {"ms", 1}}}});
+  }
+  ASSERT_EQ(rig.await_states(rig.routers(), {"current"}), "");
+  rig.fleet().kill("board");
+  json page = rig.layout().first_page();
+  auto& entries = page["notices"][0]["pool"]["endpoints"];
+  entries.erase(std::remove_if(entries.begin(), entries.end(),
+                               [](const json& entry) { return entry["name"] == "cache0"; }),
+                entries.end());
+  std::ofstream(rig.layout().board_file()) << page.dump();
+  rig.start("board");
+  for (const std::string& router : rig.routers()) {
+    EXPECT_TRUE(rig.fleet().await_log(router, "began anew", kAwaited)) << rig.fleet().log(router);
+    EXPECT_TRUE(rig.fleet().await_log(router, "cache cache0 is not listed any more", kAwaited))
+        << rig.fleet().log(router);
+  }
+  // Its next event, of a low number, is heard by all.
+  rig.post({{"pool",
+             {{"index", 2},
+              {"snapshot", false},
+              {"endpoints", {rig.layout().entry(rig.layout().member("cache1"), "draining")}}}}});
+  for (const std::string& router : rig.routers()) {
+    EXPECT_TRUE(rig.fleet().await_log(router, "cache cache1 is draining", kAwaited))
+        << rig.fleet().log(router);
+  }
+  EXPECT_EQ(ask_all(rig, rig.routers(), 5), kNone);
+}
+
+// Provokes: a stale copy of the board behind its address, for a moment. It must change nothing.
+TEST(ColdStartTest, AnOlderNumberFromTheSameBoardChangesNothing) {
+  Rig rig(spread_shape(3));
+  json page = rig.layout().first_page();
+  page["board"] = "one";
+  std::ofstream(rig.layout().board_file()) << page.dump();
+  rig.start_all();
+  ASSERT_FALSE(testing::Test::HasFatalFailure());
+  rig.post({{"pool",
+             {{"index", 2},
+              {"snapshot", false},
+              {"endpoints", {rig.layout().entry(rig.layout().member("cache1"), "draining")}}}}});
+  for (const std::string& router : rig.routers()) {
+    ASSERT_TRUE(rig.fleet().await_log(router, "cache cache1 is draining", kAwaited));
+  }
+  std::ofstream(rig.layout().board_file()) << page.dump();  // as it was before
+  ASSERT_TRUE(rig.fleet().await_log("board", "tells up to event 1", kAwaited));
+  rig.run_for(milliseconds(300));
+  for (const std::string& router : rig.routers()) {
+    EXPECT_EQ(rig.fleet().log(router).find("began anew"), std::string::npos);
+    EXPECT_EQ(rig.fleet().log(router).find("cache1 is up", rig.fleet().log(router).find("draining")),
+              std::string::npos);
+  }
+}
+
+TEST(ColdStartTest, MovedBySighupDuringTheStartTheNewBoardIsAsked) {
+  Shape shape = spread_shape(6, 4.0);
+  shape.known = false;
+  Rig rig(shape, {"router*>board"});
+  rig.start(Kind::kOrigin);
+  rig.start(Kind::kCache);
+  // The links lead nowhere until the board is up; the new address is the board's own.
+  rig.fleet().start_all(Kind::kRouter);
+  for (const std::string& router : rig.routers()) {
+    ASSERT_TRUE(rig.fleet().await_up(router, kAwaited));
+  }
+  rig.start(Kind::kBoard);
+  rig.fault("cut router*>board both");
+  for (const std::string& router : rig.routers()) {
+    rig.layout().member(router).board = rig.layout().member("board").address;
+    rig.layout().write(rig.layout().member(router));
+    rig.fleet().signal(router, SIGHUP);
+  }
+  EXPECT_EQ(rig.await_states(rig.routers(), {"current"}), "");
+}
+
+// Provokes: some routers cut off from the board while objects are purged. Those that guard take no copy older
+// than the stated time; those that refuse serve nothing; neither gives out an old version.
+TEST(ColdStartTest, CutOffFromTheBoardNoneServesWhatWasPurgedUnheard) {
+  for (const char* unsure : {"guard", "refuse"}) {
+    Shape shape = spread_shape(4);
+    shape.operators["startup"]["unsure"] = unsure;
+    shape.operators["startup"]["told_within_ms"] = 800;
+    Rig rig(shape, {"router*>board", "cache*>board", "parent*>board"});
+    rig.start_all();
+    ASSERT_FALSE(testing::Test::HasFatalFailure());
+    ASSERT_EQ(rig.await_states(rig.routers(), {"current"}), "");
+    ASSERT_EQ(ask_all(rig, rig.routers(), 10), kNone);
+    // The nodes do not hear of the purge either: nothing but the routers' age limits is left.
+    rig.fault("cut cache*>board both");
+    rig.fault("cut parent*>board both");
+    rig.fault("cut router0>board both");
+    rig.fault("cut router1>board both");
+    edit_and_purge(rig);
+    ASSERT_EQ(rig.await_states({"router0", "router1"}, {"doubtful"}), "");
+    ASSERT_TRUE(rig.until([&] { return rig.status("router2").state == "current"; }));
+    rig.run_for(milliseconds(900));  // the stated time, after which no old copy may pass
+    const std::size_t from = rig.load().all().size();
+    const Clock::time_point bound = Clock::now();
+    EXPECT_EQ(ask_all(rig, rig.routers(), 15), kNone);
+    EXPECT_EQ(old_answers(rig, bound, 2), 0U) << unsure;
+    if (std::string(unsure) == "guard") {
+      EXPECT_GT(served(rig, from), 45U);
+    } else {
+      const auto& all = rig.load().all();
+      for (std::size_t i = from; i < all.size(); ++i) {
+        const bool cut = all[i].router == "router0" || all[i].router == "router1";
+        EXPECT_EQ(all[i].status == 200, !cut) << all[i].router;
+      }
+    }
+    rig.fault("heal *>board");
+    EXPECT_EQ(rig.await_states(rig.routers(), {"current"}), "");
+    EXPECT_EQ(ask_all(rig, rig.routers(), 3), kNone);
+    EXPECT_EQ(old_answers(rig, bound, 2), 0U);
+  }
+}
+
+// Provokes: a router stopped with requests in its buffers, for longer than the stated time, and woken after a
+// purge.
+TEST(ColdStartTest, StoppedAndWokenItServesNothingOfBeforeThePurge) {
+  Shape shape = spread_shape(2);
+  shape.operators["startup"]["unsure"] = "guard";
+  shape.operators["startup"]["told_within_ms"] = 600;
+  Rig rig(shape, {"cache*>board", "parent*>board"});
+  rig.start_all();
+  ASSERT_FALSE(testing::Test::HasFatalFailure());
+  ASSERT_EQ(rig.await_states(rig.routers(), {"current"}), "");
+  ASSERT_EQ(ask_all(rig, rig.routers(), 10), kNone);
+  rig.fault("cut cache*>board both");
+  rig.fault("cut parent*>board both");
+  rig.fault("stop router0");
+  edit_and_purge(rig);
+  rig.run_for(milliseconds(2'000));
+  const Clock::time_point bound = Clock::now();
+  const std::size_t from = rig.load().all().size();
+  for (std::uint64_t object = 1'000; object < 1'030; ++object) {
+    rig.ask("router0", object);  // in its buffers when it wakes
+  }
+  rig.run_for(milliseconds(20));
+  rig.fault("cont router0");
+  ASSERT_TRUE(rig.await_answers());
+  EXPECT_EQ(old_answers(rig, bound, 2), 0U);
+  EXPECT_GT(served(rig, from), 20U);
+}
+
+// Provokes: a list of which a fifth are gone; their addresses answer nothing.
+TEST(ColdStartTest, AListOfWhichAFifthAreGoneStillServesAll) {
+  Shape shape = spread_shape(3);
+  shape.caches = 10;
+  Rig rig(shape);
+  rig.start(Kind::kBoard);
+  rig.start(Kind::kOrigin);
+  rig.start(Kind::kParent);
+  for (int i = 0; i < 8; ++i) {
+    rig.start("cache" + std::to_string(i));
+  }
+  ASSERT_FALSE(testing::Test::HasFatalFailure());
+  rig.start(Kind::kRouter);
+  ASSERT_EQ(rig.await_states(rig.routers(), {"current"}), "");
+  for (int i = 0; i < 8; ++i) {
+    ASSERT_TRUE(rig.fleet().await_log("cache" + std::to_string(i), "board was heard", kAwaited));
+  }
+  EXPECT_EQ(ask_all(rig, rig.routers(), 60), kNone);
+  EXPECT_EQ(served(rig, 0), 180U);
+}
+
+// Provokes: objects purged while a third of the routers are down, which start again from their snapshots.
+TEST(ColdStartTest, PurgedWhileAThirdAreDownTheyServeNothingOldAfterTheirStart) {
+  Shape shape = spread_shape(6);
+  shape.operators["startup"]["unsure"] = "guard";
+  shape.operators["startup"]["told_within_ms"] = 600;
+  shape.operators["snapshot"] = {{"fleet", "test"}, {"write_ms", 20}};
+  shape.known = false;
+  Rig rig(shape, {"cache*>board", "parent*>board", "router*>board"});
+  rig.start_all();
+  ASSERT_FALSE(testing::Test::HasFatalFailure());
+  ASSERT_EQ(rig.await_states(rig.routers(), {"current"}), "");
+  for (const std::string& router : rig.routers()) {
+    ASSERT_TRUE(rig.await_ready(router));
+  }
+  ASSERT_EQ(ask_all(rig, rig.routers(), 10), kNone);
+  const std::vector<std::string> third{"router0", "router1"};
+  for (const std::string& router : third) {
+    ASSERT_TRUE(rig.until(
+        [&] { return std::filesystem::exists(rig.folder() + "/snapshot-" + router + "/snapshot"); }));
+    rig.fleet().kill(router);
+  }
+  rig.fault("cut cache*>board both");
+  rig.fault("cut parent*>board both");
+  edit_and_purge(rig);
+  rig.fault("cut router*>board both");  // and the board is gone before they are back
+  rig.run_for(milliseconds(700));
+  const Clock::time_point bound = Clock::now();
+  const std::size_t from = rig.load().all().size();
+  for (const std::string& router : third) {
+    rig.start(router);
+    ASSERT_TRUE(rig.fleet().await_log(router, "snapshot: taken in", kAwaited)) << rig.fleet().log(router);
+    ASSERT_TRUE(rig.await_ready(router));
+  }
+  EXPECT_EQ(rig.status("router0").state, "provisional");
+  // Nobody knows when the nodes started, so they are taken for cold, and most is refused at first.
+  for (int round = 0; round < 200 && served(rig, from) < 10; ++round) {
+    EXPECT_EQ(ask_all(rig, third, 5), kNone);
+    rig.run_for(milliseconds(50));
+  }
+  EXPECT_EQ(old_answers(rig, bound, 2), 0U);
+  EXPECT_GE(served(rig, from), 10U);
+  rig.fault("heal *>board");
+  EXPECT_EQ(rig.await_states(rig.routers(), {"current"}), "");
+}
+
+// Provokes: seven in ten killed under load, and all of them back at once.
+TEST(ColdStartTest, SevenInTenKilledUnderLoadComeBackAndTheOthersLoseNothing) {
+  constexpr int kRouters = 10;
+  Rig rig(spread_shape(kRouters), {"router*>board"});
+  rig.start_all();
+  ASSERT_FALSE(testing::Test::HasFatalFailure());
+  ASSERT_EQ(rig.await_states(rig.routers(), {"current"}), "");
+  const auto all = rig.routers();
+  const std::vector<std::string> killed(all.begin(), all.begin() + 7);
+  const std::vector<std::string> rest(all.begin() + 7, all.end());
+  for (const std::string& router : rest) {
+    for (int i = 0; i < 10; ++i) {
+      rig.ask(router, 1'000 + static_cast<std::uint64_t>(i));
+    }
+  }
+  const Clock::time_point begun = Clock::now();
+  const std::size_t before = rig.calls("router*>board");
+  for (const std::string& router : killed) {
+    rig.fleet().kill(router);
+  }
+  for (const std::string& router : killed) {
+    rig.fleet().start(router);
+  }
+  EXPECT_EQ(ask_all(rig, rest, 20), kNone);
+  ASSERT_EQ(rig.await_states(all, {"current"}), "");
+  EXPECT_LE(rig.calls("router*>board") - before, allowed_calls(kRouters, 40.0, Clock::now() - begun));
+  EXPECT_EQ(ask_all(rig, all, 3), kNone);
+}
+
+// What can be wrong with a snapshot folder costs a line each and no start.
+TEST(SnapshotStartTest, TornForeignSharedFutureOrUnwritableTheStartGoesOnWithout) {
+  Shape shape = spread_shape(1);
+  shape.operators["snapshot"] = {{"fleet", "test"}, {"write_ms", 20}};
+  Rig rig(shape);
+  rig.start_all();
+  ASSERT_FALSE(testing::Test::HasFatalFailure());
+  const std::string folder = rig.folder() + "/snapshot-router0";
+  const std::string file = folder + "/snapshot";
+  rig.post({{"flush", {{"collection", 3}, {"ms", 1}}}});
+  ASSERT_EQ(rig.await_states(rig.routers(), {"current"}), "");
+  const auto read = [&file] {
+    std::ifstream in(file, std::ios::binary);
+    return std::string{std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
+  };
+  ASSERT_TRUE(rig.until([&] { return read().find("\"rev\":2") != std::string::npos; }));
+  rig.fleet().kill("router0");
+  const std::string good = read();
+  const auto starts_with = [&](const std::string& bytes, const std::string& words) {
+    std::ofstream(file, std::ios::binary) << bytes;
+    rig.start("router0");
+    EXPECT_TRUE(rig.fleet().await_log("router0", words, kAwaited)) << rig.fleet().log("router0");
+    EXPECT_TRUE(rig.await_ready("router0"));
+    rig.fleet().kill("router0");
+  };
+  starts_with(good, "snapshot: taken in, event 2");
+  starts_with(good.substr(0, good.size() / 2), "not used: it is torn");
+  std::string rotten = good;
+  rotten[rotten.size() / 2] = static_cast<char>(rotten[rotten.size() / 2] ^ 1);
+  starts_with(rotten, "not used: its sum does not fit");
+  starts_with("", "not used: it is torn");
+  const auto changed = [&](const std::function<void(snapshot::Snapshot&)>& change) {
+    const std::int64_t far = 4'000'000'000'000;
+    snapshot::Snapshot made =
+        std::get<snapshot::Snapshot>(snapshot::read_snapshot(good, {"test", "router0", far, far}));
+    change(made);
+    return snapshot::write_snapshot(made);
+  };
+  starts_with(changed([](snapshot::Snapshot& one) { one.fleet = "another"; }),
+              "not used: it is of another fleet");
+  starts_with(changed([](snapshot::Snapshot& one) { one.router = "router1"; }),
+              "not used: it is of another router");
+  // As after the clock was set back by an hour between two starts, or the machine was off for two days.
+  starts_with(changed([](snapshot::Snapshot& one) { one.saved_ms += 3'600'000; }),
+              "not used: it is from the future");
+  starts_with(changed([](snapshot::Snapshot& one) { one.confirmed_ms -= 200'000'000; }),
+              "not used: it is older");
+  starts_with(changed([](snapshot::Snapshot& one) {
+                one.board_address = "127.0.0.1:9";
+                one.board_id.clear();
+              }),
+              "not used: it is of the board at 127.0.0.1:9");
+  // Another process holds the folder, as a second router would by mistake.
+  {
+    std::ofstream(file, std::ios::binary) << good;
+    rig.fleet().start("router0");
+    ASSERT_TRUE(rig.fleet().await_up("router0", kAwaited));
+    fleet::Member second = rig.layout().member("router0");
+    second.name = "second";
+    second.address = rig.ports().take_text();
+    rig.layout().members().push_back(second);
+    rig.layout().write();
+    std::ifstream in(rig.layout().operator_file("router0"));
+    std::ofstream(rig.layout().operator_file("second")) << in.rdbuf();
+    fleet::Process process(
+        {"second", rig.layout().words(second, TRAILCOURSE_PROGRAM), rig.layout().log_file("second"), {}});
+    ASSERT_TRUE(rig.until([&] {
+      return process.log().find("in use by another process") != std::string::npos;
+    })) << process.log();
+    ASSERT_TRUE(rig.until([&] { return process.log().find("listens on") != std::string::npos; }));
+    rig.layout().members().pop_back();
+    rig.fleet().kill("router0");
+  }
+  // A folder that cannot be: a file stands in its place.
+  std::filesystem::remove_all(folder);
+  std::ofstream(folder) << "in the way";
+  rig.start("router0");
+  EXPECT_TRUE(rig.fleet().await_log("router0", "going on without one", kAwaited));
+  EXPECT_TRUE(rig.await_ready("router0"));
+}
+
+Shape relay_shape(int routers) {
+  Shape shape = spread_shape(routers);
+  shape.known = false;
+  shape.operators["relay"] = {{"pass_over_ms", 200}, {"audits_per_s", 20.0}};
+  return shape;
+}
+
+TEST(RelayTest, TheBoardBearsAHandfulAndAPurgeReachesAll) {
+  constexpr int kRouters = 15;
+  Rig rig(relay_shape(kRouters), {"router*>board"}, 3);
+  rig.start_all();
+  ASSERT_FALSE(testing::Test::HasFatalFailure());
+  ASSERT_EQ(rig.await_states(rig.routers(), {"current"}), "");
+  // Once the tree stands, who asks the board for pages? Audits open a connection each and are told apart by
+  // that.
+  ASSERT_TRUE(rig.until([&] {
+    std::size_t by_relay = 0;
+    for (const std::string& router : rig.routers()) {
+      const std::size_t before = rig.calls(router + ">board");
+      rig.run_for(milliseconds(40));
+      by_relay += rig.calls(router + ">board") - before <= 1 ? 1 : 0;
+    }
+    return by_relay >= kRouters - 3;
+  }));
+  for (const std::string& router : rig.routers()) {
+    ASSERT_TRUE(rig.await_ready(router));
+  }
+  ASSERT_EQ(ask_all(rig, rig.routers(), 5), kNone);
+  rig.post({{"pool",
+             {{"index", 2},
+              {"snapshot", false},
+              {"endpoints", {rig.layout().entry(rig.layout().member("cache1"), "draining")}}}}});
+  for (const std::string& router : rig.routers()) {
+    EXPECT_TRUE(rig.fleet().await_log(router, "cache cache1 is draining", kAwaited))
+        << rig.fleet().log(router);
+  }
+}
+
+// Relays killed one after another; one stopped; one cut off from the board but not from those that ask it.
+// Each time the rest hear of the next event.
+TEST(RelayTest, DeadStalledAndCutOffRelaysAreLeft) {
+  constexpr int kRouters = 9;
+  Rig rig(relay_shape(kRouters), {"router*>board"}, 2);
+  rig.start_all();
+  ASSERT_FALSE(testing::Test::HasFatalFailure());
+  ASSERT_EQ(rig.await_states(rig.routers(), {"current"}), "");
+  std::vector<std::string> names = rig.routers();
+  std::vector<std::string> living = names;
+  const auto root = [&] {
+    return startup::RelayTree(names[0], names, 2).ancestors().empty()
+               ? names[0]
+               : startup::RelayTree(names[0], names, 2).ancestors().back();
+  }();
+  int number = 0;
+  const auto all_hear = [&](const std::string& what) {
+    ++number;
+    const std::string cache = number % 2 == 1 ? "draining" : "up";
+    rig.post({{"pool",
+               {{"index", 2 + number},
+                {"snapshot", false},
+                {"endpoints", {rig.layout().entry(rig.layout().member("cache1"), cache)}}}}});
+    const std::string words = "cache cache1 is " + cache;
+    for (const std::string& router : living) {
+      std::size_t count = 0;
+      EXPECT_TRUE(rig.until([&] {
+        const std::string log = rig.fleet().log(router);
+        count = 0;
+        for (std::size_t at = log.find(words); at != std::string::npos; at = log.find(words, at + 1)) {
+          ++count;
+        }
+        return count >= static_cast<std::size_t>((number + 1) / 2);
+      })) << what
+          << ": " << rig.fleet().log(router);
+    }
+  };
+  all_hear("sound");
+  rig.fault("cut " + root + ">board both");
+  living.erase(std::find(living.begin(), living.end(), root));
+  all_hear("the first relay is cut off from the board");
+  rig.fault("heal " + root + ">board");
+  rig.fault("stop " + root);
+  all_hear("the first relay is stopped");
+  rig.fault("cont " + root);
+  rig.fleet().kill(root);
+  all_hear("the first relay is dead");
+  while (living.size() > 3) {
+    rig.fleet().kill(living.back());
+    living.pop_back();
+    all_hear("another relay is dead");
+  }
+}
+
+// A relay that says it is current and tells nothing of what the board has told since.
+class LyingRelay : public Server {
+ public:
+  LyingRelay() { start(); }
+  ~LyingRelay() override { stop(); }
+
+ protected:
+  void serve(int socket) override {
+    char buffer[4'096];
+    for (;;) {
+      const ssize_t count = ::recv(socket, buffer, sizeof buffer, 0);
+      const std::string body = R"({"rev":1,"notices":[]})";
+      if (count <= 0 ||
+          !send_all(socket, "HTTP/1.1 200 OK\r\nX-Age-Ms: 0\r\nX-Path: liar\r\nContent-Length: " +
+                                std::to_string(body.size()) + "\r\n\r\n" + body)) {
+        return;
+      }
+    }
+  }
+};
+
+TEST(RelayTest, ALyingRelayIsFoundByAnAudit) {
+  LyingRelay liar;
+  // Of two names the tree's first is the liar's, so that the router asks it.
+  std::string name;
+  for (int i = 0; name.empty(); ++i) {
+    const std::string candidate = "liar" + std::to_string(i);
+    name = startup::RelayTree("router0", {candidate}, 2).place() == 1 ? candidate : "";
+  }
+  Shape shape = spread_shape(1);
+  shape.operators["relay"] = {{"audits_per_s", 20.0}, {"peers", {name + "=" + liar.address()}}};
+  Rig rig(shape);
+  rig.start_all();
+  ASSERT_FALSE(testing::Test::HasFatalFailure());
+  rig.post({{"pool",
+             {{"index", 2},
+              {"snapshot", false},
+              {"endpoints", {rig.layout().entry(rig.layout().member("cache1"), "draining")}}}}});
+  EXPECT_TRUE(rig.fleet().await_log("router0", "withholds what the board tells", kAwaited))
+      << rig.fleet().log("router0");
+  EXPECT_TRUE(rig.fleet().await_log("router0", "cache cache1 is draining", kAwaited))
+      << rig.fleet().log("router0");
+}
+
+// A board that answers a rate of calls and sends the others away is asked again when it said, and all have
+// their list.
+TEST(ColdStartTest, SentAwayByABoardAtItsRateAllHaveTheirListInTurn) {
+  constexpr int kRouters = 12;
+  Shape shape = spread_shape(kRouters, 1'000.0);
+  shape.known = false;
+  shape.board = {{"calls_per_s", 20}};
+  Rig rig(shape);
+  rig.start_all();
+  ASSERT_FALSE(testing::Test::HasFatalFailure());
+  ASSERT_EQ(rig.await_states(rig.routers(), {"current"}), "");
+  rig.fleet().signal("board", SIGHUP);
+  ASSERT_TRUE(rig.fleet().await_log("board", "sent_away=", kAwaited));
+  EXPECT_EQ(rig.fleet().log("board").find(" sent_away=0 "), std::string::npos) << rig.fleet().log("board");
+}
+
+}  // namespace
+}  // namespace trailcourse::testing_support
