--- a/src/program/command_line.cpp
+++ b/src/program/command_line.cpp
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "fleet/fault_script.h"
 #include "program/board_server.h"
 #include "program/configuration.h"
 #include "program/fleet_command.h"
@@ -287,9 +288,20 @@
 
 int run_fleet(const cxxopts::ParseResult& parsed, const Output& output) {
   FleetCommand command;
-  command.action = word(parsed, 0, "start, status or stop");
-  if (command.action != "start" && command.action != "status" && command.action != "stop") {
-    throw WrongUse("no action '" + command.action + "': start, status or stop");
+  command.action = word(parsed, 0, "start, status, stop or fault");
+  if (command.action != "start" && command.action != "status" && command.action != "stop" &&
+      command.action != "fault") {
+    throw WrongUse("no action '" + command.action + "': start, status, stop or fault");
+  }
+  if (command.action == "fault") {
+    for (std::size_t i = 1; i < words_of(parsed).size(); ++i) {
+      command.fault += (i > 1 ? " " : "") + words_of(parsed)[i];
+    }
+    try {
+      fleet::read_script("0 " + command.fault);
+    } catch (const std::invalid_argument& error) {
+      throw WrongUse(error.what());
+    }
   }
   command.folder = parsed["folder"].as<std::string>();
   if (command.folder.empty()) {
@@ -346,7 +358,7 @@
        "trailcourse board --config operator.json", add_config_option, run_board_command},
       {"notice", "FILE object ID|group N", "adds a purge to a notice board's file",
        "trailcourse notice board.json object 7f3a9c21e0b4d655", add_words, run_notice},
-      {"fleet", "start|status|stop --folder DIR",
+      {"fleet", "start|status|stop|fault --folder DIR",
        "runs a fleet of this program on loopback, with faults played against it, for trying things out",
        "trailcourse fleet start --folder /tmp/fleet --routers 20 --spread --for 10", add_fleet_options,
        run_fleet},
--- a/src/program/fleet_command.cpp
+++ b/src/program/fleet_command.cpp
@@ -125,6 +125,11 @@
       script = drawn_script();
       write_whole(command_.folder + "/faults.txt", fleet::write_script(script));
     }
+    json members = json::object();
+    for (const fleet::Member& member : layout_.members()) {
+      members[member.name] = {{"kind", fleet::to_string(member.kind)}, {"address", member.address}};
+    }
+    write_whole(command_.folder + "/members.json", members.dump(1) + "\n");
     write_whole(command_.folder + "/fleet.pid", std::to_string(::getpid()) + "\n");
     scheduler_.spawn(heed());
     if (!start_nodes()) {
@@ -178,6 +183,7 @@
       scenario_->fleet().start(routers[started_++]);
     }
     scenario_->play();
+    obey();
     ask();
     if (Clock::now() >= refresh_at_) {
       refresh_at_ = Clock::now() + kRefresh;
@@ -191,6 +197,35 @@
     scheduler_.turn(milliseconds(2));
   }
 
+  // What `trailcourse fleet fault` has asked for: a line each, in files that are taken away once played.
+  void obey() {
+    if (Clock::now() < obey_at_) {
+      return;
+    }
+    obey_at_ = Clock::now() + kRefresh;
+    std::vector<std::filesystem::path> orders;
+    std::error_code error;
+    for (const auto& entry : std::filesystem::directory_iterator(command_.folder, error)) {
+      if (entry.path().extension() == ".order") {
+        orders.push_back(entry.path());
+      }
+    }
+    std::sort(orders.begin(), orders.end());
+    for (const std::filesystem::path& order : orders) {
+      std::ifstream file(order);
+      std::string line;
+      std::getline(file, line);
+      std::filesystem::remove(order, error);
+      try {
+        for (const fleet::Fault& fault : fleet::read_script("0 " + line)) {
+          scenario_->apply(fault);
+        }
+      } catch (const std::invalid_argument& wrong) {
+        errors_ << "trailcourse: fleet: " << wrong.what() << '\n';
+      }
+    }
+  }
+
   void ask() {
     const auto due = static_cast<std::size_t>(since(begun_) / 1'000.0 * command_.load_per_s);
     const auto& rows = status_->rows();
@@ -400,6 +435,7 @@
   Clock::time_point begun_ = Clock::now();
   Clock::time_point refresh_at_ = begun_;
   Clock::time_point show_at_ = begun_;
+  Clock::time_point obey_at_ = begun_;
   std::size_t started_ = 0;
   std::size_t not_taken_ = 0;
   bool ending_ = false;
@@ -432,6 +468,16 @@
     errors << "trailcourse: fleet: none runs in " << command.folder << '\n';
     return kFleetNoneThere;
   }
+  if (command.action == "fault") {
+    // Named by its moment: orders are played as they were given.
+    const std::string name = std::to_string(std::chrono::system_clock::now().time_since_epoch().count());
+    write_whole(command.folder + "/" + name + ".order", command.fault + "\n");
+    const Clock::time_point until = Clock::now() + kUp;
+    while (std::filesystem::exists(command.folder + "/" + name + ".order") && Clock::now() < until) {
+      ::usleep(5'000);
+    }
+    return std::filesystem::exists(command.folder + "/" + name + ".order") ? 1 : 0;
+  }
   if (command.action == "status") {
     const std::optional<json> page = read_json(command.folder + "/status.json");
     if (!page) {
--- a/src/program/fleet_command.h
+++ b/src/program/fleet_command.h
@@ -10,7 +10,8 @@
 namespace trailcourse::program {
 
 struct FleetCommand {
-  std::string action;  // start, status, stop
+  std::string action;  // start, status, stop, fault
+  std::string fault;   // one line of a script, without its time
   std::string folder;
   std::string program;         // of all processes
   std::string router_program;  // of the routers, where it is another; empty: the same
--- a/src/startup/upstream.h
+++ b/src/startup/upstream.h
@@ -22,7 +22,7 @@
 namespace trailcourse::startup {
 
 struct UpstreamRules {
-  Micros most_age{1'000'000};         // of a page that a relay passes on
+  Micros most_age{1'000'000};       // of a page that a relay passes on
   Micros first_pass_over{500'000};  // a relay that failed; doubles
   Micros most_pass_over{30'000'000};
   Micros distrust{300'000'000};  // one that withheld events
--- /dev/null
+++ b/tests/fleet/fleet_command_test.cpp
@@ -0,0 +1,104 @@
+// `trailcourse fleet` as an operator runs it.
+#include <gtest/gtest.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <thread>
+
+#include "fleet/process.h"
+
+namespace trailcourse::testing_support {
+namespace {
+
+using nlohmann::json;
+
+class FleetCommandTest : public testing::Test {
+ protected:
+  FleetCommandTest() : folder_(testing::TempDir() + "trailcourse-fc-" + std::to_string(::getpid())) {
+    std::filesystem::remove_all(folder_);
+    std::filesystem::create_directories(folder_);
+  }
+  ~FleetCommandTest() override { std::filesystem::remove_all(folder_); }
+
+  struct Ran {
+    int status = -1;
+    std::string said;
+  };
+  fleet::Process start(const std::vector<std::string>& words, const std::string& log) const {
+    std::vector<std::string> all{TRAILCOURSE_PROGRAM, "fleet"};
+    all.insert(all.end(), words.begin(), words.end());
+    return fleet::Process({"fleet", all, folder_ + "/" + log, {}});
+  }
+  Ran run(const std::vector<std::string>& words) const {
+    std::filesystem::remove(folder_ + "/said");
+    fleet::Process process = start(words, "said");
+    const int status = process.wait().status;
+    return {status, process.log()};
+  }
+  std::string fleet_folder() const { return folder_ + "/fleet"; }
+  bool until(const std::function<bool()>& done) const {
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(60);
+    while (!done() && std::chrono::steady_clock::now() < end) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    return done();
+  }
+
+  std::string folder_;
+};
+
+TEST_F(FleetCommandTest, RunsForAWhileAndGivesItsFigures) {
+  const Ran ran = run({"start", "--folder", fleet_folder(), "--routers", "5", "--for", "2", "--load", "40",
+                       "--spread", "--proxies", "--json"});
+  EXPECT_EQ(ran.status, 0) << ran.said;
+  const json summary = json::parse(ran.said.substr(ran.said.find('{')), nullptr, false);
+  ASSERT_TRUE(summary.is_object()) << ran.said;
+  EXPECT_EQ(summary["ready"], 5);
+  EXPECT_GT(summary["requests"]["served"], 20);
+  EXPECT_GE(summary["board"]["calls"], 5);
+  EXPECT_GT(summary["router_mb_most"], 0.0);
+}
+
+TEST_F(FleetCommandTest, StatusAndStopFromAnotherShell) {
+  EXPECT_EQ(run({"status", "--folder", fleet_folder()}).status, 6);
+  fleet::Process fleet = start({"start", "--folder", fleet_folder(), "--routers", "3"}, "start");
+  Ran status;
+  EXPECT_TRUE(until([&] {
+    status = run({"status", "--folder", fleet_folder(), "--json"});
+    const json page = json::parse(status.said, nullptr, false);
+    return page.is_object() && page["states"].value("plain", 0) == 3;
+  })) << status.said;
+  EXPECT_NE(run({"status", "--folder", fleet_folder()}).said.find("router0"), std::string::npos);
+  EXPECT_EQ(run({"start", "--folder", fleet_folder()}).status, 1) << "one runs there already";
+  EXPECT_EQ(run({"fault", "--folder", fleet_folder(), "dance", "router0"}).status, 2);
+  EXPECT_EQ(run({"fault", "--folder", fleet_folder(), "kill", "router0"}).status, 0);
+  EXPECT_TRUE(until([&] {
+    const json page = json::parse(run({"status", "--folder", fleet_folder(), "--json"}).said, nullptr, false);
+    return page.is_object() && page["states"].value("down", 0) == 1;
+  }));
+  EXPECT_EQ(run({"stop", "--folder", fleet_folder()}).status, 0);
+  EXPECT_EQ(fleet.wait().status, 0) << fleet.log();
+}
+
+TEST_F(FleetCommandTest, WrongUseAndMissingPartsHaveTheirStatus) {
+  EXPECT_EQ(run({"dance"}).status, 2);
+  EXPECT_EQ(run({"start"}).status, 2);
+  EXPECT_EQ(run({"start", "--folder", fleet_folder(), "--routers", "0"}).status, 2);
+  EXPECT_EQ(run({"start", "--folder", fleet_folder(), "--faults", "/no/such/file"}).status, 1);
+  std::ofstream(folder_ + "/bad") << "1 dance router0\n";
+  const Ran bad = run({"start", "--folder", fleet_folder(), "--faults", folder_ + "/bad"});
+  EXPECT_EQ(bad.status, 1);
+  EXPECT_NE(bad.said.find("line 1: no such fault"), std::string::npos) << bad.said;
+  const Ran missing = run({"start", "--folder", fleet_folder(), "--routers", "2", "--for", "1", "--quiet",
+                           "--router-program", "/bin/false"});
+  EXPECT_EQ(missing.status, 4) << missing.said;
+}
+
+}  // namespace
+}  // namespace trailcourse::testing_support
