--- a/src/fleet/layout.cpp
+++ b/src/fleet/layout.cpp
@@ -136,11 +136,14 @@
     links.push_back(90'000);
   }
   json out = json::parse(R"({"Kinds": ["std", "parent", "origin"], "Weights": "nominal", "Discovery": "push",
-    "Classes": [{"Name": "media", "Effect": "safe", "ObjectiveS": 2, "AimStretch": 2, "GiveUpS": 6, "Worth": 1}],
-    "Extra": {"MidKind": 1, "OriginKind": 2, "StreamKbPerS": 5000, "LifetimeByClassS": [0], "ClassGraceS": [0],
+    "Classes": [
+      {"Name": "media", "Effect": "safe", "ObjectiveS": 2, "AimStretch": 2, "GiveUpS": 6, "Worth": 1}],
+    "Extra": {"MidKind": 1, "OriginKind": 2, "StreamKbPerS": 5000, "LifetimeByClassS": [0],
+      "ClassGraceS": [0],
       "Uncached": [false], "NoteLevel": "all", "Collapses": true, "Siblings": "none", "ClearedWithinS": 6,
       "ParentFloor": 0.3, "ParentRampS": 10, "ParentBreaksAt": 4},
-    "Limits": {"AttemptsCap": 6, "Cancel": true, "ParallelTries": true, "ConnIdleS": 15, "ConnectTimeoutS": 0.4,
+    "Limits": {"AttemptsCap": 6, "Cancel": true, "ParallelTries": true, "ConnIdleS": 15,
+      "ConnectTimeoutS": 0.4,
       "StreamsPerConn": 32, "MaxOpen": 20000, "RetryAfter": true, "MaxRetryAfterS": 1},
     "Rules": {"DrainGraceS": 1, "OverloadFactor": 4, "OverloadForS": 2, "AnswerSlackS": 0.008},
     "Report": {"How": "answers", "Fields": ["concurrent", "load_share"]}})");
--- a/src/program/command_line.cpp
+++ b/src/program/command_line.cpp
@@ -282,6 +282,10 @@
       "SECONDS")("load", "requests a second to routers that are ready",
                  cxxopts::value<double>()->default_value("0"),
                  "N")("proxies", "a proxy on each link, so that what passes is counted")(
+      "disk", "caches and parents have a disk tier")("object-kb", "of the origin's objects",
+                                                     cxxopts::value<int>()->default_value("20"), "KB")(
+      "origin-delay", "before each answer of the origin", cxxopts::value<int>()->default_value("0"), "MS")(
+      "program", "another build for all", cxxopts::value<std::string>()->default_value(""), "FILE")(
       "router-program", "another build for the routers", cxxopts::value<std::string>()->default_value(""),
       "FILE")("json", "print JSON")("quiet", "only the figures at the end");
 }
@@ -307,7 +311,13 @@
   if (command.folder.empty()) {
     throw WrongUse("--folder DIR is needed");
   }
-  command.program = std::filesystem::read_symlink("/proc/self/exe");
+  command.program = parsed["program"].as<std::string>();
+  if (command.program.empty()) {
+    command.program = std::filesystem::read_symlink("/proc/self/exe");
+  }
+  command.disk = parsed.count("disk") > 0;
+  command.object_kb = parsed["object-kb"].as<int>();
+  command.origin_delay_ms = parsed["origin-delay"].as<int>();
   command.router_program = parsed["router-program"].as<std::string>();
   command.routers = parsed["routers"].as<int>();
   command.caches = parsed["caches"].as<int>();
@@ -330,7 +340,8 @@
   command.quiet = parsed.count("quiet") > 0;
   const bool sound = command.routers >= 1 && command.routers <= 2'000 && command.caches >= 0 &&
                      command.caches <= 500 && command.parents >= 0 && command.parents <= 100 &&
-                     !command.zones.empty() && command.relay_degree >= 0;
+                     !command.zones.empty() && command.relay_degree >= 0 && command.object_kb >= 0 &&
+                     command.object_kb <= 234;
   if (!sound) {
     throw WrongUse("1 to 2000 routers, up to 500 caches and 100 parents, one zone at least");
   }
--- a/src/program/fleet_command.cpp
+++ b/src/program/fleet_command.cpp
@@ -67,6 +67,9 @@
   shape.parents = command.parents;
   shape.zones = command.zones;
   shape.known = !command.without_list;
+  shape.disk = command.disk;
+  shape.object_kb = command.object_kb;
+  shape.origin_delay_ms = command.origin_delay_ms;
   if (command.spread) {
     shape.operators["startup"] = {{"spread", true},
                                   {"board_calls_per_s", command.board_calls_per_s},
