Bound the windows after failures, so that the last list comes soon after a board's return

Cause: windows that doubled without end spared a board that was down and cost time when it was back: in virtual time 100 routers had their last list 28.8 s after a start against a board that refuses for 4 s.

A plain router draws its pauses from nought to twice their length.

--- a/src/fleet/layout.cpp
+++ b/src/fleet/layout.cpp
@@ -180,15 +180,13 @@
       if (shape_.disk) {
         store.update({{"folder", folder_ + "/disk-" + member.name}, {"disk_mb", kDiskMb}, {"segment_mb", 4}});
       }
-      return {{"store", store},
-              {"cache",
-               {{"name", member.name},
-                {"listen", member.address},
-                {"board", member.board},
-                {"fill_from", member.kind == Kind::kParent ? "origin" : ""},
-                {"connections", 4'096},
-                {"origin", "origin"}}},
-              {"classes", {{"media", json::object()}}}};
+      json cache{{"name", member.name},   {"listen", member.address},
+                 {"board", member.board}, {"fill_from", member.kind == Kind::kParent ? "origin" : ""},
+                 {"connections", 4'096},  {"origin", "origin"}};
+      if (member.kind == Kind::kCache) {
+        cache.update(shape_.cache);
+      }
+      return {{"store", store}, {"cache", cache}, {"classes", {{"media", json::object()}}}};
     }
     case Kind::kRouter:
       break;
--- a/src/fleet/layout.h
+++ b/src/fleet/layout.h
@@ -37,6 +37,7 @@
   nlohmann::json router = nlohmann::json::object();  // the routers' tuning keys
   nlohmann::json operators =
       nlohmann::json::object();                     // further sections of the operator's file of each router
+  nlohmann::json cache = nlohmann::json::object();  // further keys of the caches' section
   nlohmann::json board = nlohmann::json::object();  // further keys of the board's section
 };
 
--- a/src/startup/asking.cpp
+++ b/src/startup/asking.cpp
@@ -7,6 +7,7 @@
 
 constexpr int kMostDoublings = 20;
 constexpr double kMicros = 1e6;
+constexpr double kWindow = 2.4;  // over 1 + e/2: the density of first calls and of those after failures
 
 }  // namespace
 
@@ -33,14 +34,14 @@
   return Micros(even(random_));
 }
 
-// Doubled from W, or, for a plain router, from its shortest pause up to its longest.
+// W, then 2W; for a plain router twice its pause, so that the mean is that pause.
 Micros Asking::window(int doublings) const {
-  const int times = std::clamp(doublings, 0, kMostDoublings);
   if (!rules_.spread) {
-    return std::min(rules_.most_pause, rules_.least_pause * (1 << times));
+    const int times = std::clamp(doublings, 0, kMostDoublings);
+    return 2 * std::min(rules_.most_pause, rules_.least_pause * (1 << times));
   }
-  const double first = 2.0 * routers_ / rules_.calls_per_s * kMicros;
-  const double whole = std::max(first, static_cast<double>(rules_.least_pause.count())) * (1 << times);
+  const double first = kWindow * routers_ / rules_.calls_per_s * kMicros;
+  const double whole = std::max(first, static_cast<double>(rules_.least_pause.count())) * (doublings > 0 ? 2 : 1);
   return Micros(static_cast<Micros::rep>(std::min(whole, static_cast<double>(rules_.most_window.count()))));
 }
 
@@ -66,7 +67,8 @@
     const Micros spread = drawn(hasty ? std::max(rules_.reask, rules_.least_pause) : rules_.reask);
     return Call{now + (hasty ? std::max(spread, rules_.least_pause) : spread), linger(), false};
   }
-  const int doublings = failures_++;
+  const int doublings = rules_.spread ? 1 : failures_;
+  ++failures_;
   const Micros asked_for = std::clamp(retry_after, Micros(0), rules_.most_retry_after);
   const bool trial = rules_.spread && lost();
   return Call{now + asked_for + drawn(window(doublings)), trial ? Micros(0) : linger(), trial};
--- a/tests/fleet/rig.h
+++ b/tests/fleet/rig.h
@@ -54,6 +54,10 @@
   std::size_t calls(const std::string& links);
   void fault(const std::string& line);
 
+  // Requests from now on are made so; what was asked before is forgotten.
+  void load_with(const fleet::Load::Options& options) {
+    load_ = std::make_unique<fleet::Load>(scheduler_, options, 1'000'003);
+  }
   // Sends a request to the router.
   std::size_t ask(const std::string& router, std::uint64_t object);
   // Turns until nothing is open at the routers.
