Start fleets' routers with what the board tells now; show the last event of each

Cause: the fleet handed each router the board's first page at its start, unlike a platform, which hands over what it knows; so routers that began anew in mid-test took a cold cache for a warm one.

Change: known is the board's present page. /healthz and fleet status name the last event. The test of a cold cache kills four of six routers in the middle; starts one after the other are a case of their own.

--- a/src/fleet/layout.cpp
+++ b/src/fleet/layout.cpp
@@ -124,6 +124,13 @@
   return {{"rev", 1}, {"notices", json::array({{{"rev", 1}, {"pool", pool}}})}};
 }
 
+json Layout::present_page() const {
+  std::ifstream file(board_file(), std::ios::binary);
+  const std::string text{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+  const json page = json::parse(text, nullptr, false);
+  return page.is_object() && page.contains("notices") ? page : first_page();
+}
+
 json Layout::settings(const std::string& zone, int index) const {
   json zones = json::array({kHub});
   json counts = json::array({0});
@@ -201,7 +208,7 @@
            {"board", member.board},
            {"seed", seed},
            {"limits", {{"memory_mb", shape_.memory_mb}, {"sockets", shape_.sockets}}},
-           {"known", shape_.known ? first_page() : json{{"rev", 0}, {"notices", json::array()}}},
+           {"known", shape_.known ? present_page() : json{{"rev", 0}, {"notices", json::array()}}},
            {"settings", settings(member.zone, static_cast<int>(index))}};
   if (!shape_.router.empty()) {
     out["router"] = shape_.router;
--- a/src/fleet/layout.h
+++ b/src/fleet/layout.h
@@ -69,6 +69,9 @@
 
   // The first page of the board: all caches, parents and the origin, up.
   nlohmann::json first_page() const;
+  // What stands in the board's file now, as a platform hands it to a router at its start; the first page
+  // where there is none.
+  nlohmann::json present_page() const;
   // An entry of the board's list, as told.
   nlohmann::json entry(const Member& member, const std::string& status = "up",
                        std::int64_t since_ms = 0) const;
--- a/src/fleet/scenario.cpp
+++ b/src/fleet/scenario.cpp
@@ -166,6 +166,7 @@
         nlohmann::json::parse(end == std::string::npos ? "" : text.substr(end + 4), nullptr, false);
     if (said.is_object()) {
       row_->state = said.value("state", std::string("plain"));
+      row_->event = said.value("event", std::uint64_t{0});
       row_->calls = said.value("calls", std::uint64_t{0});
       row_->failed = said.value("failed", std::uint64_t{0});
       row_->age_ms = said.value("age_ms", std::int64_t{-1});
--- a/src/fleet/scenario.h
+++ b/src/fleet/scenario.h
@@ -60,6 +60,7 @@
     bool up = false;
     bool ready = false;
     std::string state = "-";
+    std::uint64_t event = 0;  // the last one taken in
     std::uint64_t calls = 0;
     std::uint64_t failed = 0;
     std::int64_t age_ms = -1;
--- a/src/program/configuration.cpp
+++ b/src/program/configuration.cpp
@@ -210,7 +210,8 @@
         .whole("board_pause_ms", &Tuning::board_pause_ms, "ms", WholeRange{1, 60'000},
                "first pause after a failed call, as a mean; it doubles")
         .whole("board_most_pause_ms", &Tuning::board_most_pause_ms, "ms", WholeRange{1, 60'000},
-               "longest pause between failed calls, as a mean: what the notice board has to tell counts as told 2 s "
+               "longest pause between failed calls, as a mean: what the notice board has to tell counts as "
+               "told 2 s "
                "after a "
                "break")
         .whole("drain_linger_ms", &Tuning::drain_linger_ms, "ms", WholeRange{0, 60'000},
--- a/src/program/fleet_command.cpp
+++ b/src/program/fleet_command.cpp
@@ -278,6 +278,7 @@
                                  {"up", row.up},
                                  {"ready", row.ready},
                                  {"state", row.state},
+                                 {"event", row.event},
                                  {"calls", row.calls},
                                  {"failed", row.failed},
                                  {"age_ms", row.age_ms}});
@@ -311,8 +312,9 @@
       }
       out << "  " << std::left << std::setw(12) << row.value("router", "") << std::setw(13)
           << (row.value("up", false) ? row.value("state", "") : "down") << std::setw(10)
-          << (row.value("ready", false) ? "ready" : "not ready") << std::right << " calls " << std::setw(6)
-          << row.value("calls", 0) << " failed " << std::setw(5) << row.value("failed", 0) << '\n';
+          << (row.value("ready", false) ? "ready" : "not ready") << std::right << " event " << std::setw(5)
+          << row.value("event", 0) << " calls " << std::setw(6) << row.value("calls", 0) << " failed "
+          << std::setw(5) << row.value("failed", 0) << '\n';
     }
     out << std::flush;
   }
--- a/src/program/start_support.cpp
+++ b/src/program/start_support.cpp
@@ -119,6 +119,7 @@
 
 void StartSupport::begin(routing::Router& router, routing::NoticeTaker& taker) {
   router_ = &router;
+  taker_ = &taker;
   if (gate_) {
     taker.lists_to([this](const ListReceived& list) {
       gate_->list(router_->now(), list);
@@ -379,6 +380,7 @@
     out["held_back"] = gate_->held_back();
   }
   out["routers"] = size_.routers();
+  out["event"] = taker_ != nullptr ? taker_->last() : 0;
   if (watcher_ != nullptr) {
     const routing::BoardWatcher::Counts& counts = watcher_->counts();
     out["calls"] = counts.calls;
--- a/src/program/start_support.h
+++ b/src/program/start_support.h
@@ -75,6 +75,7 @@
   std::string snapshot_board_id_;
   Micros confirmed_steady_{-1};
   routing::Router* router_ = nullptr;
+  const routing::NoticeTaker* taker_ = nullptr;
   routing::BoardWatcher* watcher_ = nullptr;
   std::optional<std::pair<Micros, transport::Scheduler::TimerKey>> timer_;
   bool snapshot_used_ = false;
