--- a/src/board/page_server.cpp
+++ b/src/board/page_server.cpp
@@ -40,13 +40,13 @@
 // One connection: a call at a time.
 class PageServer::Session : public Connection::Handler, public std::enable_shared_from_this<Session> {
  public:
-  Session(PageServer& server, std::shared_ptr<Connection> connection, bool beyond)
-      : server_(server), connection_(std::move(connection)), beyond_(beyond) {}
+  Session(PageServer& server, const std::shared_ptr<Connection>& connection, bool beyond)
+      : server_(server), connection_(connection), beyond_(beyond) {}
 
   void on_bytes(std::string_view bytes) override {
     text_ += bytes;
     if (text_.size() > kMostRequest) {
-      connection_->close(ConnectionEnd::kMalformed);
+      connection_.close(ConnectionEnd::kMalformed);
       return;
     }
     take();
@@ -76,14 +76,14 @@
 
   void hold(CallNumber call) { call_ = call; }
   bool idle_since(Clock::time_point before) const {
-    return call_ == 0 && connection_->last_received() < before && connection_->waiting() == 0;
+    return call_ == 0 && connection_.last_received() < before && connection_.waiting() == 0;
   }
-  void close(ConnectionEnd end) { connection_->close(end); }
+  void close(ConnectionEnd end) { connection_.close(end); }
 
  private:
   void take() {
     const std::size_t end = text_.find("\r\n\r\n");
-    if (end == std::string::npos || call_ != 0 || connection_->ended()) {
+    if (end == std::string::npos || call_ != 0 || connection_.ended()) {
       return;
     }
     const std::string line = text_.substr(0, text_.find("\r\n"));
@@ -96,20 +96,20 @@
     watch_ = *watch;
     if (beyond_) {
       send_away(kOverflowRetryMs);
-      connection_->close_when_written();
+      connection_.close_when_written();
       return;
     }
     const auto linger = std::min<std::uint64_t>(query_number(line, "linger=").value_or(0), 3'600'000);
     server_.call(*this, watch_, static_cast<std::int64_t>(linger));
   }
   void respond(const char* status, const std::string& headers, const std::string& body) {
-    connection_->write(std::string("HTTP/1.1 ") + status + "\r\nContent-Type: application/json\r\n" +
-                       headers + (beyond_ ? "Connection: close\r\n" : "") +
-                       "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    connection_.write(std::string("HTTP/1.1 ") + status + "\r\nContent-Type: application/json\r\n" + headers +
+                      (beyond_ ? "Connection: close\r\n" : "") +
+                      "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
   }
 
   PageServer& server_;
-  std::shared_ptr<Connection> connection_;
+  transport::ConnectionHandle connection_;
   bool beyond_;
   std::string text_;
   std::uint64_t watch_ = 0;
--- a/src/fleet/fault_proxy.cpp
+++ b/src/fleet/fault_proxy.cpp
@@ -71,8 +71,8 @@
     asker_socket_.reset();
     FaultProxy* proxy = std::exchange(proxy_, nullptr);
     const auto self = shared_from_this();
-    asker_->close(ConnectionEnd::kDropped);
-    asked_->close(ConnectionEnd::kDropped);
+    asker_.close(ConnectionEnd::kDropped);
+    asked_.close(ConnectionEnd::kDropped);
     proxy->pairs_.erase(self);
   }
 
@@ -87,8 +87,8 @@
 
   FaultProxy* proxy_;
   transport::Descriptor asker_socket_;  // beside the connection's own, to reset it by
-  std::shared_ptr<Connection> asker_;
-  std::shared_ptr<Connection> asked_;
+  transport::ConnectionHandle asker_;
+  transport::ConnectionHandle asked_;
   std::deque<Piece> out_;
   std::deque<Piece> in_;
   bool asker_ended_ = false;
@@ -111,18 +111,20 @@
 
 void FaultProxy::Pair::start(transport::Descriptor socket) {
   asker_socket_ = transport::Descriptor(::fcntl(socket.get(), F_DUPFD_CLOEXEC, 0));
-  asker_ = Connection::adopt(proxy_->scheduler_, std::move(socket), bounds());
-  asked_ = Connection::connect(proxy_->scheduler_, proxy_->target_, bounds());
-  asker_->start(std::make_shared<End>(shared_from_this(), true));
-  asked_->start(std::make_shared<End>(shared_from_this(), false));
+  const auto asker = Connection::adopt(proxy_->scheduler_, std::move(socket), bounds());
+  const auto asked = Connection::connect(proxy_->scheduler_, proxy_->target_, bounds());
+  asker_ = transport::ConnectionHandle(asker);
+  asked_ = transport::ConnectionHandle(asked);
+  asker->start(std::make_shared<End>(shared_from_this(), true));
+  asked->start(std::make_shared<End>(shared_from_this(), false));
 }
 
 void FaultProxy::Pair::move(bool out) {
   const State& state = proxy_->state_;
   const bool cut = out ? state.cut_out : state.cut_in;
   std::deque<Piece>& pieces = way(out);
-  const std::shared_ptr<Connection>& to = out ? asked_ : asker_;
-  while (!pieces.empty() && !cut && pieces.front().due <= Clock::now() && !to->ended()) {
+  const transport::ConnectionHandle& to = out ? asked_ : asker_;
+  while (!pieces.empty() && !cut && pieces.front().due <= Clock::now() && !to.ended()) {
     std::string& bytes = pieces.front().bytes;
     std::size_t size = bytes.size();
     if (state.bytes_per_s > 0) {
@@ -133,11 +135,11 @@
       size = std::min(size, static_cast<std::size_t>(left));
       truncated_ += static_cast<std::int64_t>(size);
       if (size > 0) {
-        to->write(bytes.substr(0, size));
+        to.write(bytes.substr(0, size));
       }
       if (truncated_ >= state.truncate) {
-        to->close_when_written();
-        asked_->close(ConnectionEnd::kDropped);
+        to.close_when_written();
+        asked_.close(ConnectionEnd::kDropped);
         pieces.clear();
       } else {
         pieces.pop_front();
@@ -149,7 +151,7 @@
     }
     allowance_ -= static_cast<double>(size);
     (out ? proxy_->seen_.bytes_out : proxy_->seen_.bytes_in) += size;
-    to->write(bytes.substr(0, size));
+    to.write(bytes.substr(0, size));
     bytes.erase(0, size);
     if (bytes.empty()) {
       pieces.pop_front();
--- a/src/fleet/load.cpp
+++ b/src/fleet/load.cpp
@@ -45,15 +45,14 @@
 // A connection to one router.
 class Load::Link : public Connection::Handler {
  public:
-  Link(Load& load, std::shared_ptr<Connection> connection)
-      : load_(&load), connection_(std::move(connection)) {}
+  Link(Load& load, const std::shared_ptr<Connection>& connection) : load_(&load), connection_(connection) {}
   // The load goes: nothing is counted any more.
   void leave() {
     load_ = nullptr;
-    connection_->close(ConnectionEnd::kDropped);
+    connection_.close(ConnectionEnd::kDropped);
   }
 
-  bool ended() const { return connection_->ended(); }
+  bool ended() const { return connection_.ended(); }
   std::size_t open() const { return open_.size(); }
 
   void send(std::size_t place, const std::string& object) {
@@ -75,7 +74,7 @@
     if (options.size_kb > 0.0) {
       fields.emplace_back("HTTP_X_HEAP_KB", std::to_string(options.size_kb));
     }
-    connection_->write(protocol::fastcgi_peer::request_bytes(key_, fields, ""));
+    connection_.write(protocol::fastcgi_peer::request_bytes(key_, fields, ""));
   }
 
   void on_bytes(std::string_view bytes) override {
@@ -135,7 +134,7 @@
   }
 
   Load* load_;
-  std::shared_ptr<Connection> connection_;
+  transport::ConnectionHandle connection_;
   std::uint16_t key_ = 0;
   std::string bytes_;
   std::map<std::uint16_t, std::string> texts_;
--- a/src/fleet/scenario.cpp
+++ b/src/fleet/scenario.cpp
@@ -120,18 +120,18 @@
 // One connection to a router's front.
 class StatusBoard::Link : public Connection::Handler {
  public:
-  Link(Row& row, std::shared_ptr<Connection> connection) : row_(&row), connection_(std::move(connection)) {}
+  Link(Row& row, const std::shared_ptr<Connection>& connection) : row_(&row), connection_(connection) {}
 
-  bool ended() const { return connection_->ended(); }
+  bool ended() const { return connection_.ended(); }
   void ask() {
     if (!asked_) {
       asked_ = true;
-      connection_->write(protocol::fastcgi_peer::request_bytes(1, {{"SCRIPT_NAME", "/healthz"}}, ""));
+      connection_.write(protocol::fastcgi_peer::request_bytes(1, {{"SCRIPT_NAME", "/healthz"}}, ""));
     }
   }
   void leave() {
     row_ = nullptr;
-    connection_->close(ConnectionEnd::kDropped);
+    connection_.close(ConnectionEnd::kDropped);
   }
   void on_bytes(std::string_view bytes) override {
     constexpr std::uint8_t kStdout = 6;
@@ -176,7 +176,7 @@
   }
 
   Row* row_;
-  std::shared_ptr<Connection> connection_;
+  transport::ConnectionHandle connection_;
   std::string bytes_;
   std::string text_;
   bool asked_ = false;
--- a/src/routing/board_watcher.cpp
+++ b/src/routing/board_watcher.cpp
@@ -63,7 +63,7 @@
   transport::Signal changed;
   protocol::http::ResponseParser parser;
   std::optional<ConnectionEnd> end;
-  std::shared_ptr<Connection> connection;
+  transport::ConnectionHandle connection;
   transport::Address to;
 };
 
@@ -163,7 +163,7 @@
     const std::string request =
         protocol::http::write_get(protocol::poll_path(asked_for, 0), transport::to_string(board_));
     const std::optional<protocol::http::Response> response = co_await exchange(link, request, bounds_.grace);
-    link->connection->close(ConnectionEnd::kDropped);
+    link->connection.close(ConnectionEnd::kDropped);
     std::uint64_t board_last = 0;
     if (response && response->status == kOkay) {
       const nlohmann::json page = nlohmann::json::parse(response->body, nullptr, false);
@@ -183,7 +183,7 @@
   }
   board_ = board;
   if (link_) {
-    link_->connection->close(ConnectionEnd::kDropped);
+    link_->connection.close(ConnectionEnd::kDropped);
   }
   moved_.notify();
   return true;
@@ -192,21 +192,22 @@
 std::shared_ptr<BoardWatcher::Link> BoardWatcher::link_to(const transport::Address& address) {
   const auto link = std::make_shared<Link>(scheduler_, bounds_.answers);
   link->to = address;
-  link->connection = Connection::connect(scheduler_, address, bounds_.connection);
-  link->connection->start(link);
+  const auto connection = Connection::connect(scheduler_, address, bounds_.connection);
+  link->connection = transport::ConnectionHandle(connection);
+  connection->start(link);
   return link;
 }
 
 // One request and its answer; nothing where none came, with the reason in why_.
 transport::Task<std::optional<protocol::http::Response>> BoardWatcher::exchange(
     const std::shared_ptr<Link>& link, const std::string& request, Clock::duration longest) {
-  link->connection->write(request);
+  link->connection.write(request);
   const Clock::time_point until = Clock::now() + longest;
   for (;;) {
     std::optional<protocol::http::Response> response = link->parser.take();
     if (response) {
       if (!response->keep_open) {
-        link->connection->close(ConnectionEnd::kDropped);
+        link->connection.close(ConnectionEnd::kDropped);
       }
       co_return response;
     }
@@ -215,7 +216,7 @@
       why_ = link->end               ? std::string(to_string(*link->end))
              : link->parser.failed() ? link->parser.why()
                                      : "silent";
-      link->connection->close(link->parser.failed() ? ConnectionEnd::kMalformed : ConnectionEnd::kSilent);
+      link->connection.close(link->parser.failed() ? ConnectionEnd::kMalformed : ConnectionEnd::kSilent);
       co_return std::nullopt;
     }
     co_await link->changed.wait(left);
@@ -227,9 +228,9 @@
   ++counts_.calls;
   counts_.to_relays += relay ? 1 : 0;
   const transport::Address to = relay ? relays_.addresses.at(*relay) : board_;
-  if (!link_ || link_->connection->ended() || link_->to != to) {
+  if (!link_ || link_->connection.ended() || link_->to != to) {
     if (link_) {
-      link_->connection->close(ConnectionEnd::kDropped);
+      link_->connection.close(ConnectionEnd::kDropped);
     }
     link_ = link_to(to);
   }
--- a/src/startup/asking.cpp
+++ b/src/startup/asking.cpp
@@ -41,7 +41,8 @@
     return 2 * std::min(rules_.most_pause, rules_.least_pause * (1 << times));
   }
   const double first = kWindow * routers_ / rules_.calls_per_s * kMicros;
-  const double whole = std::max(first, static_cast<double>(rules_.least_pause.count())) * (doublings > 0 ? 2 : 1);
+  const double whole =
+      std::max(first, static_cast<double>(rules_.least_pause.count())) * (doublings > 0 ? 2 : 1);
   return Micros(static_cast<Micros::rep>(std::min(whole, static_cast<double>(rules_.most_window.count()))));
 }
 
--- a/src/startup/asking.h
+++ b/src/startup/asking.h
@@ -1,11 +1,11 @@
 // When this router asks the notice board: first, after news, after a refusal, silence or a break, and after
 // the board has moved.
 //
-// The bound (docs/cold-start.md derives it). With N routers and a board that bears R calls a second, the first
-// window is W = 2.4·N/R, and each call after one that failed is drawn evenly from a window of 2W, begun no sooner
-// than the board asked for. Whenever the routers began, and whatever made them begin, the expected calls of all of
-// them in any stretch of L seconds are N·L/W·(1 + e/2) <= R·L at most, and the draws being independent the sum stays
-// within R·L + 6·sqrt(R·L) + 12 but for one stretch in millions.
+// The bound (docs/cold-start.md derives it). With N routers and a board that bears R calls a second, the
+// first window is W = 2.4·N/R, and each call after one that failed is drawn evenly from a window of 2W, begun
+// no sooner than the board asked for. Whenever the routers began, and whatever made them begin, the expected
+// calls of all of them in any stretch of L seconds are N·L/W·(1 + e/2) <= R·L at most, and the draws being
+// independent the sum stays within R·L + 6·sqrt(R·L) + 12 but for one stretch in millions.
 //
 // Package `startup`.
 #pragma once
--- a/src/transport/connection.h
+++ b/src/transport/connection.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "transport/connection_end.h"
 #include "transport/scheduler.h"
@@ -95,4 +96,44 @@
   Clock::time_point last_received_ = Clock::now();
 };
 
+// A handler's way to its own connection. The connection keeps its handler, so that the handler must not keep
+// the connection, or neither ever goes. Once that is gone it counts as ended, and what is written goes
+// nowhere.
+class ConnectionHandle {
+ public:
+  ConnectionHandle() = default;
+  explicit ConnectionHandle(const std::shared_ptr<Connection>& connection) : connection_(connection) {}
+
+  bool ended() const {
+    const auto connection = connection_.lock();
+    return !connection || connection->ended();
+  }
+  void write(std::string bytes) const {
+    if (const auto connection = connection_.lock()) {
+      connection->write(std::move(bytes));
+    }
+  }
+  void close(ConnectionEnd end) const {
+    if (const auto connection = connection_.lock()) {
+      connection->close(end);
+    }
+  }
+  void close_when_written() const {
+    if (const auto connection = connection_.lock()) {
+      connection->close_when_written();
+    }
+  }
+  std::size_t waiting() const {
+    const auto connection = connection_.lock();
+    return connection ? connection->waiting() : 0;
+  }
+  Clock::time_point last_received() const {
+    const auto connection = connection_.lock();
+    return connection ? connection->last_received() : Clock::time_point::min();
+  }
+
+ private:
+  std::weak_ptr<Connection> connection_;
+};
+
 }  // namespace trailcourse::transport
