--- a/src/board/page_log.cpp
+++ b/src/board/page_log.cpp
@@ -101,8 +101,8 @@
     }
     const json& pool = event["pool"];
     last_list = number;
-    index = pool.value("index", json());
-    if (pool.value("snapshot", false)) {
+    index = pool.contains("index") ? pool["index"] : json();
+    if (pool.contains("snapshot") && pool["snapshot"] == true) {
       entries.clear();
     }
     for (const json& entry : pool["endpoints"]) {
@@ -111,7 +111,7 @@
         continue;
       }
       const auto name = entry["name"].get<std::string>();
-      if (entry.value("status", "up") == "removed") {
+      if (entry.contains("status") && entry["status"] == "removed") {
         entries.erase(name);
       } else {
         entries[name] = entry;
--- a/tests/board_test.cpp
+++ b/tests/board_test.cpp
@@ -184,9 +184,11 @@
   EXPECT_EQ(log.last(), 1U);
   // Events of odd forms are told on as they are and stand in no one's way.
   log.append(json::parse(R"({"rev":4,"notices":[{"rev":2,"pool":7},{"rev":3,"flush":[]},
-    {"rev":4,"pool":{"endpoints":[1,{"name":2},{"name":"b"}]}}]})"));
+    {"rev":4,"pool":{"snapshot":"x","index":{},"endpoints":[1,{"name":2},{"name":"b","status":7}]}}]})"));
   const json whole = log.whole(0);
   EXPECT_EQ(whole["rev"], 4);
+  log.fold(0, 0);
+  EXPECT_EQ(log.last(), 4U);
 }
 
 TEST(RetryAfter, SecondsOrADate) {
--- a/tests/fleet/rig.cpp
+++ b/tests/fleet/rig.cpp
@@ -6,6 +6,7 @@
 #include <filesystem>
 #include <fstream>
 #include <iterator>
+#include <random>
 
 #include "program/board_server.h"
 #include "protocol/fastcgi_peer.h"
@@ -163,4 +164,27 @@
   return out;
 }
 
+fleet::Shape spread_shape(int routers, double calls_per_s) {
+  fleet::Shape shape;
+  shape.routers = routers;
+  shape.operators["startup"] = {
+      {"spread", true}, {"board_calls_per_s", calls_per_s}, {"window_most_ms", 2'000}};
+  return shape;
+}
+
+std::vector<std::string> ask_all(Rig& rig, const std::vector<std::string>& routers, int each) {
+  std::mt19937_64 random(7);
+  const std::size_t before = rig.load().all().size();
+  for (int i = 0; i < each; ++i) {
+    for (const std::string& router : routers) {
+      rig.ask(router, 1'000 + random() % 30);
+    }
+    rig.run_for(milliseconds(2));
+  }
+  EXPECT_TRUE(rig.await_answers());
+  const std::vector<fleet::Asked> asked(rig.load().all().begin() + static_cast<std::ptrdiff_t>(before),
+                                        rig.load().all().end());
+  return broken_answers(asked, milliseconds(2'000), 20U << 10U);
+}
+
 }  // namespace trailcourse::testing_support
--- a/tests/fleet/rig.h
+++ b/tests/fleet/rig.h
@@ -88,4 +88,14 @@
 std::vector<std::string> broken_answers(const std::vector<fleet::Asked>& all,
                                         std::chrono::milliseconds patience, std::size_t object_bytes);
 
+// Nothing broken.
+inline const std::vector<std::string> kNone;
+
+// So many routers that spread their calls, over windows short enough for a test.
+fleet::Shape spread_shape(int routers, double calls_per_s = 40.0);
+
+// Each of these routers is asked so often, for objects of 1,000 to 1,029; all answers awaited, what is broken
+// returned.
+std::vector<std::string> ask_all(Rig& rig, const std::vector<std::string>& routers, int each);
+
 }  // namespace trailcourse::testing_support
