Measure the cold start; let only the first relays of a tree poll the board often

Cause of the change: the table's last row put 377 calls into a second at 300 routers with relays; every router that had lost its relay polled the board as a relay does, four times a second (start_support.cpp, watcher_bounds).

Change: the short calls are for the first of a tree and those that ask it.

--- a/src/fleet/load.cpp
+++ b/src/fleet/load.cpp
@@ -86,7 +86,7 @@
       if (record.type == kStdout) {
         texts_[record.key] += record.content;
       } else if (record.type == kEndRequest) {
-        end(record.key);
+        end(record.key, record.content);
       }
     }
   }
@@ -102,7 +102,7 @@
   }
 
  private:
-  void end(std::uint16_t key) {
+  void end(std::uint16_t key, std::string_view ended) {
     const std::string text = std::exchange(texts_[key], {});
     texts_.erase(key);
     // A key is used again only long after; an end for one that is not open is a second answer to its last
@@ -124,6 +124,12 @@
     const std::size_t head_end = text.find("\r\n\r\n");
     const std::string_view head = std::string_view(text).substr(0, head_end);
     asked.status = protocol::read_number<int>(header(head, "Status: ").substr(0, 3)).value_or(0);
+    // Ended as OVERLOADED, without a word: a refusal like any other (FastCGI 1.0, section 5.5).
+    constexpr std::size_t kProtocolStatus = 4;
+    constexpr char kOverloaded = 2;
+    if (text.empty() && ended.size() > kProtocolStatus && ended[kProtocolStatus] == kOverloaded) {
+      asked.status = 503;
+    }
     asked.via = header(head, "X-Via: ");
     std::string body = head_end == std::string::npos ? "" : text.substr(head_end + 4);
     asked.bytes = body.size();
--- a/src/program/start_support.cpp
+++ b/src/program/start_support.cpp
@@ -79,6 +79,7 @@
     upstream_.emplace(upstream_rules(start.relay), tree.ancestors(), configuration.seed ^ kUpstreamSeed);
     tree_size_ = static_cast<int>(tree.size());
     root_ = tree.place() == 0;
+    depth_ = tree.depth();
   }
   if (start.has_relay && !start.relay.listen.empty()) {
     relay_.emplace(scheduler, configuration.name, log_, relay_bounds(configuration),
@@ -223,8 +224,9 @@
   if (gate_) {
     bounds.anew_after = kAnewAfter;
   }
-  if (relay_) {
-    // What it passes on must not be old when it comes.
+  if (relay_ && depth_ <= 2) {
+    // What it passes on must not be old when it comes. Only the first of a tree, and those that ask it, may
+    // be the ones that the tree hangs on; were it all, a lost relay would put the calls of all on the board.
     bounds.asking.linger =
         std::min(bounds.asking.linger, Micros(milliseconds(configuration_.start.relay.most_age_ms)) / 4);
     bounds.asking.longest_linger = bounds.asking.linger;
--- a/src/program/start_support.h
+++ b/src/program/start_support.h
@@ -81,6 +81,7 @@
   bool snapshot_used_ = false;
   bool root_ = false;  // of its relay tree
   int tree_size_ = 1;
+  int depth_ = 1;
 };
 
 }  // namespace trailcourse::program
