--- a/src/fleet/layout.cpp
+++ b/src/fleet/layout.cpp
@@ -117,7 +117,7 @@
   json entries = json::array();
   for (const Member& member : members_) {
     if (member.kind != Kind::kBoard && member.kind != Kind::kRouter) {
-      entries.push_back(entry(member));
+      entries.push_back(entry(member, "up", member.kind == Kind::kOrigin ? 0 : shape_.since_ms));
     }
   }
   const json pool{{"index", 1}, {"snapshot", true}, {"endpoints", entries}};
--- a/src/fleet/layout.h
+++ b/src/fleet/layout.h
@@ -30,6 +30,7 @@
   double purge_grace_s = 0.3;
   double cold_s = 10.0;
   double cold_from = 0.3;
+  std::int64_t since_ms = 0;  // when caches and parents are listed to have started; 0: long ago
   bool known = true;  // routers are started with the list; else they have none until they hear the board
   std::string router_program;  // of the routers, where it is another
   int memory_mb = 192;
--- a/src/program/command_line.cpp
+++ b/src/program/command_line.cpp
@@ -282,8 +282,8 @@
       "SECONDS")("load", "requests a second to routers that are ready",
                  cxxopts::value<double>()->default_value("0"),
                  "N")("proxies", "a proxy on each link, so that what passes is counted")(
-      "disk", "caches and parents have a disk tier")("object-kb", "of the origin's objects",
-                                                     cxxopts::value<int>()->default_value("20"), "KB")(
+      "cold", "caches and parents are listed as just started")("disk", "caches and parents have a disk tier")(
+      "object-kb", "of the origin's objects", cxxopts::value<int>()->default_value("20"), "KB")(
       "origin-delay", "before each answer of the origin", cxxopts::value<int>()->default_value("0"), "MS")(
       "program", "another build for all", cxxopts::value<std::string>()->default_value(""), "FILE")(
       "router-program", "another build for the routers", cxxopts::value<std::string>()->default_value(""),
@@ -315,6 +315,7 @@
   if (command.program.empty()) {
     command.program = std::filesystem::read_symlink("/proc/self/exe");
   }
+  command.cold = parsed.count("cold") > 0;
   command.disk = parsed.count("disk") > 0;
   command.object_kb = parsed["object-kb"].as<int>();
   command.origin_delay_ms = parsed["origin-delay"].as<int>();
--- a/src/program/fleet_command.cpp
+++ b/src/program/fleet_command.cpp
@@ -60,6 +60,19 @@
   return at == std::string::npos ? 0 : std::strtoull(log.c_str() + at + name.size() + 2, nullptr, 10);
 }
 
+// The most that a figure grew between two reports of a log; it begins anew where it falls.
+std::uint64_t most_growth(const std::string& log, const std::string& name) {
+  const std::string words = " " + name + "=";
+  std::uint64_t last = 0;
+  std::uint64_t most = 0;
+  for (std::size_t at = log.find(words); at != std::string::npos; at = log.find(words, at + 1)) {
+    const std::uint64_t value = std::strtoull(log.c_str() + at + words.size(), nullptr, 10);
+    most = std::max(most, value >= last ? value - last : value);
+    last = value;
+  }
+  return most;
+}
+
 fleet::Shape shape_of(const FleetCommand& command) {
   fleet::Shape shape;
   shape.routers = command.routers;
@@ -67,6 +80,10 @@
   shape.parents = command.parents;
   shape.zones = command.zones;
   shape.known = !command.without_list;
+  if (command.cold) {
+    shape.since_ms =
+        std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+  }
   shape.disk = command.disk;
   shape.object_kb = command.object_kb;
   shape.origin_delay_ms = command.origin_delay_ms;
@@ -187,6 +204,7 @@
     }
     scenario_->play();
     obey();
+    look_at_nodes();
     ask();
     if (Clock::now() >= refresh_at_) {
       refresh_at_ = Clock::now() + kRefresh;
@@ -229,6 +247,19 @@
     }
   }
 
+  // Each node logs its figures every second, so that the worst second of fills can be told.
+  void look_at_nodes() {
+    if (Clock::now() < nodes_at_) {
+      return;
+    }
+    nodes_at_ = Clock::now() + std::chrono::seconds(1);
+    for (const Kind kind : {Kind::kCache, Kind::kParent}) {
+      for (const std::string& name : layout_.names(kind)) {
+        scenario_->fleet().signal(name, SIGHUP);
+      }
+    }
+  }
+
   void ask() {
     const auto due = static_cast<std::size_t>(since(begun_) / 1'000.0 * command_.load_per_s);
     const auto& rows = status_->rows();
@@ -405,6 +436,8 @@
     out["router_mb_most"] = fleet::quantile(memory, 1.0);
     out["router_descriptors_most"] = fleet::quantile(descriptors, 1.0);
     std::uint64_t fills = 0;
+    std::uint64_t worst_fills = 0;
+    std::uint64_t worst_requests = 0;
     for (const Kind kind : {Kind::kCache, Kind::kParent}) {
       for (const std::string& name : layout_.names(kind)) {
         scenario_->fleet().signal(name, SIGHUP);
@@ -413,10 +446,15 @@
     scenario_->fleet().until([] { return false; }, milliseconds(100));
     for (const Kind kind : {Kind::kCache, Kind::kParent}) {
       for (const std::string& name : layout_.names(kind)) {
-        fills += figure(scenario_->fleet().log(name), "fills");
+        const std::string log = scenario_->fleet().log(name);
+        fills += figure(log, "fills");
+        worst_fills = std::max(worst_fills, most_growth(log, "fills"));
+        worst_requests = std::max(worst_requests, most_growth(log, "requests"));
       }
     }
     out["fills"] = fills;
+    out["node_fills_worst_second"] = worst_fills;
+    out["node_requests_worst_second"] = worst_requests;
     return out;
   }
 
@@ -441,6 +479,7 @@
   Clock::time_point refresh_at_ = begun_;
   Clock::time_point show_at_ = begun_;
   Clock::time_point obey_at_ = begun_;
+  Clock::time_point nodes_at_ = begun_;
   std::size_t started_ = 0;
   std::size_t not_taken_ = 0;
   bool ending_ = false;
