Keep the timer of a state machine in one place; drop three bits of dead state

Cause: on rereading, the same timer that follows a machine's next due moment stood in page_server.cpp, node.cpp and start_support.cpp; two conditions on the gate stood one behind the other; a count in the fleet command and a number in the audit were kept for nobody.

No behaviour is meant to change.

Measured: 452 of 452 tests pass; not run again under the sanitizers.

--- a/src/board/page_server.cpp
+++ b/src/board/page_server.cpp
@@ -122,7 +122,8 @@
       log_(log),
       bounds_(bounds),
       answering_(std::move(answering)),
-      core_(rules, seed) {}
+      core_(rules, seed),
+      timer_(scheduler, [this] { tell_due(); }) {}
 
 PageServer::~PageServer() = default;
 
@@ -222,17 +223,11 @@
 
 void PageServer::set_timer() {
   const std::optional<std::int64_t> due = core_.next_due();
-  if (timer_ && (!due || timer_->first != *due)) {
-    scheduler_.cancel(timer_->second);
-    timer_.reset();
-  }
-  if (due && !timer_) {
-    const Clock::time_point when{std::chrono::duration_cast<Clock::duration>(milliseconds(*due))};
-    timer_.emplace(*due, scheduler_.at(when, [this] {
-      timer_.reset();
-      tell_due();
-    }));
+  std::optional<Clock::time_point> when;
+  if (due) {
+    when.emplace(std::chrono::duration_cast<Clock::duration>(milliseconds(*due)));
   }
+  timer_.set(when);
 }
 
 void PageServer::close_all() {
--- a/src/board/page_server.h
+++ b/src/board/page_server.h
@@ -15,6 +15,7 @@
 
 #include "board/board_core.h"
 #include "board/page_log.h"
+#include "transport/alarm.h"
 #include "transport/connection.h"
 
 namespace trailcourse::board {
@@ -71,7 +72,7 @@
   std::set<std::shared_ptr<Session>> sessions_;
   std::map<CallNumber, Session*> calls_;
   CallNumber last_call_ = 0;
-  std::optional<std::pair<std::int64_t, transport::Scheduler::TimerKey>> timer_;
+  transport::Alarm timer_;
 };
 
 }  // namespace trailcourse::board
--- a/src/cache_node/node.cpp
+++ b/src/cache_node/node.cpp
@@ -61,7 +61,11 @@
           [this](const std::string& name) { return directory_.find(name).has_value(); }),
       server_(scheduler, *this, server_bounds(options)),
       sources_(scheduler, source_bounds(options),
-               [this](FillNumber fill, const FetchResult& result) { fetched(fill, result); }) {
+               [this](FillNumber fill, const FetchResult& result) { fetched(fill, result); }),
+      timer_(scheduler, [this] {
+        core_.tick(now(), actions_);
+        carry_out(actions_);
+      }) {
   for (const std::string& source : options.sources) {
     const std::size_t equals = source.find('=');
     const auto address = transport::parse_address(std::string_view(source).substr(equals + 1));
@@ -243,18 +247,11 @@
 
 void Node::set_timer() {
   const std::optional<std::int64_t> due = core_.next_due();
-  if (timer_ && (!due || timer_->first != *due)) {
-    scheduler_.cancel(timer_->second);
-    timer_.reset();
-  }
-  if (due && !timer_) {
-    const Clock::time_point when{std::chrono::duration_cast<Clock::duration>(milliseconds(*due))};
-    timer_.emplace(*due, scheduler_.at(when, [this] {
-      timer_.reset();
-      core_.tick(now(), actions_);
-      carry_out(actions_);
-    }));
+  std::optional<Clock::time_point> when;
+  if (due) {
+    when.emplace(std::chrono::duration_cast<Clock::duration>(milliseconds(*due)));
   }
+  timer_.set(when);
 }
 
 std::string Node::meter() const {
--- a/src/cache_node/node.h
+++ b/src/cache_node/node.h
@@ -20,6 +20,7 @@
 #include "routing/board_watcher.h"
 #include "routing/directory.h"
 #include "store/store.h"
+#include "transport/alarm.h"
 
 namespace trailcourse::cache_node {
 
@@ -77,7 +78,7 @@
   std::uint64_t heard_ = 0;
   bool board_heard_ = false;
   bool stopping_ = false;
-  std::optional<std::pair<std::int64_t, transport::Scheduler::TimerKey>> timer_;
+  transport::Alarm timer_;
   std::unordered_map<RequestNumber, std::uint64_t> readings_;
   std::vector<Action> actions_;
   bool carrying_out_ = false;
--- a/src/program/fleet_command.cpp
+++ b/src/program/fleet_command.cpp
@@ -272,7 +272,6 @@
         }
       }
       if (ready.empty()) {
-        not_taken_ += due - load_->all().size() - not_taken_ > 0 ? 1 : 0;
         break;
       }
       const std::string& router = ready[random_() % ready.size()];
@@ -481,7 +480,6 @@
   Clock::time_point obey_at_ = begun_;
   Clock::time_point nodes_at_ = begun_;
   std::size_t started_ = 0;
-  std::size_t not_taken_ = 0;
   bool ending_ = false;
   std::map<std::string, double> ready_at_;
   std::map<std::string, double> current_at_;
--- a/src/program/start_support.cpp
+++ b/src/program/start_support.cpp
@@ -61,7 +61,8 @@
 StartSupport::StartSupport(transport::Scheduler& scheduler, const Configuration& configuration)
     : scheduler_(scheduler),
       configuration_(configuration),
-      size_(configuration.start.startup.routers, configuration.profile.settings.routers) {
+      size_(configuration.start.startup.routers, configuration.profile.settings.routers),
+      timer_(scheduler, [this] { poke(); }) {
   const StartSections& start = configuration.start;
   if (start.has_startup) {
     gate_.emplace(
@@ -105,17 +106,11 @@
 
 void StartSupport::set_timer() {
   const std::optional<Micros> due = gate_ ? gate_->next_due(router_->now()) : std::nullopt;
-  if (timer_ && (!due || timer_->first != *due)) {
-    scheduler_.cancel(timer_->second);
-    timer_.reset();
-  }
-  if (due && !timer_) {
-    const Micros wait = std::max(Micros(0), *due - router_->now());
-    timer_.emplace(*due, scheduler_.at(scheduler_.turn_time() + wait, [this] {
-      timer_.reset();
-      poke();
-    }));
+  std::optional<Clock::time_point> when;
+  if (due) {
+    when = scheduler_.turn_time() + (*due - router_->now());
   }
+  timer_.set(when);
 }
 
 void StartSupport::begin(routing::Router& router, routing::NoticeTaker& taker) {
@@ -220,8 +215,6 @@
       bounds.asking.linger = std::min(bounds.asking.linger, rules.told_within / 2);
       bounds.asking.longest_linger = bounds.asking.linger;
     }
-  }
-  if (gate_) {
     bounds.anew_after = kAnewAfter;
   }
   if (relay_ && depth_ <= 2) {
--- a/src/program/start_support.h
+++ b/src/program/start_support.h
@@ -22,6 +22,7 @@
 #include "startup/gate.h"
 #include "startup/upstream.h"
 #include "store/executor.h"
+#include "transport/alarm.h"
 #include "transport/mailbox.h"
 
 namespace trailcourse::program {
@@ -77,7 +78,7 @@
   routing::Router* router_ = nullptr;
   const routing::NoticeTaker* taker_ = nullptr;
   routing::BoardWatcher* watcher_ = nullptr;
-  std::optional<std::pair<Micros, transport::Scheduler::TimerKey>> timer_;
+  transport::Alarm timer_;
   bool snapshot_used_ = false;
   bool root_ = false;  // of its relay tree
   int tree_size_ = 1;
--- a/src/routing/board_watcher.cpp
+++ b/src/routing/board_watcher.cpp
@@ -145,7 +145,6 @@
 // Behind the relay's back the board itself is asked for its last number, now and then.
 transport::Task<void> BoardWatcher::audit() {
   constexpr Micros kLook = milliseconds(50);
-  std::uint64_t asked_for = 0;
   for (;;) {
     co_await scheduler_.sleep(kLook);
     const std::optional<std::string> relay = relays_.choice->choose(now());
@@ -159,9 +158,8 @@
     }
     ++counts_.audits;
     const std::shared_ptr<Link> link = link_to(board_);
-    asked_for = taker_.last();
     const std::string request =
-        protocol::http::write_get(protocol::poll_path(asked_for, 0), transport::to_string(board_));
+        protocol::http::write_get(protocol::poll_path(taker_.last(), 0), transport::to_string(board_));
     const std::optional<protocol::http::Response> response = co_await exchange(link, request, bounds_.grace);
     link->connection.close(ConnectionEnd::kDropped);
     std::uint64_t board_last = 0;
