A store of shared truth: ledger, driver of etcd's v3 form, embedded backend, registry

Change: src/coordination with a pure ledger (conditions, leases, history), a driver that speaks etcd's published v3 JSON form on the program's own HTTP client, an embedded store (SQLite in WAL mode in a shared folder), and `trailcourse registry`, a durable stand-in of one process.

--- /dev/null
+++ b/src/coordination/ledger.cpp
@@ -0,0 +1,295 @@
+#include "coordination/ledger.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace trailcourse::coordination {
+namespace {
+
+[[noreturn]] void reject(Rejected::Why why, const std::string& text) { throw Rejected(why, text); }
+
+template <typename Value>
+bool compares(Compare::How how, const Value& is, const Value& wanted) {
+  switch (how) {
+    case Compare::How::kEqual:
+      return is == wanted;
+    case Compare::How::kNotEqual:
+      return is != wanted;
+    case Compare::How::kGreater:
+      return is > wanted;
+    case Compare::How::kLess:
+      break;
+  }
+  return is < wanted;
+}
+
+}  // namespace
+
+LeaseId Ledger::grant(std::int64_t now_ms, std::int64_t ttl_ms, LeaseId id) {
+  if (ttl_ms < limits_.least_ttl_ms || ttl_ms > limits_.most_ttl_ms) {
+    reject(Rejected::Why::kBadRequest, "a lease of " + std::to_string(ttl_ms) + " ms");
+  }
+  if (leases_.size() >= limits_.leases) {
+    reject(Rejected::Why::kBadRequest, "too many leases");
+  }
+  if (id != 0 && leases_.contains(id)) {
+    reject(Rejected::Why::kLeaseExists, "lease already exists");
+  }
+  // A number that was given once must not come back, also after a restart: the revision has grown by then, or
+  // no key ever stood under it.
+  for (; id == 0 || leases_.contains(id);) {
+    id = (revision_ << 20U) + (++last_grant_ & 0xfffffU);
+  }
+  leases_[id] = Lease{ttl_ms, now_ms + ttl_ms};
+  return id;
+}
+
+std::int64_t Ledger::keep_alive(std::int64_t now_ms, LeaseId id) {
+  const auto found = leases_.find(id);
+  if (found == leases_.end()) {
+    return 0;
+  }
+  found->second.ends_ms = now_ms + found->second.ttl_ms;
+  return found->second.ttl_ms;
+}
+
+void Ledger::revoke(LeaseId id) {
+  if (!leases_.contains(id)) {
+    reject(Rejected::Why::kNoLease, "requested lease not found");
+  }
+  end(id);
+}
+
+void Ledger::expire(std::int64_t now_ms) {
+  std::vector<LeaseId> over;
+  for (const auto& [id, lease] : leases_) {
+    if (lease.ends_ms <= now_ms) {
+      over.push_back(id);
+    }
+  }
+  for (const LeaseId id : over) {
+    end(id);
+  }
+}
+
+std::optional<std::int64_t> Ledger::next_expiry() const {
+  std::optional<std::int64_t> out;
+  for (const auto& [id, lease] : leases_) {
+    out = std::min(out.value_or(lease.ends_ms), lease.ends_ms);
+  }
+  return out;
+}
+
+void Ledger::end(LeaseId id) {
+  leases_.erase(id);
+  const auto held = held_.find(id);
+  if (held == held_.end()) {
+    return;
+  }
+  const std::set<std::string> keys = held->second;
+  const Revision at = revision_ + 1;
+  for (const std::string& key : keys) {
+    remove(Range{key, false}, at);
+  }
+  held_.erase(id);
+  revision_ = keys.empty() ? revision_ : at;
+}
+
+bool Ledger::holds(const Compare& compare) const {
+  const auto found = entries_.find(compare.key);
+  const Entry entry = found == entries_.end() ? Entry{} : found->second;
+  switch (compare.what) {
+    case Compare::What::kCreated:
+      return compares(compare.how, entry.created, compare.number);
+    case Compare::What::kModified:
+      return compares(compare.how, entry.modified, compare.number);
+    case Compare::What::kVersion:
+      return compares(compare.how, entry.version, compare.number);
+    case Compare::What::kLease:
+      return compares(compare.how, entry.lease, compare.number);
+    case Compare::What::kValue:
+      break;
+  }
+  // A key that is not there has no value that could be compared.
+  return found != entries_.end() && compares(compare.how, entry.value, compare.value);
+}
+
+// Of both sides: whether a request can be used must not depend on how its conditions turn out.
+void Ledger::check(const Transaction& transaction) const {
+  const auto check_key = [this](const std::string& key, bool may_be_empty) {
+    if ((key.empty() && !may_be_empty) || key.size() > limits_.key_bytes) {
+      reject(Rejected::Why::kBadRequest, "a key of " + std::to_string(key.size()) + " bytes");
+    }
+  };
+  const auto check_steps = [&](const std::vector<Step>& steps) {
+    std::set<std::string> written;
+    if (steps.size() > limits_.steps) {
+      reject(Rejected::Why::kBadRequest, "too many operations in a transaction");
+    }
+    for (const Step& step : steps) {
+      if (const auto* put = std::get_if<Put>(&step)) {
+        check_key(put->key, false);
+        if (put->value.size() > limits_.value_bytes) {
+          reject(Rejected::Why::kBadRequest, "a value of " + std::to_string(put->value.size()) + " bytes");
+        }
+        if (!written.insert(put->key).second) {
+          reject(Rejected::Why::kBadRequest, "duplicate key given in a transaction");
+        }
+        if (put->lease != 0 && !leases_.contains(put->lease)) {
+          reject(Rejected::Why::kNoLease, "requested lease not found");
+        }
+      } else if (const auto* remove = std::get_if<Delete>(&step)) {
+        check_key(remove->range.key, remove->range.prefix);
+      } else {
+        const Range& range = std::get<Get>(step).range;
+        check_key(range.key, range.prefix);
+      }
+    }
+    if (entries_.size() + written.size() > limits_.entries) {
+      reject(Rejected::Why::kBadRequest, "the store is full");
+    }
+  };
+  if (transaction.when.size() > limits_.steps) {
+    reject(Rejected::Why::kBadRequest, "too many conditions in a transaction");
+  }
+  check_steps(transaction.then);
+  check_steps(transaction.otherwise);
+}
+
+Outcome Ledger::commit(const Transaction& transaction) {
+  check(transaction);
+  Outcome out;
+  out.succeeded = std::all_of(transaction.when.begin(), transaction.when.end(),
+                              [this](const Compare& one) { return holds(one); });
+  const Revision at = revision_ + 1;
+  bool changed = false;
+  for (const Step& step : out.succeeded ? transaction.then : transaction.otherwise) {
+    StepResult result;
+    if (const auto* one = std::get_if<Put>(&step)) {
+      put(*one, at);
+      changed = true;
+    } else if (const auto* gone = std::get_if<Delete>(&step)) {
+      result.deleted = remove(gone->range, at);
+      changed = changed || result.deleted > 0;
+    } else {
+      result.found = get(std::get<Get>(step).range);
+    }
+    out.steps.push_back(std::move(result));
+  }
+  revision_ = changed ? at : revision_;
+  out.revision = revision_;
+  return out;
+}
+
+std::vector<Entry> Ledger::get(const Range& range) const {
+  std::vector<Entry> out;
+  for (auto at = entries_.lower_bound(range.key); at != entries_.end() && range.holds(at->first); ++at) {
+    out.push_back(at->second);
+  }
+  return out;
+}
+
+void Ledger::put(const Put& put, Revision at) {
+  Entry entry;
+  const auto found = entries_.find(put.key);
+  if (found != entries_.end()) {
+    entry = found->second;
+  }
+  entry.key = put.key;
+  entry.value = put.value;
+  entry.created = entry.created == 0 ? at : entry.created;
+  entry.modified = at;
+  ++entry.version;
+  entry.lease = put.lease;
+  note(Change{false, std::move(entry)});
+}
+
+std::uint64_t Ledger::remove(const Range& range, Revision at) {
+  const std::vector<Entry> gone = get(range);
+  for (const Entry& entry : gone) {
+    Change change{true, Entry{}};
+    change.entry.key = entry.key;
+    change.entry.modified = at;
+    note(std::move(change));
+  }
+  return gone.size();
+}
+
+void Ledger::note(Change change) {
+  fresh_.push_back(change);
+  const Revision before = revision_;
+  follow(change);
+  revision_ = before;  // the caller says when the transaction is whole
+}
+
+void Ledger::follow(const Change& change) {
+  const std::string& key = change.entry.key;
+  const auto found = entries_.find(key);
+  if (found != entries_.end() && found->second.lease != 0) {
+    const auto held = held_.find(found->second.lease);
+    if (held != held_.end()) {
+      held->second.erase(key);
+    }
+  }
+  if (change.deleted) {
+    entries_.erase(key);
+  } else {
+    entries_[key] = change.entry;
+    if (change.entry.lease != 0) {
+      held_[change.entry.lease].insert(key);
+    }
+  }
+  revision_ = std::max(revision_, change.entry.modified);
+  history_.push_back(change);
+  if (history_.size() > limits_.history) {
+    compact(history_[history_.size() - limits_.history].entry.modified);
+  }
+}
+
+std::vector<Change> Ledger::since(Revision from, const Range& range) const {
+  if (from < compacted_) {
+    reject(Rejected::Why::kCompacted, "required revision has been compacted");
+  }
+  const auto first = std::lower_bound(
+      history_.begin(), history_.end(), from,
+      [](const Change& change, Revision revision) { return change.entry.modified < revision; });
+  std::vector<Change> out;
+  std::copy_if(first, history_.end(), std::back_inserter(out),
+               [&range](const Change& change) { return range.holds(change.entry.key); });
+  return out;
+}
+
+void Ledger::compact(Revision before) {
+  while (!history_.empty() && history_.front().entry.modified < before) {
+    history_.pop_front();
+  }
+  compacted_ = std::max(compacted_, std::min(before, revision_ + 1));
+}
+
+std::vector<Change> Ledger::changes() { return std::exchange(fresh_, {}); }
+
+void Ledger::restore(std::vector<Entry> entries, Revision revision) {
+  entries_.clear();
+  held_.clear();
+  history_.clear();
+  for (Entry& entry : entries) {
+    if (entry.lease != 0) {
+      held_[entry.lease].insert(entry.key);
+    }
+    const std::string key = entry.key;
+    entries_[key] = std::move(entry);
+  }
+  revision_ = std::max<Revision>(1, revision);
+  compacted_ = revision_ + 1;
+}
+
+void Ledger::set_leases(std::map<LeaseId, Lease> leases) { leases_ = std::move(leases); }
+
+void Ledger::renew_all(std::int64_t now_ms) {
+  for (auto& [id, lease] : leases_) {
+    lease.ends_ms = now_ms + lease.ttl_ms;
+  }
+}
+
+}  // namespace trailcourse::coordination
--- /dev/null
+++ b/src/coordination/ledger.h
@@ -0,0 +1,111 @@
+// What a store of shared truth decides: which conditions hold, what a transaction changes, which leases have
+// ended and what ends with them, what a watch is told. Both stores of this project stand on it: the registry
+// keeps one ledger, the embedded store has each process follow the same history.
+//
+// Each call that changes anything leaves its changes in changes(), to be kept durably before its result is
+// told. A ledger that is read back from what was kept goes on where it was.
+//
+// Package `coordination`: no I/O, no clock; time is milliseconds of the caller's steady clock. Not
+// thread-safe.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "coordination/types.h"
+
+namespace trailcourse::coordination {
+
+// A call that cannot be done and changed nothing; its text is one line.
+class Rejected : public std::runtime_error {
+ public:
+  enum class Why { kNoLease, kLeaseExists, kBadRequest, kCompacted };
+  Rejected(Why why, const std::string& text) : std::runtime_error(text), why_(why) {}
+  Why why() const { return why_; }
+
+ private:
+  Why why_;
+};
+
+struct Lease {
+  std::int64_t ttl_ms = 0;
+  std::int64_t ends_ms = 0;  // by the clock of the calls
+
+  friend bool operator==(const Lease&, const Lease&) = default;
+};
+
+struct Limits {
+  std::size_t key_bytes = 512;
+  std::size_t value_bytes = 64U << 10U;
+  std::size_t entries = 100'000;
+  std::size_t leases = 10'000;
+  std::size_t steps = 128;  // of a transaction, as etcd's --max-txn-ops
+  std::int64_t least_ttl_ms = 100;
+  std::int64_t most_ttl_ms = 86'400'000;
+  std::size_t history = 10'000;  // changes kept for watches; what is older is compacted away
+};
+
+class Ledger {
+ public:
+  explicit Ledger(const Limits& limits) : limits_(limits) {}
+
+  // Throws Rejected. `id` 0: a free one is made from the revision and a count; it is never given twice.
+  LeaseId grant(std::int64_t now_ms, std::int64_t ttl_ms, LeaseId id);
+  // The time it has from now; 0 where there is none of that number.
+  std::int64_t keep_alive(std::int64_t now_ms, LeaseId id);
+  // Deletes what stands under it. Throws Rejected.
+  void revoke(LeaseId id);
+  // Ends what is over, as one revision a lease.
+  void expire(std::int64_t now_ms);
+  std::optional<std::int64_t> next_expiry() const;
+  const std::map<LeaseId, Lease>& leases() const { return leases_; }
+
+  // Throws Rejected; then nothing was done.
+  Outcome commit(const Transaction& transaction);
+  std::vector<Entry> get(const Range& range) const;
+
+  Revision revision() const { return revision_; }
+  // Changes from this revision on are still known; earlier ones are not.
+  Revision compacted() const { return compacted_; }
+  // What happened in a range at `from` and later, in order. Throws Rejected where that is compacted away.
+  std::vector<Change> since(Revision from, const Range& range) const;
+  void compact(Revision before);
+
+  // What the last calls changed, taken out; to be kept.
+  std::vector<Change> changes();
+
+  // Reading back: entries, then the revision; then changes that came later, in order.
+  void restore(std::vector<Entry> entries, Revision revision);
+  void follow(const Change& change);
+  void set_leases(std::map<LeaseId, Lease> leases);
+  // The leases go on for their full time from now, as after a restart of the store: never shorter than told.
+  void renew_all(std::int64_t now_ms);
+  const std::map<std::string, Entry>& entries() const { return entries_; }
+
+ private:
+  bool holds(const Compare& compare) const;
+  void check(const Transaction& transaction) const;
+  void note(Change change);
+  void put(const Put& put, Revision at);
+  std::uint64_t remove(const Range& range, Revision at);
+  void end(LeaseId id);
+
+  Limits limits_;
+  Revision revision_ = 1;
+  Revision compacted_ = 1;
+  std::uint64_t last_grant_ = 0;
+  std::map<std::string, Entry> entries_;
+  std::map<LeaseId, Lease> leases_;
+  std::map<LeaseId, std::set<std::string>> held_;  // keys under each lease
+  std::deque<Change> history_;
+  std::vector<Change> fresh_;
+};
+
+}  // namespace trailcourse::coordination
--- a/src/program/command_line.cpp
+++ b/src/program/command_line.cpp
@@ -163,6 +163,10 @@
   return run_board(operator_file(parsed, {"board"}));
 }
 
+int run_registry_command(const cxxopts::ParseResult& parsed, const Output&) {
+  return run_registry(operator_file(parsed, {"registry"}));
+}
+
 std::int64_t unix_ms() {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
              std::chrono::system_clock::now().time_since_epoch())
@@ -368,6 +372,9 @@
        "trailcourse origin --config operator.json", add_config_option, run_origin_command},
       {"board", "--config FILE", "runs a small notice board, for trying things out",
        "trailcourse board --config operator.json", add_config_option, run_board_command},
+      {"registry", "--config FILE",
+       "runs a store of shared truth of one process, in the form of etcd's v3 interface",
+       "trailcourse registry --config operator.json", add_config_option, run_registry_command},
       {"notice", "FILE object ID|group N", "adds a purge to a notice board's file",
        "trailcourse notice board.json object 7f3a9c21e0b4d655", add_words, run_notice},
       {"fleet", "start|status|stop|fault --folder DIR",
--- a/src/program/configuration.cpp
+++ b/src/program/configuration.cpp
@@ -161,6 +161,22 @@
   }
 }
 
+void check_coordination(const coordination::CoordinationOptions& coordination) {
+  if (coordination.store == "etcd" && coordination.endpoints.empty()) {
+    fail("coordination.endpoints", "none is named, and the store is etcd");
+  }
+  for (const std::string& endpoint : coordination.endpoints) {
+    address_of("coordination.endpoints", endpoint);
+  }
+  if (coordination.store == "embedded" && coordination.folder.empty()) {
+    fail("coordination.folder", "none is named, and the store is embedded");
+  }
+  if (!coordination.store_id.empty() &&
+      protocol::read_number<std::uint64_t>(coordination.store_id).value_or(0) == 0) {
+    fail("coordination.store_id", "'" + coordination.store_id + "' is not the number of a store");
+  }
+}
+
 const config::Record<Tuning>& tuning_record() {
   using config::WholeRange;
   static const config::Record<Tuning> kRecord = [] {
--- a/src/program/configuration.h
+++ b/src/program/configuration.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "config/record.h"
+#include "coordination/options.h"
 #include "program/start_options.h"
 #include "protocol/notice_board.h"
 #include "protocol/settings.h"
@@ -81,6 +82,8 @@
 
 // What one key of the section `relay` alone cannot tell. Throws ConfigurationError.
 void check_relay(const RelayOptions& relay);
+// The same of the section `coordination`.
+void check_coordination(const coordination::CoordinationOptions& coordination);
 
 // The declaration of the tuning keys: the section `router`.
 const config::Record<Tuning>& tuning_record();
--- a/src/program/node_commands.cpp
+++ b/src/program/node_commands.cpp
@@ -8,6 +8,7 @@
 
 #include "cache_node/node.h"
 #include "cache_node/origin.h"
+#include "coordination/registry.h"
 #include "program/board_server.h"
 #include "program/signals.h"
 #include "store/store.h"
@@ -149,4 +150,18 @@
   return 0;
 }
 
+int run_registry(const OperatorFile& file) {
+  transport::Scheduler scheduler;
+  Signals signals(scheduler);
+  coordination::Registry registry(scheduler, file.registry);
+  registry.listen(*transport::parse_address(file.registry.listen));
+  const std::function<void()> report = [&registry] { log_line(Level::kInfo) << registry.report(); };
+  scheduler.spawn(heed(scheduler, signals, report));
+  log_line(Level::kInfo) << "registry " << registry.id() << " listens on " << file.registry.listen
+                         << ", keeps all in " << file.registry.folder;
+  scheduler.run();
+  log_line(Level::kInfo) << registry.report();
+  return 0;
+}
+
 }  // namespace trailcourse::program
--- a/src/program/node_commands.h
+++ b/src/program/node_commands.h
@@ -13,5 +13,6 @@
 int run_cache(const OperatorFile& file);
 int run_origin(const OperatorFile& file);
 int run_board(const OperatorFile& file);
+int run_registry(const OperatorFile& file);
 
 }  // namespace trailcourse::program
--- a/src/program/operator_file.cpp
+++ b/src/program/operator_file.cpp
@@ -21,6 +21,8 @@
   visit(startup::start_record(), file.startup);
   visit(snapshot::snapshot_record(), file.snapshot);
   visit(relay_record(), file.relay);
+  visit(coordination::coordination_record(), file.coordination);
+  visit(coordination::registry_record(), file.registry);
   visit(tuning_record(), file.router);
 }
 
@@ -59,6 +61,12 @@
   if (has("board")) {
     need_address("board.listen", file.board.listen, false);
   }
+  if (has("registry")) {
+    need_address("registry.listen", file.registry.listen, false);
+  }
+  if (has("coordination")) {
+    check_coordination(file.coordination);
+  }
   if (has("relay")) {
     check_relay(file.relay);
   }
--- a/src/program/operator_file.h
+++ b/src/program/operator_file.h
@@ -8,6 +8,7 @@
 
 #include "board/board_core.h"
 #include "cache_node/node_options.h"
+#include "coordination/options.h"
 #include "program/configuration.h"
 #include "store/options.h"
 
@@ -22,6 +23,8 @@
   startup::StartOptions startup;
   snapshot::SnapshotOptions snapshot;
   RelayOptions relay;
+  coordination::CoordinationOptions coordination;
+  coordination::RegistryOptions registry;
   Tuning router;
   std::vector<std::string> sections;  // that the file has
 };
--- a/src/protocol/http_client.cpp
+++ b/src/protocol/http_client.cpp
@@ -65,6 +65,12 @@
   return out;
 }
 
+std::optional<std::string> ResponseParser::take_piece() {
+  const bool in_body = stage_ == Stage::kBody || stage_ == Stage::kChunkSize || stage_ == Stage::kChunk ||
+                       stage_ == Stage::kChunkEnd;
+  return in_body ? std::optional<std::string>(std::exchange(response_.body, {})) : std::nullopt;
+}
+
 // Gathers a line; true once it is whole, without its break.
 bool ResponseParser::read_line(std::string_view& bytes) {
   const std::size_t end = bytes.find('\n');
@@ -199,4 +205,12 @@
   return out + "\r\nAccept: application/json\r\n\r\n";
 }
 
+std::string write_post(std::string_view path, std::string_view host, std::string_view json) {
+  std::string out = "POST ";
+  out.append(path).append(" HTTP/1.1\r\nHost: ").append(host);
+  out.append("\r\nContent-Type: application/json\r\nAccept: application/json\r\nContent-Length: ");
+  out.append(std::to_string(json.size())).append("\r\n\r\n").append(json);
+  return out;
+}
+
 }  // namespace trailcourse::protocol::http
--- a/src/protocol/http_client.h
+++ b/src/protocol/http_client.h
@@ -45,6 +45,11 @@
 
   // The answer once it is whole, taken out; the parser is then ready for the next.
   std::optional<Response> take();
+  // What has come so far of the body of an answer that goes on, taken out: of one that is read as it comes.
+  // Nothing before its head is whole, and once the answer is.
+  std::optional<std::string> take_piece();
+  // Of the answer that is being read; 0 before its first line.
+  int status() const { return response_.status; }
   bool failed() const { return stage_ == Stage::kFailed; }
   const std::string& why() const { return why_; }
 
@@ -70,5 +75,6 @@
 };
 
 std::string write_get(std::string_view path, std::string_view host);
+std::string write_post(std::string_view path, std::string_view host, std::string_view json);
 
 }  // namespace trailcourse::protocol::http
--- /dev/null
+++ b/tests/coordination_test.cpp
@@ -0,0 +1,692 @@
+// The store of shared truth: the ledger's rules, one suite for both backends, and what a driver makes of a
+// store that is slow, gone, put back, another one, or talks nonsense.
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+#include <memory>
+#include <random>
+
+#include "coordination/embedded_store.h"
+#include "coordination/etcd_store.h"
+#include "coordination/registry.h"
+#include "fleet/fault_proxy.h"
+#include "fleet/ports.h"
+#include "fleet/process.h"
+
+namespace trailcourse::coordination {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+using transport::Clock;
+
+// ---- The ledger ----
+
+Transaction put_if_absent(const std::string& key, const std::string& value, LeaseId lease = 0) {
+  return Transaction{{absent(key)}, {Put{key, value, lease}}, {Get{Range{key, false}}}};
+}
+Transaction put(const std::string& key, const std::string& value, LeaseId lease = 0) {
+  return Transaction{{}, {Put{key, value, lease}}, {}};
+}
+
+TEST(LedgerTest, ATransactionIsOneRevisionWhateverItWrites) {
+  Ledger ledger{Limits{}};
+  const Revision before = ledger.revision();
+  const Outcome done = ledger.commit(Transaction{{absent("a")}, {Put{"a", "1", 0}, Put{"b", "2", 0}}, {}});
+  EXPECT_TRUE(done.succeeded);
+  EXPECT_EQ(done.revision, before + 1);
+  EXPECT_EQ(ledger.get(Range{"", true}).size(), 2U);
+  const Outcome second = ledger.commit(put_if_absent("a", "3"));
+  EXPECT_FALSE(second.succeeded);
+  EXPECT_EQ(second.revision, before + 1) << "a transaction that only reads makes no revision";
+  ASSERT_EQ(second.steps.at(0).found.size(), 1U);
+  EXPECT_EQ(second.steps[0].found[0].value, "1");
+}
+
+TEST(LedgerTest, AKeyThatCameBackHasAHigherCreationAndSoAHigherTerm) {
+  Ledger ledger{Limits{}};
+  const LeaseId lease = ledger.grant(0, 1'000, 0);
+  const Revision first = ledger.commit(put_if_absent("own", "x", lease)).revision;
+  ledger.expire(999);
+  EXPECT_EQ(ledger.get(Range{"own", false}).size(), 1U);
+  ledger.expire(1'000);
+  EXPECT_TRUE(ledger.get(Range{"own", false}).empty());
+  const Outcome second = ledger.commit(put_if_absent("own", "y"));
+  EXPECT_TRUE(second.succeeded);
+  EXPECT_GT(second.revision, first + 1) << "the end of the lease is a revision of its own";
+}
+
+TEST(LedgerTest, RejectedCallsChangeNothing) {
+  Limits limits;
+  limits.entries = 2;
+  Ledger ledger(limits);
+  ledger.commit(put("a", "1"));
+  const auto rejected = [&](const Transaction& transaction) {
+    const Revision before = ledger.revision();
+    EXPECT_THROW(ledger.commit(transaction), Rejected);
+    EXPECT_EQ(ledger.revision(), before);
+    EXPECT_EQ(ledger.get(Range{"", true}).size(), 1U);
+  };
+  rejected(Transaction{{}, {Put{"a", "2", 0}, Put{"a", "3", 0}}, {}});
+  rejected(put("b", "2", 77));
+  rejected(put("", "2"));
+  rejected(put(std::string(1'000, 'k'), "2"));
+  rejected(Transaction{{}, {Put{"b", "2", 0}, Put{"c", "3", 0}}, {}});
+  // Also where the side that cannot be done is the one that would not be taken.
+  rejected(Transaction{{absent("a")}, {Put{"b", "2", 77}}, {}});
+  EXPECT_THROW(ledger.revoke(5), Rejected);
+  EXPECT_THROW(ledger.grant(0, 0, 0), Rejected);
+}
+
+TEST(LedgerTest, CompactedHistoryIsNotToldAsIfItWereWhole) {
+  Limits limits;
+  limits.history = 4;
+  Ledger ledger(limits);
+  for (int i = 0; i < 10; ++i) {
+    ledger.commit(put("k", std::to_string(i)));
+  }
+  EXPECT_THROW(ledger.since(2, Range{"k", false}), Rejected);
+  const std::vector<Change> last = ledger.since(ledger.revision() - 2, Range{"k", false});
+  ASSERT_EQ(last.size(), 3U);
+  EXPECT_EQ(last.back().entry.value, "9");
+  EXPECT_EQ(last.back().entry.version, 10U);
+}
+
+// A drawn history, told by changes to a second ledger: both say the same, also of keys under leases.
+TEST(LedgerTest, WhoFollowsTheChangesHasTheSame) {
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+    std::mt19937_64 random(seed);
+    Ledger first{Limits{}};
+    Ledger second{Limits{}};
+    std::int64_t now = 0;
+    std::vector<LeaseId> leases;
+    for (int i = 0; i < 300; ++i) {
+      now += static_cast<std::int64_t>(random() % 50);
+      const std::string key = "k" + std::to_string(random() % 8);
+      first.expire(now);
+      try {
+        switch (random() % 5) {
+          case 0:
+            leases.push_back(first.grant(now, 100 + static_cast<std::int64_t>(random() % 400), 0));
+            break;
+          case 1:
+            first.commit(Transaction{{}, {Delete{Range{key, random() % 2 == 0}}}, {}});
+            break;
+          case 2:
+            first.revoke(leases.empty() ? 1 : leases[random() % leases.size()]);
+            break;
+          default:
+            first.commit(
+                put_if_absent(key, std::to_string(i), leases.empty() ? 0 : leases[random() % leases.size()]));
+        }
+      } catch (const Rejected&) {
+      }
+      for (const Change& change : first.changes()) {
+        second.follow(change);
+      }
+      ASSERT_EQ(first.entries(), second.entries()) << "seed " << seed << " step " << i;
+    }
+    for (const auto& [key, entry] : first.entries()) {
+      ASSERT_TRUE(entry.lease == 0 || first.leases().contains(entry.lease)) << "a key outlived its lease";
+    }
+  }
+}
+
+// ---- One suite for both backends ----
+
+struct Told : Watcher {
+  void current(Revision revision, const std::vector<Entry>& entries) override {
+    ++currents;
+    last = revision;
+    state.clear();
+    for (const Entry& entry : entries) {
+      state[entry.key] = entry.value;
+    }
+  }
+  void changed(Revision revision, const std::vector<Change>& changes) override {
+    for (const Change& change : changes) {
+      EXPECT_GE(change.entry.modified, newest) << "out of order";
+      newest = change.entry.modified;
+      log.push_back((change.deleted ? "-" : "+") + change.entry.key + change.entry.value);
+      if (change.deleted) {
+        state.erase(change.entry.key);
+      } else {
+        state[change.entry.key] = change.entry.value;
+      }
+    }
+    last = revision;
+  }
+  void silent(const std::string& why) override {
+    ++silences;
+    reason = why;
+  }
+  void heard() override { ++beats; }
+
+  std::map<std::string, std::string> state;
+  std::vector<std::string> log;
+  std::string reason;
+  Revision last = 0, newest = 0;
+  int currents = 0, silences = 0, beats = 0;
+};
+
+enum class Backend { kEtcd, kEmbedded };
+
+class World {
+ public:
+  explicit World(Backend backend, std::int64_t history = 10'000) : backend_(backend) {
+    static int made = 0;
+    folder_ = testing::TempDir() + "trailcourse-coordination-" + std::to_string(::getpid()) + "-" +
+              std::to_string(++made);
+    std::filesystem::remove_all(folder_);
+    std::filesystem::create_directories(folder_);
+    registry_options_.folder = folder_ + "/registry";
+    registry_options_.history = history;
+    address_ = ports_.take_text();
+    options_.store = backend == Backend::kEtcd ? "etcd" : "embedded";
+    options_.endpoints = {address_};
+    options_.folder = folder_ + "/shared";
+    options_.rest_ms = 10;
+    options_.longest_rest_ms = 40;
+    options_.look_ms = 5;
+    options_.call_ms = 2'000;
+    if (backend == Backend::kEtcd) {
+      start_registry();
+    }
+  }
+  ~World() {
+    stores_.clear();
+    registry_.reset();
+    proxy_.reset();
+    std::filesystem::remove_all(folder_);
+  }
+
+  // A process of its own; stopping it is SIGKILL.
+  void start_registry() {
+    const std::string config = folder_ + "/registry.json";
+    std::ofstream(config) << json{{"registry",
+                                   {{"listen", address_},
+                                    {"folder", registry_options_.folder},
+                                    {"history", registry_options_.history}}}};
+    fleet::Process::Spec spec;
+    spec.name = "registry";
+    spec.words = {TRAILCOURSE_PROGRAM, "registry", "--config", config};
+    spec.log = folder_ + "/registry.log";
+    registry_ = std::make_unique<fleet::Process>(spec);
+    const std::size_t starts = ++starts_;
+    EXPECT_TRUE(until([&] {
+      const std::string log = registry_->log();
+      std::size_t seen = 0;
+      for (std::size_t at = log.find("listens on"); at != std::string::npos;
+           at = log.find("listens on", at + 1)) {
+        ++seen;
+      }
+      return seen >= starts || !registry_->alive();
+    }));
+    EXPECT_TRUE(registry_->alive()) << registry_->log();
+  }
+  void stop_registry() { registry_.reset(); }
+  fleet::FaultProxy& proxy() {
+    if (!proxy_) {
+      const std::string at = ports_.take_text();
+      proxy_ = std::make_unique<fleet::FaultProxy>(scheduler, "router>store", *transport::parse_address(at),
+                                                   *transport::parse_address(address_));
+      options_.endpoints = {at};
+    }
+    return *proxy_;
+  }
+  CoordinationOptions& options() { return options_; }
+  RegistryOptions& registry_options() { return registry_options_; }
+
+  // As a router of its own sees the store.
+  SharedStore& store() {
+    if (backend_ == Backend::kEtcd) {
+      stores_.push_back(std::make_unique<EtcdStore>(scheduler, options_, 7));
+    } else {
+      stores_.push_back(std::make_unique<EmbeddedStore>(scheduler, options_));
+    }
+    return *stores_.back();
+  }
+
+  bool until(const std::function<bool()>& done) {
+    const Clock::time_point end = Clock::now() + std::chrono::seconds(60);
+    while (!done()) {
+      if (Clock::now() > end) {
+        return false;
+      }
+      scheduler.turn(milliseconds(5));
+    }
+    return true;
+  }
+  template <typename Value, typename Ask>
+  Reply<Value> await(Ask ask) {
+    const auto reply = std::make_shared<std::optional<Reply<Value>>>();
+    ask([reply](const Reply<Value>& told) { *reply = told; });
+    EXPECT_TRUE(until([&] { return reply->has_value(); }));
+    return reply->value_or(Reply<Value>{});
+  }
+  Reply<Outcome> commit(SharedStore& store, const Transaction& transaction) {
+    return await<Outcome>([&](auto then) { store.commit(transaction, then); });
+  }
+  Reply<GrantedLease> grant(SharedStore& store, milliseconds ttl) {
+    return await<GrantedLease>([&](auto then) { store.grant(ttl, then); });
+  }
+  Reply<GrantedLease> renew(SharedStore& store, LeaseId lease) {
+    return await<GrantedLease>([&](auto then) { store.keep_alive(lease, then); });
+  }
+
+  transport::Scheduler scheduler;
+
+ private:
+  Backend backend_;
+  fleet::PortBook ports_;
+  std::string folder_;
+  std::string address_;
+  RegistryOptions registry_options_;
+  CoordinationOptions options_;
+  std::unique_ptr<fleet::Process> registry_;
+  std::size_t starts_ = 0;
+  std::unique_ptr<fleet::FaultProxy> proxy_;
+  std::vector<std::unique_ptr<SharedStore>> stores_;
+};
+
+class ConformanceTest : public testing::TestWithParam<Backend> {};
+INSTANTIATE_TEST_SUITE_P(Stores, ConformanceTest, testing::Values(Backend::kEtcd, Backend::kEmbedded),
+                         [](const auto& one) { return one.param == Backend::kEtcd ? "Etcd" : "Embedded"; });
+
+TEST_P(ConformanceTest, OfManyThatCompareAndSetOneWins) {
+  World world(GetParam());
+  std::vector<SharedStore*> routers;
+  for (int i = 0; i < 5; ++i) {
+    routers.push_back(&world.store());
+  }
+  for (int round = 0; round < 5; ++round) {
+    const std::string key = "own/" + std::to_string(round);
+    int answers = 0;
+    int wins = 0;
+    for (std::size_t i = 0; i < routers.size(); ++i) {
+      routers[i]->commit(put_if_absent(key, "router" + std::to_string(i)), [&](const Reply<Outcome>& reply) {
+        EXPECT_TRUE(reply.done()) << reply.why;
+        wins += reply.value.succeeded ? 1 : 0;
+        ++answers;
+      });
+    }
+    ASSERT_TRUE(world.until([&] { return answers == 5; }));
+    EXPECT_EQ(wins, 1);
+  }
+  EXPECT_NE(routers[0]->id(), 0U);
+  EXPECT_EQ(routers[0]->id(), routers[4]->id());
+}
+
+TEST_P(ConformanceTest, EveryKindOfConditionAndStep) {
+  World world(GetParam());
+  SharedStore& store = world.store();
+  const auto first = world.commit(store, put("a/1", "x"));
+  ASSERT_TRUE(first.done()) << first.why;
+  const Revision made = first.value.revision;
+  const auto holds = [&](const Compare& compare) {
+    const auto reply = world.commit(store, Transaction{{compare}, {}, {}});
+    EXPECT_TRUE(reply.done()) << reply.why;
+    return reply.value.succeeded;
+  };
+  using What = Compare::What;
+  using How = Compare::How;
+  EXPECT_TRUE(holds({"a/1", What::kCreated, How::kEqual, made, {}}));
+  EXPECT_FALSE(holds({"a/1", What::kCreated, How::kNotEqual, made, {}}));
+  EXPECT_TRUE(holds({"a/1", What::kModified, How::kLess, made + 1, {}}));
+  EXPECT_TRUE(holds({"a/1", What::kVersion, How::kGreater, 0, {}}));
+  EXPECT_TRUE(holds({"a/1", What::kLease, How::kEqual, 0, {}}));
+  EXPECT_TRUE(holds({"a/1", What::kValue, How::kEqual, 0, "x"}));
+  EXPECT_FALSE(holds({"a/2", What::kValue, How::kNotEqual, 0, "x"})) << "no value can be compared";
+  EXPECT_TRUE(holds({"a/2", What::kVersion, How::kEqual, 0, {}}));
+  const std::string odd("a/\0\xff", 4);
+  ASSERT_TRUE(world.commit(store, put(odd, std::string("\0\n\x80", 3))).done());
+  const auto all = world.commit(store, Transaction{{}, {Get{Range{"a/", true}}}, {}});
+  ASSERT_EQ(all.value.steps.at(0).found.size(), 2U);
+  EXPECT_EQ(all.value.steps[0].found[0].value, std::string("\0\n\x80", 3));
+  const auto gone = world.commit(store, Transaction{{}, {Delete{Range{"a/", true}}, Put{"b", "", 0}}, {}});
+  EXPECT_EQ(gone.value.steps.at(0).deleted, 2U);
+  const auto rest = world.commit(store, Transaction{{}, {Get{Range{"", true}}}, {}});
+  ASSERT_EQ(rest.value.steps.at(0).found.size(), 1U);
+  EXPECT_EQ(rest.value.steps[0].found[0].key, "b");
+  EXPECT_EQ(world.commit(store, put("c", "", 12'345)).result, Result::kRejected);
+}
+
+TEST_P(ConformanceTest, KeysEndWithTheirLeaseAndARenewalKeepsThem) {
+  World world(GetParam());
+  SharedStore& owner = world.store();
+  SharedStore& other = world.store();
+  Told told;
+  other.watch(Range{"own/", true}, told);
+  const auto lease = world.grant(owner, milliseconds(400));
+  ASSERT_TRUE(lease.done()) << lease.why;
+  const auto got = world.commit(owner, put_if_absent("own/a", "owner", lease.value.id));
+  ASSERT_TRUE(got.value.succeeded);
+  ASSERT_TRUE(world.until([&] { return told.state.contains("own/a"); }));
+  for (int i = 0; i < 6; ++i) {
+    const auto renewed = world.renew(owner, lease.value.id);
+    ASSERT_TRUE(renewed.done()) << renewed.why;
+    // A busy machine may have let it end; then it must be gone for all, too.
+    if (renewed.value.ttl == Micros(0)) {
+      break;
+    }
+  }
+  ASSERT_TRUE(world.until([&] { return !told.state.contains("own/a"); })) << "no renewal: it has to end";
+  EXPECT_EQ(world.renew(owner, lease.value.id).value.ttl, Micros(0));
+  EXPECT_TRUE(world.commit(other, put_if_absent("own/a", "other")).value.succeeded);
+  other.unwatch(1);
+}
+
+TEST_P(ConformanceTest, ARevokedLeaseEndsAtOnceAndTwiceIsNoFault) {
+  World world(GetParam());
+  SharedStore& owner = world.store();
+  SharedStore& other = world.store();
+  const auto lease = world.grant(owner, std::chrono::seconds(60));
+  ASSERT_TRUE(world.commit(owner, put_if_absent("own/a", "owner", lease.value.id)).value.succeeded);
+  EXPECT_FALSE(world.commit(other, put_if_absent("own/a", "other")).value.succeeded);
+  for (int i = 0; i < 2; ++i) {
+    EXPECT_TRUE(world.await<Nothing>([&](auto then) { owner.revoke(lease.value.id, then); }).done());
+  }
+  EXPECT_TRUE(world.commit(other, put_if_absent("own/a", "other")).value.succeeded);
+}
+
+TEST_P(ConformanceTest, AWatchTellsEveryChangeOnceAndInOrder) {
+  World world(GetParam());
+  SharedStore& writer = world.store();
+  SharedStore& reader = world.store();
+  ASSERT_TRUE(world.commit(writer, put("w/0", "before")).done());
+  Told told;
+  const auto watch = reader.watch(Range{"w/", true}, told);
+  ASSERT_TRUE(world.until([&] { return told.currents == 1; }));
+  EXPECT_EQ(told.state.size(), 1U);
+  std::vector<std::string> expected;
+  for (int i = 0; i < 20; ++i) {
+    ASSERT_TRUE(world.commit(writer, put("w/" + std::to_string(i % 3), std::to_string(i))).done());
+    expected.push_back("+w/" + std::to_string(i % 3) + std::to_string(i));
+    ASSERT_TRUE(world.commit(writer, put("elsewhere", std::to_string(i))).done());
+  }
+  ASSERT_TRUE(world.commit(writer, Transaction{{}, {Delete{Range{"w/1", false}}}, {}}).done());
+  expected.push_back("-w/1");
+  ASSERT_TRUE(world.until([&] { return told.log.size() >= expected.size(); }));
+  EXPECT_EQ(told.log, expected);
+  EXPECT_EQ(told.currents, 1);
+  reader.unwatch(watch);
+}
+
+// ---- The driver over the network ----
+
+TEST(EtcdStoreTest, AStoreThatStartsAgainKnowsAllAndLeasesGoOn) {
+  World world(Backend::kEtcd);
+  SharedStore& store = world.store();
+  Told told;
+  const auto watch = store.watch(Range{"", true}, told);
+  const auto lease = world.grant(store, std::chrono::seconds(5));
+  const auto before = world.commit(store, put_if_absent("own/a", "x", lease.value.id));
+  ASSERT_TRUE(before.value.succeeded);
+  const std::uint64_t id = store.id();
+  ASSERT_TRUE(world.until([&] { return told.state.size() == 1; }));
+  world.stop_registry();
+  ASSERT_TRUE(world.until([&] { return told.silences > 0; }));
+  const auto missing = world.commit(store, put("b", "1"));
+  EXPECT_NE(missing.result, Result::kDone);
+  world.start_registry();
+  Reply<Outcome> after;
+  ASSERT_TRUE(world.until([&] { return (after = world.commit(store, put("b", "1"))).done(); }));
+  EXPECT_GT(after.value.revision, before.value.revision);
+  EXPECT_EQ(store.id(), id);
+  EXPECT_GT(world.renew(store, lease.value.id).value.ttl, Micros(0));
+  EXPECT_FALSE(world.commit(store, put_if_absent("own/a", "y")).value.succeeded);
+  ASSERT_TRUE(world.until([&] { return told.state.contains("b"); })) << "the watch goes on: " << told.reason;
+  EXPECT_EQ(told.currents, 1) << "from where it was, nothing was compacted";
+  store.unwatch(watch);
+}
+
+TEST(EtcdStoreTest, AWatchWhoseChangesAreCompactedReadsAllAnew) {
+  World world(Backend::kEtcd, 16);
+  SharedStore& writer = world.store();
+  world.proxy();
+  SharedStore& reader = world.store();
+  Told told;
+  const auto watch = reader.watch(Range{"w/", true}, told);
+  ASSERT_TRUE(world.until([&] { return told.currents == 1; }));
+  const auto fault = [&](const std::string& line) {
+    for (const fleet::Fault& one : fleet::read_script("0 " + line)) {
+      world.proxy().apply(one);
+    }
+  };
+  fault("refuse router>store");
+  fault("reset router>store");
+  for (int i = 0; i < 60; ++i) {
+    ASSERT_TRUE(world.commit(writer, put("w/" + std::to_string(i % 4), std::to_string(i))).done());
+  }
+  fault("heal router>store");
+  ASSERT_TRUE(world.until([&] { return told.currents >= 2 && told.state["w/3"] == "59"; })) << told.reason;
+  EXPECT_EQ(told.state.size(), 4U);
+  reader.unwatch(watch);
+}
+
+// The answer is lost, the write is not: the driver must say that it does not know.
+TEST(EtcdStoreTest, AnAnswerThatNeverComesIsUnknownAndNotUndone) {
+  World world(Backend::kEtcd);
+  SharedStore& witness = world.store();
+  world.proxy();
+  world.options().call_ms = 300;
+  SharedStore& store = world.store();
+  ASSERT_TRUE(world.commit(store, put("a", "1")).done());
+  world.proxy().apply(fleet::read_script("0 cut router>store in").at(0));
+  const auto lost = world.commit(store, put_if_absent("b", "1"));
+  EXPECT_EQ(lost.result, Result::kUnknown);
+  const auto seen = world.commit(witness, Transaction{{}, {Get{Range{"b", false}}}, {}});
+  EXPECT_EQ(seen.value.steps.at(0).found.size(), 1U) << "it was done all the same";
+  world.stop_registry();
+  world.proxy().apply(fleet::read_script("0 heal router>store").at(0));
+  world.options().endpoints = {"127.0.0.1:1"};
+  SharedStore& nowhere = world.store();
+  EXPECT_EQ(world.commit(nowhere, put("c", "1")).result, Result::kNotDone) << "no connection, nothing done";
+}
+
+TEST(EtcdStoreTest, AnotherStoresAnswersAreNotUsed) {
+  World first(Backend::kEtcd);
+  World second(Backend::kEtcd);
+  SharedStore& sound = first.store();
+  ASSERT_TRUE(first.commit(sound, put("a", "1")).done());
+  second.options().store_id = std::to_string(sound.id());
+  SharedStore& mistaken = second.store();
+  const auto reply = second.commit(mistaken, put("a", "1"));
+  EXPECT_EQ(reply.result, Result::kUnknown);
+  EXPECT_NE(reply.why.find("another store"), std::string::npos) << reply.why;
+}
+
+// The folder is put back to a copy of before: revisions would be handed out a second time.
+TEST(EtcdStoreTest, AStoreThatWasPutBackIsNoticed) {
+  World world(Backend::kEtcd);
+  SharedStore& store = world.store();
+  ASSERT_TRUE(world.commit(store, put("a", "1")).done());
+  world.stop_registry();
+  const std::string folder = world.registry_options().folder;
+  std::filesystem::copy(folder, folder + "-copy");
+  world.start_registry();
+  Reply<Outcome> reply;
+  ASSERT_TRUE(world.until([&] { return (reply = world.commit(store, put("a", "2"))).done(); }));
+  world.stop_registry();
+  std::filesystem::remove_all(folder);
+  std::filesystem::rename(folder + "-copy", folder);
+  world.start_registry();
+  ASSERT_TRUE(world.until([&] {
+    reply = world.commit(store, Transaction{{}, {Get{Range{"a", false}}}, {}});
+    return reply.why.find("gone back") != std::string::npos;
+  })) << reply.why;
+  EXPECT_EQ(reply.result, Result::kUnknown);
+  EXPECT_TRUE(dynamic_cast<EtcdStore&>(store).went_back());
+}
+
+TEST(RegistryTest, ASecondOneOnTheSameFolderIsRefused) {
+  World world(Backend::kEtcd);
+  SharedStore& store = world.store();
+  ASSERT_TRUE(world.commit(store, put("a", "1")).done());
+  EXPECT_THROW(Registry(world.scheduler, world.registry_options()), std::runtime_error);
+}
+
+TEST(LedgerFileTest, AFullDiskOrALostFolderLosesNothingThatWasAnswered) {
+  const std::string folder = testing::TempDir() + "trailcourse-ledger-" + std::to_string(::getpid());
+  std::filesystem::remove_all(folder);
+  {
+    LedgerFile file(folder, Limits{}, LedgerFile::Sharing::kShared);
+    file.use(0, true, [](Ledger& ledger) { ledger.commit(put("a", "1")); });
+    EXPECT_THROW(file.use(0, true,
+                          [](Ledger& ledger) {
+                            ledger.commit(put("a", "2"));
+                            throw SqliteError("drawn", nullptr);
+                          }),
+                 SqliteError);
+    file.use(0, true, [](Ledger& ledger) {
+      EXPECT_EQ(ledger.get(Range{"a", false}).at(0).value, "1") << "what was not kept must not be told";
+    });
+  }
+  LedgerFile again(folder, Limits{}, LedgerFile::Sharing::kShared);
+  again.use(0, true, [](Ledger& ledger) { EXPECT_EQ(ledger.get(Range{"a", false}).at(0).value, "1"); });
+  std::filesystem::remove_all(folder);
+}
+
+// ---- Judgement ----
+
+TEST(JudgementTest, EndpointsTakeTurnsAndRestOnlyOnceAllHaveFailed) {
+  Endpoints endpoints(3, milliseconds(100), milliseconds(400), 0);
+  const std::size_t first = *endpoints.pick(Micros(0));
+  endpoints.failed(first, Micros(0));
+  const std::size_t second = *endpoints.pick(Micros(0));
+  EXPECT_NE(second, first);
+  endpoints.failed(first, Micros(0));
+  EXPECT_EQ(endpoints.pick(Micros(0)), second) << "an old call of the one before says nothing of this one";
+  endpoints.failed(second, Micros(0));
+  endpoints.failed(*endpoints.pick(Micros(0)), Micros(0));
+  EXPECT_FALSE(endpoints.pick(Micros(0)));
+  Micros longest{0};
+  Micros now{0};
+  for (int i = 0; i < 30; ++i) {
+    now = endpoints.rests_until();
+    ASSERT_TRUE(endpoints.pick(now));
+    const Micros before = now;
+    endpoints.failed(*endpoints.pick(now), now);
+    longest = std::max(longest, endpoints.rests_until() - before);
+  }
+  EXPECT_LE(longest, milliseconds(600));
+  EXPECT_GT(longest, milliseconds(200));
+  endpoints.worked(second);
+  EXPECT_EQ(endpoints.pick(now), second);
+}
+
+TEST(JudgementTest, AWatchSkipsWhatItHadAndNeverGoesBack) {
+  WatchProgress progress;
+  EXPECT_EQ(progress.next(), WatchProgress::Next::kRead);
+  progress.read(10);
+  EXPECT_EQ(progress.from(), 11U);
+  etcd::WatchLine line;
+  line.header = {1, 12};
+  for (const Revision revision : {9U, 10U, 12U}) {
+    Change change;
+    change.entry.key = "k";
+    change.entry.modified = revision;
+    line.changes.push_back(change);
+  }
+  EXPECT_EQ(progress.take(line).news.size(), 1U);
+  EXPECT_EQ(progress.from(), 13U);
+  line.changes.clear();
+  line.compacted = 30;
+  EXPECT_TRUE(progress.take(line).restart);
+  EXPECT_EQ(progress.next(), WatchProgress::Next::kRead);
+}
+
+// ---- What is read from a store ----
+
+template <typename Read>
+void mutate(const std::string& good, std::uint64_t seed, Read read) {
+  std::mt19937_64 random(seed);
+  int refused = 0;
+  for (int round = 0; round < 3'000; ++round) {
+    std::string text = good;
+    for (auto changes = 1 + random() % 3; changes > 0 && !text.empty(); --changes) {
+      const std::size_t place = random() % text.size();
+      switch (random() % 4) {
+        case 0:
+          text[place] = static_cast<char>(random());
+          break;
+        case 1:
+          text.erase(place, 1 + random() % 6);
+          break;
+        case 2:
+          text.insert(place, text.substr(place, 1 + random() % 20));
+          break;
+        default:
+          text[place] = "0123456789\"{}[]:,-"[random() % 18];
+      }
+    }
+    try {
+      read(text);
+    } catch (const etcd::BadMessage& error) {
+      EXPECT_NE(std::string(error.what()), "");
+      ++refused;
+    }
+  }
+  EXPECT_GT(refused, 300) << "hardly anything was refused: is it read at all?";
+}
+
+TEST(EtcdJsonTest, MutatedAnswersAreReadSoundOrRefusedWithTheField) {
+  Ledger ledger{Limits{}};
+  const Transaction asked{{absent("a")},
+                          {Put{"a", "1", 0}, Get{Range{"a", true}}, Delete{Range{"z", false}}},
+                          {Get{Range{"a", false}}}};
+  const Outcome outcome = ledger.commit(asked);
+  const std::string good = etcd::write_outcome({7, outcome.revision}, asked, outcome).dump();
+  etcd::Header header;
+  EXPECT_EQ(etcd::read_outcome(etcd::parse_object(good), asked, header), outcome);
+  mutate(good, 1, [&](const std::string& text) {
+    const Outcome read = etcd::read_outcome(etcd::parse_object(text), asked, header);
+    EXPECT_EQ(read.steps.size(), read.succeeded ? 3U : 1U);
+    for (const Entry& entry : read.steps[read.succeeded ? 1 : 0].found) {
+      EXPECT_TRUE(entry.key.starts_with("a") && entry.modified <= header.revision && entry.created > 0);
+    }
+  });
+  etcd::WatchLine line;
+  line.header = {7, 9};
+  line.changes = {Change{false, Entry{"k", "v", 8, 8, 1, 3}}, Change{true, Entry{"k", "", 0, 9, 0, 0}}};
+  const std::string told = etcd::write_watch_line(line).dump();
+  EXPECT_EQ(etcd::read_watch_line(etcd::parse_object(told)).changes, line.changes);
+  mutate(told, 2, [](const std::string& text) {
+    Revision last = 0;
+    for (const Change& change : etcd::read_watch_line(etcd::parse_object(text)).changes) {
+      EXPECT_GE(change.entry.modified, last);
+      last = change.entry.modified;
+    }
+  });
+  mutate(etcd::write_granted({7, 9}, {5, 6'000}).dump(), 3, [&](const std::string& text) {
+    EXPECT_GE(etcd::read_granted(etcd::parse_object(text), header).ttl_ms, 0);
+  });
+}
+
+TEST(EtcdJsonTest, MutatedCallsAreReadOrRefused) {
+  const Transaction transaction{
+      {absent("a"), unchanged("b", 7), Compare{"c", Compare::What::kValue, Compare::How::kNotEqual, 0, "x"}},
+      {Put{"a", "1", 9}, Delete{Range{"p/", true}}},
+      {Get{Range{"", true}}}};
+  const std::string good = etcd::write_transaction(transaction).dump();
+  EXPECT_EQ(etcd::read_transaction(etcd::parse_object(good)), transaction);
+  mutate(good, 4, [](const std::string& text) {
+    Ledger ledger{Limits{}};
+    try {
+      ledger.commit(etcd::read_transaction(etcd::parse_object(text)));
+    } catch (const Rejected&) {
+    }
+  });
+  // The forms that the published gateway takes too: camel case, numbers as numbers, enumerations left out.
+  const json camel = json::parse(
+      R"({"compare":[{"key":"YQ==","version":0}],"success":[{"requestPut":{"key":"YQ==","value":"MQ=="}}]})");
+  Ledger ledger{Limits{}};
+  EXPECT_TRUE(ledger.commit(etcd::read_transaction(camel)).succeeded);
+  EXPECT_FALSE(ledger.commit(etcd::read_transaction(camel)).succeeded);
+  EXPECT_THROW(etcd::read_range(json::parse(R"({"key":"YQ==","range_end":"eg=="})")), etcd::BadMessage);
+}
+
+}  // namespace
+}  // namespace trailcourse::coordination
