--- a/src/coordination/types.h
+++ b/src/coordination/types.h
@@ -5,8 +5,11 @@
 // Package `coordination`: no I/O, no clock.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -99,6 +102,15 @@
   friend bool operator==(const Change&, const Change&) = default;
 };
 
+// Whether it can stand in a key as one part: letters, digits, '.', '-', '_', up to 64.
+inline bool is_name(std::string_view text) {
+  const auto fits = [](char c) {
+    return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '.' ||
+           c == '-' || c == '_';
+  };
+  return !text.empty() && text.size() <= 64 && std::all_of(text.begin(), text.end(), fits);
+}
+
 // Conditions that are asked for most.
 inline Compare absent(std::string key) {
   return {std::move(key), Compare::What::kCreated, Compare::How::kEqual, 0, {}};
--- a/src/ownership/lease.cpp
+++ b/src/ownership/lease.cpp
@@ -121,6 +121,13 @@
   return out + (stopping_ ? " stopping" : "") + (released_ ? " released" : "");
 }
 
+void Lease::start_again() {
+  forget();
+  last_sent_ = Micros(-1);
+  stopping_ = false;
+  released_ = false;
+}
+
 void Lease::stop(Micros now) {
   stopping_ = true;
   until_ = Micros(-1);
--- a/src/ownership/lease.h
+++ b/src/ownership/lease.h
@@ -78,6 +78,9 @@
 
   // Gives the work up as soon as it can be told; no effect from now on.
   void stop(Micros now);
+  // Once all is told after stop(): it may be asked for anew. Call numbers go on.
+  void start_again();
+  bool over() const { return released_; }
 
  private:
   struct Out {
