--- a/tests/fleet/ownership_test.cpp
+++ b/tests/fleet/ownership_test.cpp
@@ -9,8 +9,8 @@
 #include <set>
 #include <string>
 
-#include "fencing/token.h"
 #include "fleet/rig.h"
+#include "fleet/term_check.h"
 #include "ownership/work.h"
 #include "program/fleet_work.h"
 #include "program/work_command.h"
@@ -54,7 +54,12 @@
 // A fleet with a store, as staff and a checker see it.
 class Owned {
  public:
-  explicit Owned(const Shape& shape, const std::vector<std::string>& proxied = {}) : rig(shape, proxied) {
+  using Change = std::function<void(fleet::Layout&)>;
+  explicit Owned(const Shape& shape, const std::vector<std::string>& proxied = {}, const Change& change = nullptr)
+      : rig(shape, proxied) {
+    if (change) {
+      change(rig.layout());
+    }
     rig.start_all();
   }
 
@@ -139,19 +144,8 @@
   std::vector<std::string> broken_terms() {
     std::vector<std::string> out;
     for (const std::string& cache : rig.layout().names(Kind::kCache)) {
-      std::ifstream file(rig.layout().log_file(cache));
-      std::map<std::string, ownership::Term> highest;
-      for (std::string line; std::getline(file, line);) {
-        const std::string words = "carries out commands under ";
-        const std::size_t at = line.find(words);
-        const auto token =
-            at == std::string::npos ? std::nullopt : fencing::read_token(line.substr(at + words.size()));
-        if (token && token->term < highest[token->work]) {
-          out.push_back(cache + ": " + line);
-        } else if (token) {
-          highest[token->work] = token->term;
-        }
-      }
+      const auto more = fleet::broken_terms(cache, rig.layout().log_file(cache));
+      out.insert(out.end(), more.begin(), more.end());
     }
     return out;
   }
@@ -430,6 +424,39 @@
   EXPECT_NE(ask_cache(address, now, 0x5000).first, "VOID") << now;
 }
 
+// Clocks that are an hour off and set while they run, and that run a percent apart: nobody asks the wall clock
+// who owns what, and the drift is within the bound.
+TEST(OwnershipFleetTest, ClocksThatAreSetOrRunApartChangeNothing) {
+  Shape shape = owned_shape(3);
+  Owned fleet(shape, {}, [](fleet::Layout& layout) {
+    const char* const rates[] = {"1.01", "0.99", "1.0"};
+    const char* const steps[] = {"3600", "-3600", "0"};
+    const std::vector<std::string> routers = layout.names(Kind::kRouter);
+    for (std::size_t i = 0; i < routers.size(); ++i) {
+      const std::string file = layout.folder() + "/clock-" + routers[i];
+      std::ofstream(file) << steps[i];
+      layout.member(routers[i]).environment = {"LD_PRELOAD=" TRAILCOURSE_CLOCK_SHIM, "CLOCK_SHIM_FILE=" + file,
+                                               std::string("CLOCK_SHIM_RATE=") + rates[i],
+                                               "ASAN_OPTIONS=verify_asan_link_order=0"};
+    }
+  });
+  ASSERT_FALSE(testing::Test::HasFatalFailure());
+  fleet.fill("evening", 100, 20.0);
+  const std::string first = fleet.await_owner("evening");
+  ASSERT_TRUE(fleet.await_filled("evening", 5)) << fleet.rig.logs();
+  // Everybody's clock is set, the owner's back and forth.
+  for (const std::string& router : fleet.rig.routers()) {
+    std::ofstream(fleet.rig.folder() + "/clock-" + router) << (router == first ? "-7200" : "86400");
+  }
+  const std::uint64_t before = fleet.filled("evening");
+  ASSERT_TRUE(fleet.await_filled("evening", before + 20)) << fleet.rig.logs();
+  EXPECT_EQ(fleet.owner("evening"), first) << "a set clock must not end a lease";
+  fleet.rig.fleet().kill(first);
+  EXPECT_TRUE(fleet.await_state("evening", "done")) << fleet.rig.logs();
+  EXPECT_EQ(fleet.broken_terms(), kNone);
+  EXPECT_EQ(fleet.filled("evening"), 100U);
+}
+
 // ---- Members ----
 
 TEST(OwnershipFleetTest, OfTwoRoutersOfOneNameTheLaterDoesTheWork) {
