--- a/src/coordination/ledger.h
+++ b/src/coordination/ledger.h
@@ -43,7 +43,7 @@
 
 struct Limits {
   std::size_t key_bytes = 512;
-  std::size_t value_bytes = 64U << 10U;
+  std::size_t value_bytes = 1U << 20U;  // as etcd's requests, 1.5 MB by default, may hold
   std::size_t entries = 100'000;
   std::size_t leases = 10'000;
   std::size_t steps = 128;  // of a transaction, as etcd's --max-txn-ops
--- a/src/coordination/registry.cpp
+++ b/src/coordination/registry.cpp
@@ -19,6 +19,7 @@
 namespace {
 
 constexpr int kBacklog = 1'024;
+constexpr std::size_t kMostBody = 4U << 20U;
 constexpr milliseconds kAcceptPause{20};
 constexpr milliseconds kHeartbeat{3'000};
 
@@ -48,7 +49,7 @@
 class Registry::Session : public Connection::Handler, public std::enable_shared_from_this<Session> {
  public:
   Session(Registry& registry, const std::shared_ptr<Connection>& connection)
-      : registry_(registry), connection_(connection), parser_({}) {}
+      : registry_(registry), connection_(connection), parser_({8'192, kMostBody}) {}
 
   void on_bytes(std::string_view bytes) override {
     if (watching_) {
--- a/src/duties/duty.h
+++ b/src/duties/duty.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "coordination/shared_store.h"
@@ -29,6 +30,9 @@
   std::function<void(std::string checkpoint, bool done)> checkpoint_at;
   // After finish(): the last checkpoint is said, the duty may go.
   std::function<void()> finished;
+  // Reads a key of the store; nothing where it is not there. Not called back where the store does not answer:
+  // the duty asks again.
+  std::function<void(std::string key, std::function<void(std::optional<std::string>)> then)> get;
   // Writes a key under the term: refused by the store once another owns the shard. An empty value deletes it.
   std::function<void(std::string key, std::string value)> put;
 };
--- a/src/duties/fill_plan.cpp
+++ b/src/duties/fill_plan.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <sstream>
 #include <stdexcept>
 
 #include "protocol/numbers.h"
@@ -39,7 +40,7 @@
       out.at_ms = value.get<std::int64_t>();
     } else if (name == "objects_per_s" && value.is_number() && value.get<double>() >= 0.0) {
       out.objects_per_s = value.get<double>();
-    } else if (name == "objects" && value.is_array() && value.size() <= kMostObjects) {
+    } else if (name == "objects" && value.is_array() && !value.empty() && value.size() <= kMostObjects) {
       for (const json& object : value) {
         if (!object.is_string() || !usable(object.get<std::string>())) {
           fail("objects: " + object.dump() + " is not of the form ITEM or ITEM/PART, ITEM 16 hex digits");
@@ -53,18 +54,30 @@
   if (out.request_class.empty()) {
     fail("class: missing");
   }
-  if (out.objects.empty()) {
-    fail("objects: none");
-  }
   return out;
 }
 
 std::string write_fill_order(const FillOrder& order) {
-  return json{{"class", order.request_class},
-              {"at_ms", order.at_ms},
-              {"objects_per_s", order.objects_per_s},
-              {"objects", order.objects}}
-      .dump();
+  json out{{"class", order.request_class}, {"at_ms", order.at_ms}, {"objects_per_s", order.objects_per_s}};
+  if (!order.objects.empty()) {
+    out["objects"] = order.objects;
+  }
+  return out.dump();
+}
+
+std::string fill_list_key(const std::string& work, std::uint64_t shard) {
+  return "lists/" + work + "/" + std::to_string(shard);
+}
+
+std::vector<std::string> read_fill_list(const std::string& text) {
+  std::vector<std::string> out;
+  std::istringstream lines(text);
+  for (std::string line; std::getline(lines, line) && out.size() < kMostObjects;) {
+    if (usable(line)) {
+      out.push_back(line);
+    }
+  }
+  return out;
 }
 
 FillPlan::FillPlan(const FillOrder& order, std::uint64_t shard, std::uint64_t shards, const FillRules& rules,
--- a/src/duties/fill_plan.h
+++ b/src/duties/fill_plan.h
@@ -25,10 +25,15 @@
   std::string request_class;
   std::int64_t at_ms = 0;            // Unix time before which nothing is asked for; 0: now
   double objects_per_s = 0.0;        // of each shard; 0: as they are answered
-  std::vector<std::string> objects;  // "ITEM" or "ITEM/PART"
+  // "ITEM" or "ITEM/PART", dealt out to the shards in turn. None: each shard's stand in the store by themselves,
+  // so that not every router is told a long list.
+  std::vector<std::string> objects;
 
   friend bool operator==(const FillOrder&, const FillOrder&) = default;
 };
+// Where the objects of one shard stand, one a line; under the prefix.
+std::string fill_list_key(const std::string& work, std::uint64_t shard);
+std::vector<std::string> read_fill_list(const std::string& text);
 // Throws std::invalid_argument that names the field.
 FillOrder read_fill_order(const std::string& params);
 std::string write_fill_order(const FillOrder& order);
--- a/src/duties/filler.cpp
+++ b/src/duties/filler.cpp
@@ -88,17 +88,46 @@
     }
     request_class_ = found->second;
   } catch (const std::invalid_argument& error) {
-    // Nobody can do it: it is over, and the log says why.
-    log_line(Level::kError) << to_string(charge_.id) << " cannot be done: " << error.what();
-    charge_.checkpoint_at(std::string("cannot be done: ") + error.what(), true);
-    said_done_ = true;
+    cannot(error.what());
     return;
   }
+  if (order_->objects.empty()) {
+    load();
+  } else {
+    plan(charge_.id.shard, charge_.work.shards);
+  }
+}
+
+// Nobody can do it: it is over, and the log says why.
+void Filler::cannot(const std::string& why) {
+  log_line(Level::kError) << to_string(charge_.id) << " cannot be done: " << why;
+  charge_.checkpoint_at("cannot be done: " + why, true);
+  said_done_ = true;
+}
+
+// The shard's own list. Asked for again until the store answers.
+void Filler::load() {
+  charge_.get(fill_list_key(charge_.id.work, charge_.id.shard),
+              [this, alive = alive_](const std::optional<std::string>& text) {
+                if (!*alive || plan_ || said_done_ || finishing_) {
+                  return;
+                }
+                order_->objects = read_fill_list(text.value_or(""));
+                if (order_->objects.empty()) {
+                  cannot("objects: none are listed for this shard");
+                } else {
+                  plan(0, 1);
+                }
+              });
+  timer_.set(Clock::now() + milliseconds(1'000));
+}
+
+void Filler::plan(std::uint64_t shard, std::uint64_t shards) {
   FillRules rules;
   rules.open = static_cast<std::size_t>(options_.fill_open);
   rules.tries = static_cast<int>(options_.fill_tries);
   rules.retry = milliseconds(options_.fill_retry_ms);
-  plan_.emplace(*order_, charge_.id.shard, charge_.work.shards, rules, charge_.checkpoint);
+  plan_.emplace(*order_, shard, shards, rules, charge_.checkpoint);
   turn();
 }
 
@@ -123,7 +152,11 @@
 }
 
 void Filler::turn() {
-  if (finishing_ || said_done_ || !plan_) {
+  if (finishing_ || said_done_) {
+    return;
+  }
+  if (!plan_) {
+    load();
     return;
   }
   const std::int64_t wait_ms = order_->at_ms - unix_ms();
--- a/src/duties/filler.h
+++ b/src/duties/filler.h
@@ -33,6 +33,9 @@
   class Answer;
 
   static Micros now();
+  void cannot(const std::string& why);
+  void load();
+  void plan(std::uint64_t shard, std::uint64_t shards);
   void turn();
   void ask(std::size_t place);
   void answered(std::size_t place, FillPlan::End end, Micros retry_after);
--- a/src/duties/steward.cpp
+++ b/src/duties/steward.cpp
@@ -339,6 +339,16 @@
     drop(id, term);
     turn_soon();
   };
+  out.get = [this](std::string key, std::function<void(std::optional<std::string>)> then) {
+    coordination::Transaction read;
+    read.then = {coordination::Get{coordination::Range{prefix_ + key, false}}};
+    store_.commit(std::move(read), [then = std::move(then)](const Reply<Outcome>& reply) {
+      if (reply.done()) {
+        const auto& found = reply.value.steps.at(0).found;
+        then(found.empty() ? std::nullopt : std::optional<std::string>(found.front().value));
+      }
+    });
+  };
   out.put = [this, id, term](std::string key, std::string value) {
     coordination::Transaction transaction;
     transaction.when = {coordination::created_at(prefix_ + ownership::kOwn + to_string(id), term)};
--- a/src/program/work_command.cpp
+++ b/src/program/work_command.cpp
@@ -228,6 +228,7 @@
   const std::string name = command.name;
   write.then = {coordination::Delete{coordination::Range{desk.key(ownership::kWork + name), false}},
                 coordination::Delete{coordination::Range{desk.key(ownership::kProgress + name + "/"), true}},
+                coordination::Delete{coordination::Range{desk.key("lists/" + name + "/"), true}},
                 coordination::Delete{coordination::Range{desk.key(ownership::kDone + name + "/"), true}},
                 coordination::Delete{coordination::Range{desk.key(ownership::kRelease + name + "/"), true}}};
   // Its owners hear of it and give their leases back: the keys of ownership go with those.
@@ -300,14 +301,29 @@
     order.at_ms = at_ms(command.at);
     order.objects_per_s = command.objects_per_s;
     order.objects = command.objects;
+    duties::read_fill_order(duties::write_fill_order(order));  // names what cannot be used
+    if (order.objects.empty()) {
+      throw std::invalid_argument("--objects: none are listed");
+    }
+    order.objects.clear();
     work.params = duties::write_fill_order(order);
-    duties::read_fill_order(work.params);
   }
   if (work.kind == "probe" && work.zone.empty()) {
     throw std::invalid_argument("--zone: probing is of one zone");
   }
   ownership::check_work(work);
   const std::string key = desk.key(ownership::kWork + work.name);
+  // The lists first: who takes the work on finds them there.
+  std::vector<std::string> lists(work.kind == "fill" ? work.shards : 0);
+  for (std::size_t i = 0; i < command.objects.size() && !lists.empty(); ++i) {
+    lists[i % lists.size()] += command.objects[i] + "\n";
+  }
+  for (std::size_t i = 0; i < lists.size(); ++i) {
+    Transaction list;
+    list.when = {coordination::absent(key)};
+    list.then = {coordination::Put{desk.key(duties::fill_list_key(work.name, i)), lists[i], 0}};
+    desk.commit(list);
+  }
   Transaction write;
   write.when = {coordination::absent(key)};
   write.then = {coordination::Put{key, ownership::write_work(work), 0}};
--- a/tests/duties_test.cpp
+++ b/tests/duties_test.cpp
@@ -305,6 +305,7 @@
   EXPECT_NE(why("[]").find("params"), std::string::npos);
   EXPECT_NE(why(R"({"class":"media","objects":["xyz"]})").find("objects"), std::string::npos);
   EXPECT_NE(why(R"({"class":"media","objects":[]})").find("objects"), std::string::npos);
+  EXPECT_EQ(read_fill_list("0000000000000001\nxyz\n0000000000000002/3\n").size(), 2U);
   EXPECT_NE(why(R"({"objects":["0000000000000001"]})").find("class"), std::string::npos);
   EXPECT_NE(why(R"({"class":"media","rate":1,"objects":["0000000000000001"]})").find("rate"),
             std::string::npos);
