--- a/benchmarks/ownership_bench.cpp
+++ b/benchmarks/ownership_bench.cpp
@@ -1,6 +1,6 @@
-// Measures ownership with real processes on loopback: how long work is without an owner after a kill, a stop, a
-// cut and a drain; what a fleet asks of the store at rest and when an owner dies; what it costs a router; and
-// drawn schedules of faults with checkers, replayed by their seed.
+// Measures ownership with real processes on loopback: how long work is without an owner after a kill, a stop,
+// a cut and a drain; what a fleet asks of the store at rest and when an owner dies; what it costs a router;
+// and drawn schedules of faults with checkers, replayed by their seed.
 //
 //     ownership_bench --program build/trailcourse --takeover 20
 //     ownership_bench --program build/trailcourse --rest 10,100,300
@@ -166,22 +166,25 @@
 
 double at(std::vector<double> all, double share) {
   std::sort(all.begin(), all.end());
-  return all.empty() ? 0.0 : all[std::min(all.size() - 1, static_cast<std::size_t>(share * static_cast<double>(all.size())))];
+  return all.empty() ? 0.0
+                     : all[std::min(all.size() - 1,
+                                    static_cast<std::size_t>(share * static_cast<double>(all.size())))];
 }
 
 // ---- Without an owner ----
 
 void measure_takeover(const std::string& program, int rounds, int candidates) {
   constexpr std::int64_t kTtl = 2'000;
-  std::printf("time from the fault to the next owner's beginning, %d rounds each, %d candidates, ttl %lld ms, "
-              "default turns (real processes)\n",
-              rounds, candidates, static_cast<long long>(kTtl));
+  std::printf(
+      "time from the fault to the next owner's beginning, %d rounds each, %d candidates, ttl %lld ms, "
+      "default turns (real processes)\n",
+      rounds, candidates, static_cast<long long>(kTtl));
   std::printf("%-10s %9s %9s %9s %22s\n", "fault", "p50 ms", "p99 ms", "worst ms", "the lease allows, least");
   for (const std::string fault : {"kill", "stop", "cut", "drain"}) {
     fleet::Shape shape = shape_of(candidates, true);
-    shape.ownership = {{"ttl_ms", kTtl}, {"renew_ms", 600}, {"retry_ms", 200}, {"settle_ms", 600'000},
-                       {"member_ttl_ms", 3'000}, {"member_renew_ms", 1'000}, {"neighbours", 0},
-                       {"most_starts", 100}, {"flap_suppress", 1'000.0}};
+    shape.ownership = {{"ttl_ms", kTtl},       {"renew_ms", 600},        {"retry_ms", 200},
+                       {"settle_ms", 600'000}, {"member_ttl_ms", 3'000}, {"member_renew_ms", 1'000},
+                       {"neighbours", 0},      {"most_starts", 100},     {"flap_suppress", 1'000.0}};
     shape.coordination = {{"call_ms", 500}};
     Bench bench(shape, program, {"router*>registry"});
     bench.fill("w", 100'000 / 10, 20.0);
@@ -255,7 +258,8 @@
     cpu_before[router] = cpu;
     for (const auto& entry : std::filesystem::directory_iterator(proc + "/fd")) {
       std::error_code none;
-      sum.sockets += std::filesystem::read_symlink(entry.path(), none).string().starts_with("socket:") ? 1 : 0;
+      sum.sockets +=
+          std::filesystem::read_symlink(entry.path(), none).string().starts_with("socket:") ? 1 : 0;
     }
   }
   const auto count = static_cast<double>(routers.size());
@@ -263,9 +267,10 @@
 }
 
 void measure_rest(const std::string& program, const std::vector<int>& sizes) {
-  std::printf("a router at rest, and what the store is asked (real processes, default times; report_ms 10,000)\n");
-  std::printf("%8s %-9s %11s %14s %9s %12s %14s %16s\n", "routers", "store", "anon KB", "CPU ms a s", "sockets",
-              "calls a s", "renewals a s", "calls at a death");
+  std::printf(
+      "a router at rest, and what the store is asked (real processes, default times; report_ms 10,000)\n");
+  std::printf("%8s %-9s %11s %14s %9s %12s %14s %16s\n", "routers", "store", "anon KB", "CPU ms a s",
+              "sockets", "calls a s", "renewals a s", "calls at a death");
   for (const int size : sizes) {
     for (const bool store : {false, true}) {
       fleet::Shape shape = shape_of(size, store);
@@ -337,11 +342,21 @@
 
 int run_schedule(const std::string& program, std::uint64_t seed, std::string& what) {
   fleet::Shape shape = shape_of(4, true);
-  shape.ownership = {{"ttl_ms", 1'500},  {"renew_ms", 400},       {"retry_ms", 100},
-                     {"turn_ms", 50},    {"longest_turn_ms", 500}, {"settle_ms", 3'000},
-                     {"neighbours", 0},  {"member_ttl_ms", 1'500}, {"member_renew_ms", 400},
-                     {"poison_pause_ms", 50}, {"longest_poison_pause_ms", 100}, {"most_starts", 100},
-                     {"fill_tries", 50}, {"fill_retry_ms", 50},    {"flap_suppress", 1'000.0}};
+  shape.ownership = {{"ttl_ms", 1'500},
+                     {"renew_ms", 400},
+                     {"retry_ms", 100},
+                     {"turn_ms", 50},
+                     {"longest_turn_ms", 500},
+                     {"settle_ms", 3'000},
+                     {"neighbours", 0},
+                     {"member_ttl_ms", 1'500},
+                     {"member_renew_ms", 400},
+                     {"poison_pause_ms", 50},
+                     {"longest_poison_pause_ms", 100},
+                     {"most_starts", 100},
+                     {"fill_tries", 50},
+                     {"fill_retry_ms", 50},
+                     {"flap_suppress", 1'000.0}};
   shape.coordination = {{"call_ms", 400}, {"rest_ms", 50}, {"longest_rest_ms", 300}};
   Bench bench(shape, program, {"router*>registry", "*>cache0"});
   bench.fill("w", 150, 20.0);
@@ -401,11 +416,12 @@
 
 int main_of(int count, char** words) {
   cxxopts::Options options("ownership_bench", "Measures ownership with real processes.");
-  options.add_options()("program", "the program", cxxopts::value<std::string>()->default_value("build/trailcourse"))(
+  options.add_options()("program", "the program",
+                        cxxopts::value<std::string>()->default_value("build/trailcourse"))(
       "takeover", "rounds of each fault", cxxopts::value<int>()->default_value("0"))(
       "candidates", "routers of --takeover", cxxopts::value<int>()->default_value("30"))(
-      "rest", "sizes of the fleet", cxxopts::value<std::vector<int>>())(
-      "moves", "shards that move")("schedules", "so many drawn ones", cxxopts::value<int>()->default_value("0"))(
+      "rest", "sizes of the fleet", cxxopts::value<std::vector<int>>())("moves", "shards that move")(
+      "schedules", "so many drawn ones", cxxopts::value<int>()->default_value("0"))(
       "seed", "the first", cxxopts::value<std::uint64_t>()->default_value("1"))("h,help", "this");
   const cxxopts::ParseResult parsed = options.parse(count, words);
   if (parsed.count("help") > 0) {
--- a/src/duties/fill_plan.h
+++ b/src/duties/fill_plan.h
@@ -23,10 +23,10 @@
 // What staff announce: the params of work of kind `fill`.
 struct FillOrder {
   std::string request_class;
-  std::int64_t at_ms = 0;            // Unix time before which nothing is asked for; 0: now
-  double objects_per_s = 0.0;        // of each shard; 0: as they are answered
-  // "ITEM" or "ITEM/PART", dealt out to the shards in turn. None: each shard's stand in the store by themselves,
-  // so that not every router is told a long list.
+  std::int64_t at_ms = 0;      // Unix time before which nothing is asked for; 0: now
+  double objects_per_s = 0.0;  // of each shard; 0: as they are answered
+  // "ITEM" or "ITEM/PART", dealt out to the shards in turn. None: each shard's stand in the store by
+  // themselves, so that not every router is told a long list.
   std::vector<std::string> objects;
 
   friend bool operator==(const FillOrder&, const FillOrder&) = default;
--- a/tests/fleet/clock_shim.cpp
+++ b/tests/fleet/clock_shim.cpp
@@ -1,5 +1,5 @@
-// Loaded into a process by LD_PRELOAD: its wall clock is off by the seconds that stand in CLOCK_SHIM_FILE, read
-// again now and then, and its steady clock runs at CLOCK_SHIM_RATE.
+// Loaded into a process by LD_PRELOAD: its wall clock is off by the seconds that stand in CLOCK_SHIM_FILE,
+// read again now and then, and its steady clock runs at CLOCK_SHIM_RATE.
 #include <dlfcn.h>
 #include <fcntl.h>
 #include <time.h>
--- a/tests/fleet/ownership_test.cpp
+++ b/tests/fleet/ownership_test.cpp
@@ -55,7 +55,8 @@
 class Owned {
  public:
   using Change = std::function<void(fleet::Layout&)>;
-  explicit Owned(const Shape& shape, const std::vector<std::string>& proxied = {}, const Change& change = nullptr)
+  explicit Owned(const Shape& shape, const std::vector<std::string>& proxied = {},
+                 const Change& change = nullptr)
       : rig(shape, proxied) {
     if (change) {
       change(rig.layout());
@@ -424,8 +425,8 @@
   EXPECT_NE(ask_cache(address, now, 0x5000).first, "VOID") << now;
 }
 
-// Clocks that are an hour off and set while they run, and that run a percent apart: nobody asks the wall clock
-// who owns what, and the drift is within the bound.
+// Clocks that are an hour off and set while they run, and that run a percent apart: nobody asks the wall
+// clock who owns what, and the drift is within the bound.
 TEST(OwnershipFleetTest, ClocksThatAreSetOrRunApartChangeNothing) {
   Shape shape = owned_shape(3);
   Owned fleet(shape, {}, [](fleet::Layout& layout) {
@@ -435,9 +436,9 @@
     for (std::size_t i = 0; i < routers.size(); ++i) {
       const std::string file = layout.folder() + "/clock-" + routers[i];
       std::ofstream(file) << steps[i];
-      layout.member(routers[i]).environment = {"LD_PRELOAD=" TRAILCOURSE_CLOCK_SHIM, "CLOCK_SHIM_FILE=" + file,
-                                               std::string("CLOCK_SHIM_RATE=") + rates[i],
-                                               "ASAN_OPTIONS=verify_asan_link_order=0"};
+      layout.member(routers[i]).environment = {
+          "LD_PRELOAD=" TRAILCOURSE_CLOCK_SHIM, "CLOCK_SHIM_FILE=" + file,
+          std::string("CLOCK_SHIM_RATE=") + rates[i], "ASAN_OPTIONS=verify_asan_link_order=0"};
     }
   });
   ASSERT_FALSE(testing::Test::HasFatalFailure());
