--- a/include/trailcourse/decider.h
+++ b/include/trailcourse/decider.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -171,8 +172,15 @@
 struct TimerFired {
   TimerToken token = 0;
 };
+// Further classes, from the place `first` on: of the same kinds as those from `like` on, under other rules.
+// Requests keep the class that they came with.
+struct ClassesSet {
+  std::size_t first = 0;
+  std::size_t like = 0;
+  std::vector<ClassSettings> classes;
+};
 using Event = std::variant<ListReceived, RequestArrived, ClientLeft, AttemptEnded, StreamStarted, Purged,
-                           TimerFired, Observed>;
+                           TimerFired, Observed, ClassesSet>;
 
 // An attempt. `source` names where a miss is filled from: a parent, the origin, a sibling, or the cache
 // itself.
--- a/src/decision/decide.cpp
+++ b/src/decision/decide.cpp
@@ -719,6 +719,16 @@
     }
   }
 
+  void on(const ClassesSet& set) {
+    const std::size_t size = std::max(settings_.classes.size(), set.first + set.classes.size());
+    settings_.classes.resize(size);
+    mean_work_.resize(size);
+    for (std::size_t i = 0; i < set.classes.size(); ++i) {
+      settings_.classes[set.first + i] = set.classes[i];
+      mean_work_[set.first + i] = mean_work_[set.like + i];
+    }
+  }
+
   // What another router's probe showed adds to what was seen here, and replaces nothing of it. Bad news is
   // one failure more, and puts off the next trial of a node that has failed here; good news lets that come
   // now.
--- a/src/duties/options.cpp
+++ b/src/duties/options.cpp
@@ -15,7 +15,7 @@
                              "Work that one router does for all, one owner at a time; needs the section "
                              "coordination.");
     const WholeRange ms{1, 600'000};
-    record.texts("kinds", &O::kinds, "-", "of work that this router takes on: probe, fill, report")
+    record.texts("kinds", &O::kinds, "-", "of work that this router takes on: probe, fill, report, policy")
         .whole("ttl_ms", &O::ttl_ms, "ms", WholeRange{200, 600'000},
                "for which the store gives a shard to its owner; so long it may be without one after a death")
         .real("drift_percent", &O::drift_percent, "%", RealRange{0.0, 20.0},
@@ -90,8 +90,8 @@
     throw config::KeyError("ownership.flap_reuse", "not below flap_suppress");
   }
   for (const std::string& kind : options.kinds) {
-    if (kind != "probe" && kind != "fill" && kind != "report") {
-      throw config::KeyError("ownership.kinds", "'" + kind + "' is none of probe, fill, report");
+    if (kind != "probe" && kind != "fill" && kind != "report" && kind != "policy") {
+      throw config::KeyError("ownership.kinds", "'" + kind + "' is none of probe, fill, report, policy");
     }
   }
 }
--- a/src/duties/options.h
+++ b/src/duties/options.h
@@ -14,7 +14,7 @@
 namespace trailcourse::duties {
 
 struct OwnershipOptions {
-  std::vector<std::string> kinds{"probe", "fill", "report"};
+  std::vector<std::string> kinds{"probe", "fill", "report", "policy"};
   std::int64_t ttl_ms = 6'000;
   double drift_percent = 1.0;
   std::int64_t margin_ms = 50;
--- a/src/duties/steward.cpp
+++ b/src/duties/steward.cpp
@@ -74,6 +74,11 @@
   turn_soon();
 }
 
+void Steward::allow(std::optional<std::set<std::string>> kinds) {
+  desk_.allow(now(), std::move(kinds));
+  turn_soon();
+}
+
 bool Steward::drained() const { return draining_ && desk_.drained() && session_.over(); }
 
 // ---- What the store tells ----
--- a/src/duties/steward.h
+++ b/src/duties/steward.h
@@ -48,6 +48,8 @@
   void drain();
   bool drained() const;
 
+  // The kinds that the policy in force allows.
+  void allow(std::optional<std::set<std::string>> kinds);
   // A key that ends with this router's session; kept up over new sessions. An empty value takes it back.
   void keep(const std::string& key, const std::string& value);
 
--- a/src/fleet/layout.cpp
+++ b/src/fleet/layout.cpp
@@ -250,6 +250,11 @@
   if (out.contains("coordination")) {
     out["coordination"].update(shape_.coordination);
     out["ownership"] = shape_.ownership;
+    if (!shape_.policy.empty()) {
+      out["policy"] = shape_.policy;
+      out["policy"]["follow"] = true;
+      out["policy"]["folder"] = folder_ + "/policy-" + member.name;
+    }
   }
   if (out.contains("snapshot")) {
     out["snapshot"]["folder"] = folder_ + "/snapshot-" + member.name;
--- a/src/fleet/layout.h
+++ b/src/fleet/layout.h
@@ -36,7 +36,8 @@
   std::string embedded;   // a folder that all routers share as their store, in its place
   nlohmann::json ownership = nlohmann::json::object();  // keys of that section, of each router
   nlohmann::json coordination = nlohmann::json::object();
-  std::string router_program;  // of the routers, where it is another
+  nlohmann::json policy = nlohmann::json::object();  // the same; empty: routers follow none
+  std::string router_program;                        // of the routers, where it is another
   int memory_mb = 192;
   int sockets = 1'024;
   nlohmann::json router = nlohmann::json::object();  // the routers' tuning keys
--- a/src/fleet/load.cpp
+++ b/src/fleet/load.cpp
@@ -131,6 +131,11 @@
       asked.status = 503;
     }
     asked.via = header(head, "X-Via: ");
+    const std::string policy(header(head, "X-Policy: "));
+    if (const std::size_t middle = policy.find("; "); middle != std::string::npos) {
+      asked.policy = policy.substr(0, middle);
+      asked.decided_us = protocol::read_number<std::int64_t>(policy.substr(middle + 2)).value_or(0);
+    }
     std::string body = head_end == std::string::npos ? "" : text.substr(head_end + 4);
     asked.bytes = body.size();
     asked.version = version_in(body);
--- a/src/fleet/load.h
+++ b/src/fleet/load.h
@@ -22,10 +22,12 @@
   std::string object;
   transport::Clock::time_point sent;
   std::optional<transport::Clock::time_point> answered;
-  int answers = 0;   // whole ones; more than one breaks a rule
-  int status = 0;    // of the first; 0: none yet, or none that can be read
-  std::string via;   // "cache/attempt/note" by X-Via
-  std::string body;  // where wanted
+  int answers = 0;              // whole ones; more than one breaks a rule
+  int status = 0;               // of the first; 0: none yet, or none that can be read
+  std::string via;              // "cache/attempt/note" by X-Via
+  std::string policy;           // the version by X-Policy: "7", "6+7", "-"; empty where none was told
+  std::int64_t decided_us = 0;  // when by the machine's steady clock, by the same
+  std::string body;             // where wanted
   std::size_t bytes = 0;
   int version = 0;                // of a made object: what its first line says; 0: it has none
   bool connection_ended = false;  // before the whole answer
--- a/src/ownership/desk.cpp
+++ b/src/ownership/desk.cpp
@@ -90,6 +90,13 @@
   }
 }
 
+void Desk::allow(Micros now, std::optional<std::set<std::string>> kinds) {
+  allowed_ = std::move(kinds);
+  for (const auto& [name, known] : std::map<std::string, Work>(works_)) {
+    work(now, name, known);  // its shards may have been forgotten meanwhile
+  }
+}
+
 void Desk::shadowed(Micros, bool shadowed) { shadowed_ = shadowed; }
 void Desk::heard(Micros, bool heard) { heard_ = heard; }
 void Desk::drain(Micros) { draining_ = true; }
@@ -270,8 +277,9 @@
 
 const Work* Desk::work_of(const ShardId& id) const {
   const auto found = works_.find(id.work);
-  const bool known =
-      found != works_.end() && id.shard < found->second.shards && kinds_.contains(found->second.kind);
+  const bool known = found != works_.end() && id.shard < found->second.shards &&
+                     kinds_.contains(found->second.kind) &&
+                     (!allowed_ || allowed_->contains(found->second.kind));
   return known ? &found->second : nullptr;
 }
 
--- a/src/ownership/desk.h
+++ b/src/ownership/desk.h
@@ -103,6 +103,8 @@
   void release_asked(Micros now, const ShardId& id, const std::string& from);
   // Another start has this router's name: it does no owned work.
   void shadowed(Micros now, bool shadowed);
+  // The kinds that may be owned by the policy in force; those of other kinds are let go. None said: all.
+  void allow(Micros now, std::optional<std::set<std::string>> kinds);
   // Whether what the store tells is heard: nothing is asked for where it is not.
   void heard(Micros now, bool heard);
   // Lets all go; nothing is taken on again.
@@ -172,6 +174,7 @@
   std::string incarnation_;
   std::string zone_;
   std::set<std::string> kinds_;
+  std::optional<std::set<std::string>> allowed_;
   DeskRules rules_;
   std::map<std::string, std::string> members_;
   std::map<std::string, Work> works_;
--- a/src/policy/change.cpp
+++ b/src/policy/change.cpp
@@ -38,6 +38,9 @@
   return out;
 }
 
+// Of a permit's key.
+std::string router_of(const std::string& key) { return key.substr(0, key.find('/')); }
+
 bool last_stage(const Change& change) { return change.stage >= change.stages.size(); }
 
 }  // namespace
@@ -52,6 +55,10 @@
   return std::find(stages.begin(), stages.end(), zone) == stages.end();
 }
 
+std::string permit_key(const std::string& router, coordination::LeaseId lease) {
+  return kPermits + router + "/" + std::to_string(lease);
+}
+
 std::string write_change(const Change& change) {
   return json{{"id", change.id},
               {"version", change.version},
@@ -95,8 +102,8 @@
   }
   const std::string state = text_of(from, "state");
   const auto found = std::find(std::begin(kStates), std::end(kStates), state);
-  if (found == std::end(kStates) || out.id == 0 || out.version == 0 || out.stage > out.stages.size() ||
-      out.stages.size() > 999) {
+  if (found == std::end(kStates) || out.id == 0 || out.version == out.before ||
+      out.stage > out.stages.size() || out.stages.size() > 999) {
     return std::nullopt;
   }
   out.state = static_cast<ChangeState>(found - std::begin(kStates));
@@ -186,10 +193,10 @@
   std::string missing;
   for (const auto& [name, permit] : concerned(seen)) {
     if (permit.no == step_of(change)) {
-      return abort_with(change, name + " says no: " + permit.why);
+      return abort_with(change, router_of(name) + " says no: " + permit.why);
     }
     if (permit.ready != step_of(change)) {
-      missing += (missing.empty() ? "" : ", ") + name;
+      missing += (missing.empty() ? "" : ", ") + router_of(name);
     }
   }
   if (missing.empty()) {
@@ -212,10 +219,10 @@
   for (const auto& [name, permit] : concerned(seen)) {
     // One that joined since, or found out late.
     if (permit.no == step_of(change)) {
-      return abort_with(change, name + " says no: " + permit.why);
+      return abort_with(change, router_of(name) + " says no: " + permit.why);
     }
     if (permit.held != step_of(change)) {
-      missing += (missing.empty() ? "" : ", ") + name;
+      missing += (missing.empty() ? "" : ", ") + router_of(name);
     }
   }
   if (missing.empty()) {
@@ -304,12 +311,12 @@
   const Change& change = *seen.change;
   for (const auto& [name, permit] : concerned(seen)) {
     if (change.state == ChangeState::kPreparing && permit.ready != step_of(change)) {
-      out.push_back(name + " is to say that it is ready");
+      out.push_back(router_of(name) + " is to say that it is ready");
     } else if (change.state == ChangeState::kHolding && permit.held != step_of(change)) {
-      out.push_back(name + " is to hold, or its permission to run out");
+      out.push_back(router_of(name) + " is to hold, or its permission to run out");
     } else if (change.state == ChangeState::kCommitted &&
                (permit.version != change.version || permit.held != 0)) {
-      out.push_back(name + " is to switch, or its permission to run out; it holds");
+      out.push_back(router_of(name) + " is to switch, or its permission to run out; it holds");
     }
   }
   return out;
@@ -352,7 +359,6 @@
   Transaction out;
   const Change& change = step.change;
   out.when = {coordination::unchanged(prefix + kChangeKey, seen.change_modified),
-              coordination::unchanged(prefix + kRoster, seen.roster_modified),
               coordination::unchanged(prefix + kCurrentKey, seen.current_modified)};
   out.then = {Put{prefix + kChangeKey, write_change(change), 0},
               Put{prefix + kAudit + std::to_string(change.id) + "/" + std::to_string(change.stage) + "-" +
@@ -369,9 +375,8 @@
 
 Transaction look(const std::string& prefix) {
   Transaction out;
-  out.then = {Get{Range{prefix + kChangeKey, false}}, Get{Range{prefix + kRoster, false}},
-              Get{Range{prefix + kCurrentKey, false}}, Get{Range{prefix + kZones, true}},
-              Get{Range{prefix + kPermits, true}}};
+  out.then = {Get{Range{prefix + kChangeKey, false}}, Get{Range{prefix + kCurrentKey, false}},
+              Get{Range{prefix + kZones, true}}, Get{Range{prefix + kPermits, true}}};
   return out;
 }
 
@@ -383,16 +388,13 @@
     out.change_modified = found.front().modified;
   }
   if (const auto& found = outcome.steps.at(1).found; !found.empty()) {
-    out.roster_modified = found.front().modified;
-  }
-  if (const auto& found = outcome.steps.at(2).found; !found.empty()) {
     out.current = number(found.front().value);
     out.current_modified = found.front().modified;
   }
-  for (const coordination::Entry& entry : outcome.steps.at(3).found) {
+  for (const coordination::Entry& entry : outcome.steps.at(2).found) {
     out.zones[entry.key.substr(prefix.size() + std::string(kZones).size())] = number(entry.value);
   }
-  for (const coordination::Entry& entry : outcome.steps.at(4).found) {
+  for (const coordination::Entry& entry : outcome.steps.at(3).found) {
     // One that cannot be read is there all the same: it is awaited until its permission runs out.
     out.permits[entry.key.substr(prefix.size() + std::string(kPermits).size())] =
         read_permit(entry.value).value_or(Permit{});
--- a/src/policy/change.h
+++ b/src/policy/change.h
@@ -74,7 +74,10 @@
 constexpr const char* kDocuments = "policy/documents/";  // VERSION
 constexpr const char* kAudit = "audit/";                 // policy/ID/STEP, for staff
 constexpr const char* kPermits = "permits/";             // ROUTER
-constexpr const char* kRoster = "roster";                // written by each router that gets a permission
+
+// Each permission has a permit of its own: a write that comes late, of a permission before or of a start
+// before, neither stands in the place of the one that holds now nor takes it away with its lease.
+std::string permit_key(const std::string& router, coordination::LeaseId lease);
 
 std::string write_change(const Change& change);
 std::optional<Change> read_change(const std::string& text);
@@ -85,11 +88,10 @@
 struct Seen {
   std::optional<Change> change;
   Revision change_modified = 0;
-  Revision roster_modified = 0;
   std::uint64_t current = 0;
   Revision current_modified = 0;
   std::map<std::string, std::uint64_t> zones;  // that differ from `current`
-  std::map<std::string, Permit> permits;       // by router
+  std::map<std::string, Permit> permits;       // by "ROUTER/LEASE"
 };
 
 struct DriverRules {
@@ -97,7 +99,7 @@
   Micros hold_most{30'000'000};     // beyond any permission: then it is aborted
 };
 
-// The next step: the record as it is to stand, written only where record, roster and current are as they were
+// The next step: the record as it is to stand, written only where record and current are as they were
 // seen.
 struct Step {
   Change change;
--- a/src/policy/document.cpp
+++ b/src/policy/document.cpp
@@ -180,8 +180,8 @@
   static const config::Record<LimitPolicy> kRecord = [] {
     config::Record<LimitPolicy> record("limits", "Of each router.");
     record
-        .whole("open_requests", &LimitPolicy::open_requests, "requests", WholeRange{1, 10'000'000},
-               "open at once; a router that cannot bear so many says no")
+        .whole("open_requests", &LimitPolicy::open_requests, "requests", WholeRange{0, 10'000'000},
+               "open at once; a router that cannot bear so many says no; 0: as its memory and sockets bear")
         .whole("retry_after_ms", &LimitPolicy::retry_after_ms, "ms", WholeRange{0, 600'000},
                "the longest wait that refused clients are told")
         .texts("work", &LimitPolicy::work, "-", "kinds of the fleet's work that may be owned");
@@ -259,7 +259,7 @@
       into.grace_ms = std::max<std::int64_t>(0, shorter(oldest(*left), oldest(*right)) - into.fresh_ms);
     }
   }
-  out.limits.open_requests = std::min(one.limits.open_requests, other.limits.open_requests);
+  out.limits.open_requests = shorter(one.limits.open_requests, other.limits.open_requests);
   out.limits.retry_after_ms = std::min(one.limits.retry_after_ms, other.limits.retry_after_ms);
   out.limits.work.clear();
   for (const std::string& kind : one.limits.work) {
@@ -290,7 +290,7 @@
     }
   }
   const LimitPolicy& limits = narrow.limits;
-  return limits.open_requests <= wide.limits.open_requests &&
+  return no_longer(limits.open_requests, wide.limits.open_requests) &&
          limits.retry_after_ms <= wide.limits.retry_after_ms &&
          std::all_of(limits.work.begin(), limits.work.end(), [&wide](const std::string& kind) {
            const auto& allowed = wide.limits.work;
--- a/src/policy/document.h
+++ b/src/policy/document.h
@@ -35,7 +35,7 @@
 const config::Record<ClassPolicy>& class_policy_record();
 
 struct LimitPolicy {
-  std::int64_t open_requests = 100'000;
+  std::int64_t open_requests = 0;
   std::int64_t retry_after_ms = 60'000;
   std::vector<std::string> work{"probe", "fill", "report"};
 
--- a/src/policy/holder.cpp
+++ b/src/policy/holder.cpp
@@ -172,7 +172,7 @@
   return {};
 }
 
-bool Holder::ready(Micros now) const { return ruling(now).kind != Ruling::Kind::kRefuse; }
+bool Holder::ready(Micros now) const { return standing(now) != Standing::kOutside; }
 
 // ---- Answers ----
 
--- a/src/policy/holder.h
+++ b/src/policy/holder.h
@@ -115,7 +115,7 @@
   std::vector<HolderOrder> due(Micros now);
   std::optional<Micros> next(Micros now) const;
   Micros until() const { return lease_.until(); }
-  // Whether requests are to be taken: it has joined once. Before that /healthz is not ready.
+  // Whether requests are to be taken: it has permission, whatever is being held. /healthz says so.
   bool ready(Micros now) const;
   void stop(Micros now);
   bool stopped() const { return lease_.over(); }
--- /dev/null
+++ b/src/policy/options.cpp
@@ -0,0 +1,80 @@
+#include "policy/options.h"
+
+namespace trailcourse::policy {
+
+using config::RealRange;
+using config::WholeRange;
+using config::Words;
+using std::chrono::milliseconds;
+
+const config::Record<PolicyOptions>& policy_record() {
+  static const config::Record<PolicyOptions> kRecord = [] {
+    using O = PolicyOptions;
+    config::Record<O> record("policy",
+                             "The fleet's policy, which takes hold everywhere or nowhere; needs the section "
+                             "coordination.");
+    const WholeRange ms{1, 600'000};
+    record
+        .flag("follow", &O::follow,
+              "this router decides only by the policy in force, and with its permission")
+        .text("without", &O::without, "-", Words{{"both", "refuse"}, false},
+              "what it does between two versions: serve what both allow, or refuse at once; without the "
+              "store it "
+              "refuses")
+        .text("folder", &O::folder, "path", Words{},
+              "where versions are kept before they are said to be ready; none: they are not kept")
+        .whole(
+            "ttl_ms", &O::ttl_ms, "ms", WholeRange{200, 600'000},
+            "of a permission: a change waits so long for a router that is stopped, and a router without the "
+            "store "
+            "serves no longer")
+        .whole("renew_ms", &O::renew_ms, "ms", ms, "after which it is renewed; ttl_ms holds two at least")
+        .real("drift_percent", &O::drift_percent, "%", RealRange{0.0, 20.0},
+              "by which two clocks may run apart")
+        .whole("margin_ms", &O::margin_ms, "ms", WholeRange{0, 60'000},
+               "by which a permission ends sooner: between a look at the clock and the decision")
+        .whole("retry_ms", &O::retry_ms, "ms", ms, "after a call to the store that was lost or refused")
+        .whole("prepare_most_ms", &O::prepare_most_ms, "ms", WholeRange{100, 3'600'000},
+               "for which a change waits until all are ready; then it is aborted")
+        .whole("hold_most_ms", &O::hold_most_ms, "ms", WholeRange{100, 3'600'000},
+               "for which it waits until all hold; over ttl_ms");
+    return record;
+  }();
+  return kRecord;
+}
+
+void check_policy(const PolicyOptions& options) {
+  const auto sure =
+      static_cast<std::int64_t>(static_cast<double>(options.ttl_ms) * (1.0 - options.drift_percent / 100.0)) -
+      options.margin_ms;
+  if (2 * options.renew_ms > sure) {
+    throw config::KeyError("policy.renew_ms", std::to_string(options.renew_ms) + " is over half of the " +
+                                                  std::to_string(sure) +
+                                                  " ms that a permission surely holds");
+  }
+  if (options.hold_most_ms <= options.ttl_ms) {
+    throw config::KeyError(
+        "policy.hold_most_ms",
+        std::to_string(options.hold_most_ms) + " is not over ttl_ms, " + std::to_string(options.ttl_ms));
+  }
+}
+
+HolderRules holder_rules(const PolicyOptions& options) {
+  HolderRules rules;
+  rules.lease.ttl = milliseconds(options.ttl_ms);
+  rules.lease.drift = options.drift_percent / 100.0;
+  rules.lease.margin = milliseconds(options.margin_ms);
+  rules.lease.renew_after = milliseconds(options.renew_ms);
+  rules.lease.retry = milliseconds(options.retry_ms);
+  rules.both = options.without == "both";
+  return rules;
+}
+
+DriverRules driver_rules(const PolicyOptions& options) {
+  DriverRules rules;
+  rules.prepare_most = milliseconds(options.prepare_most_ms);
+  rules.hold_most = milliseconds(options.hold_most_ms);
+  return rules;
+}
+
+}  // namespace trailcourse::policy
--- a/src/program/command_line.cpp
+++ b/src/program/command_line.cpp
@@ -19,6 +19,7 @@
 #include "program/get_command.h"
 #include "program/node_commands.h"
 #include "program/operator_file.h"
+#include "program/policy_command.h"
 #include "program/serve.h"
 #include "program/store_commands.h"
 #include "program/work_command.h"
@@ -464,6 +465,59 @@
   }
 }
 
+void add_policy_options(cxxopts::Options& options) {
+  add_words(options);
+  add_store_address(options);
+  options.add_options()("author", "propose: who", cxxopts::value<std::string>()->default_value(""), "NAME")(
+      "reason", "propose, abort: why", cxxopts::value<std::string>()->default_value(""), "TEXT")(
+      "content-of", "propose: the content of an earlier version",
+      cxxopts::value<std::string>()->default_value(""), "VERSION")(
+      "urgent", "propose: before a change that has not committed")("wait", "propose: until it is done")(
+      "stages", "propose: these zones first, one after the other", cxxopts::value<std::vector<std::string>>(),
+      "A,B")("watch", "propose: for which a stage is watched", cxxopts::value<double>()->default_value("60"),
+             "SECONDS")("most-refused", "propose: share refused or failed that turns a stage back",
+                        cxxopts::value<double>()->default_value("0.05"), "SHARE")(
+      "for", "wait: at most", cxxopts::value<double>()->default_value("120"), "SECONDS");
+}
+
+int run_policy(const cxxopts::ParseResult& parsed, const Output& output) {
+  PolicyCommand command;
+  command.action = word(parsed, 0, "check, diff, propose, status, wait, abort, history or show");
+  const std::vector<std::string> known{"check", "diff",  "propose", "status",
+                                       "wait",  "abort", "history", "show"};
+  if (std::find(known.begin(), known.end(), command.action) == known.end()) {
+    throw WrongUse("no action '" + command.action +
+                   "': check, diff, propose, status, wait, abort, history or show");
+  }
+  command.version = parsed["content-of"].as<std::string>();
+  const bool takes_file = command.action == "check" || command.action == "diff" ||
+                          (command.action == "propose" && command.version.empty());
+  if (takes_file) {
+    command.file = word(parsed, 1, "FILE");
+  } else if (command.action == "show" && words_of(parsed).size() > 1) {
+    command.version = words_of(parsed)[1];
+  }
+  if (command.action != "check") {
+    command.store = store_of(parsed);
+  }
+  command.author = parsed["author"].as<std::string>();
+  command.reason = parsed["reason"].as<std::string>();
+  command.urgent = parsed.count("urgent") > 0;
+  command.wait = parsed.count("wait") > 0;
+  if (parsed.count("stages") > 0) {
+    command.stages = parsed["stages"].as<std::vector<std::string>>();
+  }
+  command.watch_s = parsed["watch"].as<double>();
+  command.most_refused = parsed["most-refused"].as<double>();
+  command.longest_s = parsed["for"].as<double>();
+  command.json = parsed.count("json") > 0;
+  if (command.watch_s < 0.0 || command.watch_s > 86'400.0 || command.most_refused < 0.0 ||
+      command.most_refused > 1.0) {
+    throw WrongUse("--watch is 0 to 86400 seconds, --most-refused 0 to 1");
+  }
+  return run_policy_command(command, output.out, output.errors);
+}
+
 const std::vector<Command>& commands() {
   static const std::vector<Command> kCommands{
       {"serve", "[OPTION...]", "runs the router", "trailcourse serve --config config.json",
@@ -496,6 +550,10 @@
        "the work that one router does for all: what there is, who owns it, and what staff do to it",
        "trailcourse work add evening --store 127.0.0.1:2379 --objects list.txt --shards 4 --at 600",
        add_work_options, run_work},
+      {"policy", "check|diff|propose|status|wait|abort|history|show [FILE|VERSION] --store IP:PORT",
+       "the fleet's policy: what is in force, and changes that take hold everywhere or nowhere",
+       "trailcourse policy propose evening.json --store 127.0.0.1:2379 --author kim --wait",
+       add_policy_options, run_policy},
       {"members", "--store IP:PORT", "the routers that the store hears, and how each stands",
        "trailcourse members --store 127.0.0.1:2379 --json", add_members_options, run_members},
       {"version", "", "says which version this is", "trailcourse version", add_nothing, run_version}};
--- a/src/program/configuration.cpp
+++ b/src/program/configuration.cpp
@@ -126,9 +126,14 @@
   out.has_relay = read(relay_record(), out.relay);
   read(coordination::coordination_record(), out.coordination);
   read(duties::ownership_record(), out.ownership);
+  read(policy::policy_record(), out.policy);
   check_relay(out.relay);
   check_coordination(out.coordination);
   duties::check_ownership(out.ownership);
+  policy::check_policy(out.policy);
+  if (out.policy.follow && out.coordination.store == "none") {
+    fail("policy.follow", "no store is named in the section coordination");
+  }
   return out;
 }
 
--- a/src/program/fleet_work.cpp
+++ b/src/program/fleet_work.cpp
@@ -5,6 +5,7 @@
 
 #include "coordination/embedded_store.h"
 #include "coordination/etcd_store.h"
+#include "duties/conductor.h"
 #include "duties/filler.h"
 #include "duties/prober.h"
 #include "duties/reporter.h"
@@ -69,6 +70,21 @@
   steward_->add("report", [this, prefix, options](duties::Charge charge) {
     return std::make_unique<duties::Reporter>(scheduler_, *store_, prefix, options, std::move(charge));
   });
+  steward_->add(duties::kPolicyWork, [this, prefix](duties::Charge charge) {
+    return std::make_unique<duties::Conductor>(scheduler_, *store_, prefix, configuration_.start.policy,
+                                               std::move(charge));
+  });
+  if (configuration.start.policy.follow) {
+    policy_.emplace(scheduler, *store_, configuration.start.policy, prefix,
+                    duties::PolicyKeeper::Self{configuration.name, incarnation_of(configuration.seed), zone,
+                                               static_cast<std::int64_t>(configuration.most_open_requests())},
+                    configuration.profile, router, [this](std::optional<std::set<std::string>> kinds) {
+                      if (kinds) {
+                        kinds->insert(duties::kPolicyWork);  // else no policy could ever be changed
+                      }
+                      steward_->allow(std::move(kinds));
+                    });
+  }
   steward_->tell_keys(duties::kVerdicts,
                       [this](const std::string& key, const std::string& value) { hear_verdict(key, value); });
   router.watch_attempts(
@@ -82,6 +98,15 @@
     steward_->start();
     scheduler_.spawn(count());
   }
+  if (policy_) {
+    policy_->start();
+  }
+}
+
+void FleetWork::leave() {
+  if (policy_) {
+    policy_->stop();
+  }
 }
 
 void FleetWork::drain() {
--- a/src/program/fleet_work.h
+++ b/src/program/fleet_work.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "coordination/shared_store.h"
+#include "duties/policy_keeper.h"
 #include "duties/steward.h"
 #include "duties/suspects.h"
 #include "program/configuration.h"
@@ -33,8 +34,14 @@
   void drain();
   // Whether all is let go, or there was nothing.
   bool drained() const { return !steward_ || steward_->drained(); }
-  // One object of JSON; empty where there is no such work.
+  // Whether requests may be taken, as far as the fleet's policy goes.
+  bool ready() const { return !policy_ || policy_->ready(); }
+  // Gives the permission of the policy back: nothing arrives any more.
+  void leave();
+  bool left() const { return !policy_ || policy_->stopped(); }
+  // One object of JSON each; empty where there is no such thing.
   std::string status() const { return steward_ ? steward_->status() : std::string(); }
+  std::string policy_status() const { return policy_ ? policy_->status() : std::string(); }
 
  private:
   void attempt_ended(const std::string& cache, Status status, Note note);
@@ -48,6 +55,7 @@
   const routing::Directory& directory_;
   std::unique_ptr<coordination::SharedStore> store_;
   std::optional<duties::Steward> steward_;
+  std::optional<duties::PolicyKeeper> policy_;
   duties::SuspectBook suspects_;
   duties::VerdictBook verdicts_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/program/operator_file.cpp
+++ b/src/program/operator_file.cpp
@@ -24,6 +24,7 @@
   visit(coordination::coordination_record(), file.coordination);
   visit(coordination::registry_record(), file.registry);
   visit(duties::ownership_record(), file.ownership);
+  visit(policy::policy_record(), file.policy);
   visit(tuning_record(), file.router);
 }
 
@@ -71,6 +72,9 @@
   if (has("ownership")) {
     duties::check_ownership(file.ownership);
   }
+  if (has("policy")) {
+    policy::check_policy(file.policy);
+  }
   if (has("relay")) {
     check_relay(file.relay);
   }
--- a/src/program/operator_file.h
+++ b/src/program/operator_file.h
@@ -10,6 +10,7 @@
 #include "cache_node/node_options.h"
 #include "coordination/options.h"
 #include "duties/options.h"
+#include "policy/options.h"
 #include "program/configuration.h"
 #include "store/options.h"
 
@@ -27,6 +28,7 @@
   coordination::CoordinationOptions coordination;
   coordination::RegistryOptions registry;
   duties::OwnershipOptions ownership;
+  policy::PolicyOptions policy;
   Tuning router;
   std::vector<std::string> sections;  // that the file has
 };
--- /dev/null
+++ b/src/program/policy_command.cpp
@@ -0,0 +1,342 @@
+#include "program/policy_command.h"
+
+#include <algorithm>
+#include <chrono>
+#include <fstream>
+#include <iterator>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <ostream>
+
+#include "duties/conductor.h"
+#include "ownership/work.h"
+#include "policy/change.h"
+#include "policy/document.h"
+#include "program/store_desk.h"
+#include "protocol/numbers.h"
+
+namespace trailcourse::program {
+
+using nlohmann::json;
+using transport::Clock;
+
+namespace {
+
+constexpr std::chrono::milliseconds kLook{100};
+
+std::int64_t unix_ms() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+std::string text_of(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  if (!file.is_open()) {
+    throw policy::BadDocument(path + ": cannot be read");
+  }
+  return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+}
+
+policy::Seen look(StoreDesk& desk) {
+  return policy::read_seen(desk.prefix(), desk.commit(policy::look(desk.prefix())));
+}
+
+std::map<std::uint64_t, policy::Document> documents(StoreDesk& desk) {
+  std::map<std::uint64_t, policy::Document> out;
+  for (const coordination::Entry& entry : desk.get(policy::kDocuments)) {
+    try {
+      policy::Document document = policy::read_document(entry.value);
+      const std::uint64_t version = document.version;
+      out[version] = std::move(document);
+    } catch (const policy::BadDocument&) {
+      // Of a later program: its number is taken all the same.
+      out[std::strtoull(entry.key.c_str() + std::string(policy::kDocuments).size(), nullptr, 10)] = {};
+    }
+  }
+  return out;
+}
+
+policy::Content content_in_force(const std::map<std::uint64_t, policy::Document>& all,
+                                 std::uint64_t version) {
+  const auto found = all.find(version);
+  return found == all.end() ? policy::Content{} : found->second.content;
+}
+
+json status_json(const policy::Seen& seen) {
+  json permits = json::array();
+  for (const auto& [name, permit] : seen.permits) {
+    permits.push_back({{"router", name.substr(0, name.find('/'))},
+                       {"zone", permit.zone},
+                       {"version", permit.version},
+                       {"ready", permit.ready},
+                       {"held", permit.held},
+                       {"no", permit.why}});
+  }
+  json out{{"version", seen.current},
+           {"zones", seen.zones},
+           {"permits", permits},
+           {"awaited", policy::awaited(seen)}};
+  out["change"] = seen.change ? json::parse(policy::write_change(*seen.change)) : json();
+  return out;
+}
+
+void print_status(const policy::Seen& seen, std::ostream& out) {
+  out << "in force: version " << seen.current;
+  for (const auto& [zone, version] : seen.zones) {
+    out << ", in zone " << zone << " version " << version;
+  }
+  out << "\n" << seen.permits.size() << " routers have permission\n";
+  if (!seen.change) {
+    out << "no change was made yet\n";
+    return;
+  }
+  const policy::Change& change = *seen.change;
+  out << "change " << change.id << " from version " << change.before << " to " << change.version << ": "
+      << to_string(change.state);
+  if (!change.stages.empty()) {
+    out << ", stage " << change.stage + 1 << " of " << change.stages.size() + 1;
+  }
+  out << (change.why.empty() ? "" : " (" + change.why + ")") << '\n';
+  for (const std::string& line : policy::awaited(seen)) {
+    out << "  " << line << '\n';
+  }
+}
+
+int wait_for(StoreDesk& desk, const PolicyCommand& command, std::uint64_t id, std::ostream& out) {
+  const Clock::time_point end = Clock::now() + std::chrono::duration_cast<Clock::duration>(
+                                                   std::chrono::duration<double>(command.longest_s));
+  std::string told;
+  for (;;) {
+    const policy::Seen seen = look(desk);
+    if (!seen.change || seen.change->id < id) {
+      out << "no such change\n";
+      return kChangeOpen;
+    }
+    const policy::Change& change = *seen.change;
+    const std::string state = std::string(to_string(change.state)) + ", " +
+                              std::to_string(policy::awaited(seen).size()) + " awaited";
+    if (state != told && !command.json) {
+      out << "change " << change.id << " to version " << change.version << ": " << state << std::endl;
+      told = state;
+    }
+    if (!change.open()) {
+      if (command.json) {
+        out << status_json(seen).dump(1) << '\n';
+      } else if (!change.why.empty()) {
+        out << change.why << '\n';
+      }
+      return change.state == policy::ChangeState::kDone && change.id == id ? 0 : kChangeAborted;
+    }
+    if (Clock::now() >= end) {
+      print_status(seen, out);
+      return kChangeAwaited;
+    }
+    desk.pause(kLook);
+  }
+}
+
+int propose(StoreDesk& desk, const PolicyCommand& command, std::ostream& out, std::ostream& errors) {
+  const auto all = documents(desk);
+  policy::Document document;
+  if (!command.version.empty()) {
+    const auto of = protocol::read_number<std::uint64_t>(command.version);
+    const auto found = of ? all.find(*of) : all.end();
+    if (found == all.end()) {
+      errors << "trailcourse: policy: there is no version " << command.version << '\n';
+      return kBadPolicy;
+    }
+    document = found->second;
+    document.reason = "as version " + command.version;
+  } else {
+    document = policy::read_draft(text_of(command.file));
+  }
+  document.author = !command.author.empty() ? command.author : document.author;
+  document.reason = !command.reason.empty() ? command.reason : document.reason;
+  const policy::Seen seen = look(desk);
+  bool superseded = false;
+  if (const std::string why = policy::may_begin(seen, command.urgent, superseded); !why.empty()) {
+    errors << "trailcourse: policy: " << why << '\n';
+    return kChangeOpen;
+  }
+  document.parent = seen.current;
+  document.version = (all.empty() ? 0 : all.rbegin()->first) + 1;
+  document.version = std::max(document.version, seen.current + 1);
+  policy::Change change;
+  change.id = seen.change ? seen.change->id + 1 : 1;
+  change.version = document.version;
+  change.before = seen.current;
+  change.urgent = command.urgent;
+  change.stages = command.stages;
+  change.watch_ms = static_cast<std::int64_t>(command.watch_s * 1e3);
+  change.most_refused = command.most_refused;
+  change.by = document.author;
+  const std::string audit = std::to_string(unix_ms()) + " " + document.author + ": " + document.reason +
+                            (superseded ? "; supersedes change " + std::to_string(seen.change->id) : "");
+  coordination::Transaction write =
+      policy::begin(desk.prefix(), seen, change, policy::write_text(document), audit);
+  if (!desk.commit(write).succeeded) {
+    errors << "trailcourse: policy: things changed meanwhile; nothing was done\n";
+    return kChangeOpen;
+  }
+  // Somebody has to drive it: the work is there from the first change on.
+  ownership::Work work;
+  work.name = duties::kPolicyWork;
+  work.kind = duties::kPolicyWork;
+  const std::string key = desk.key(ownership::kWork + work.name);
+  coordination::Transaction drive;
+  drive.when = {coordination::absent(key)};
+  drive.then = {coordination::Put{key, ownership::write_work(work), 0}};
+  desk.commit(drive);
+  if (!command.json) {
+    out << "change " << change.id << " to version " << change.version << " is proposed\n";
+    for (const std::string& line :
+         policy::difference(content_in_force(all, seen.current), document.content)) {
+      out << "  " << line << '\n';
+    }
+  } else if (!command.wait) {
+    out << json{{"change", change.id}, {"version", change.version}}.dump() << '\n';
+  }
+  return command.wait ? wait_for(desk, command, change.id, out) : 0;
+}
+
+int abort(StoreDesk& desk, const PolicyCommand& command, std::ostream& out, std::ostream& errors) {
+  const policy::Seen seen = look(desk);
+  const bool can = seen.change && (seen.change->state == policy::ChangeState::kPreparing ||
+                                   seen.change->state == policy::ChangeState::kHolding);
+  if (!can) {
+    errors << "trailcourse: policy: "
+           << (!seen.change || !seen.change->open()
+                   ? "no change is open"
+                   : "the change has committed: go back with `propose --content-of` of what was before")
+           << '\n';
+    return kChangeOpen;
+  }
+  policy::Step step;
+  step.change = *seen.change;
+  step.change.state = policy::ChangeState::kAborted;
+  step.change.why = command.reason.empty() ? "by staff" : command.reason;
+  step.audit = std::to_string(unix_ms()) + " aborted by staff: " + step.change.why;
+  if (!desk.commit(policy::carry_out(desk.prefix(), seen, step)).succeeded) {
+    errors << "trailcourse: policy: things changed meanwhile; nothing was done\n";
+    return kChangeOpen;
+  }
+  out << "change " << step.change.id << " is aborted; version " << seen.current << " stays\n";
+  return 0;
+}
+
+int diff(StoreDesk& desk, const PolicyCommand& command, std::ostream& out) {
+  const policy::Document draft = policy::read_draft(text_of(command.file));
+  const auto all = documents(desk);
+  const policy::Seen seen = look(desk);
+  const auto lines = policy::difference(content_in_force(all, seen.current), draft.content);
+  if (command.json) {
+    out << json{{"version", seen.current}, {"lines", lines}}.dump(1) << '\n';
+    return 0;
+  }
+  out << "against version " << seen.current << ":\n";
+  for (const std::string& line : lines) {
+    out << "  " << line << '\n';
+  }
+  if (lines.empty()) {
+    out << "  nothing\n";
+  }
+  return 0;
+}
+
+int history(StoreDesk& desk, const PolicyCommand& command, std::ostream& out) {
+  struct Line {
+    std::uint64_t change;
+    std::uint64_t revision;
+    std::string step, text;
+  };
+  std::vector<Line> lines;
+  for (const coordination::Entry& entry : desk.get(policy::kAudit)) {
+    const std::string rest = entry.key.substr(std::string(policy::kAudit).size());
+    lines.push_back({std::strtoull(rest.c_str(), nullptr, 10), entry.modified,
+                     rest.substr(rest.find('/') + 1), entry.value});
+  }
+  std::sort(lines.begin(), lines.end(),
+            [](const Line& one, const Line& other) { return one.revision < other.revision; });
+  if (command.json) {
+    json rows = json::array();
+    for (const Line& line : lines) {
+      rows.push_back(
+          {{"change", line.change}, {"step", line.step}, {"revision", line.revision}, {"text", line.text}});
+    }
+    out << rows.dump(1) << '\n';
+    return 0;
+  }
+  for (const Line& line : lines) {
+    out << "change " << line.change << "  " << line.step << "  " << line.text << '\n';
+  }
+  return 0;
+}
+
+int show(StoreDesk& desk, const PolicyCommand& command, std::ostream& out, std::ostream& errors) {
+  const auto all = documents(desk);
+  const auto version = command.version.empty() ? std::optional<std::uint64_t>(look(desk).current)
+                                               : protocol::read_number<std::uint64_t>(command.version);
+  const auto found = version ? all.find(*version) : all.end();
+  if (found == all.end()) {
+    errors << "trailcourse: policy: there is no version " << command.version << '\n';
+    return kBadPolicy;
+  }
+  out << policy::write_document(found->second).dump(1) << '\n';
+  return 0;
+}
+
+int check(const PolicyCommand& command, std::ostream& out) {
+  const policy::Document draft = policy::read_draft(text_of(command.file));
+  if (command.json) {
+    out << policy::write_document(draft)["content"].dump(1) << '\n';
+  } else {
+    out << "can be proposed: " << draft.content.classes.size()
+        << " classes; each router judges whether it can live by it\n";
+  }
+  return 0;
+}
+
+}  // namespace
+
+int run_policy_command(const PolicyCommand& command, std::ostream& out, std::ostream& errors) {
+  try {
+    if (command.action == "check") {
+      return check(command, out);
+    }
+    StoreDesk desk(command.store);
+    if (command.action == "diff") {
+      return diff(desk, command, out);
+    }
+    if (command.action == "propose") {
+      return propose(desk, command, out, errors);
+    }
+    if (command.action == "abort") {
+      return abort(desk, command, out, errors);
+    }
+    if (command.action == "history") {
+      return history(desk, command, out);
+    }
+    if (command.action == "show") {
+      return show(desk, command, out, errors);
+    }
+    const policy::Seen seen = look(desk);
+    if (command.action == "wait") {
+      return wait_for(desk, command, seen.change ? seen.change->id : 0, out);
+    }
+    if (command.json) {
+      out << status_json(seen).dump(1) << '\n';
+    } else {
+      print_status(seen, out);
+    }
+    return 0;
+  } catch (const policy::BadDocument& error) {
+    errors << "trailcourse: policy: " << error.what() << '\n';
+    return kBadPolicy;
+  } catch (const std::runtime_error& error) {
+    errors << "trailcourse: " << error.what() << '\n';
+    return 1;
+  }
+}
+
+}  // namespace trailcourse::program
--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -106,7 +106,10 @@
     const bool answered = router.open_requests() == 0 && front.quiet();
     // What it owns of the fleet's work is given back meanwhile; a store that does not answer is not waited
     // for.
-    const bool let_go = work.drained() || since >= kLetGo;
+    if (ceased && answered) {
+      work.leave();
+    }
+    const bool let_go = (work.drained() && work.left()) || since >= kLetGo;
     if ((ceased && answered && let_go) || since >= longest + kFlush) {
       break;
     }
@@ -154,14 +157,17 @@
   }
 }
 
-// The start's line of JSON with the fleet's work in it.
-std::string status_of(const std::string& start, const std::string& work) {
-  if (work.empty()) {
+// The start's line of JSON with the fleet's work and policy in it.
+std::string status_of(const std::string& start, const FleetWork& work) {
+  if (work.status().empty()) {
     return start;
   }
   nlohmann::json out = nlohmann::json::parse(start, nullptr, false);
   out = out.is_object() ? out : nlohmann::json::object();
-  out["work"] = nlohmann::json::parse(work, nullptr, false);
+  out["work"] = nlohmann::json::parse(work.status(), nullptr, false);
+  if (const std::string policy = work.policy_status(); !policy.empty()) {
+    out["policy"] = nlohmann::json::parse(policy, nullptr, false);
+  }
   return out.dump();
 }
 
@@ -211,12 +217,12 @@
   router.use(caches);
   routing::NoticeTaker taker(router, directory, [&caches](const std::string& name) { caches.drop(name); });
   start.begin(router, taker);
+  FleetWork work(scheduler, configuration, router, directory);
   routing::Front front(
       scheduler, router, profile.settings, profile.class_index, front_bounds(configuration),
-      [&taker, &start] { return taker.ready() && start.ready(); },
+      [&taker, &start, &work] { return taker.ready() && start.ready() && work.ready(); },
       [&caches] { return caches.close_one_idle(); });
-  FleetWork work(scheduler, configuration, router, directory);
-  front.tell_status([&start, &work] { return status_of(start.status(), work.status()); });
+  front.tell_status([&start, &work] { return status_of(start.status(), work); });
   front.listen(configuration.listen);
   start.listen();
   routing::BoardWatcher board(scheduler, configuration.board, taker, profile, configuration.seed,
--- a/src/program/start_options.h
+++ b/src/program/start_options.h
@@ -8,6 +8,7 @@
 #include "config/record.h"
 #include "coordination/options.h"
 #include "duties/options.h"
+#include "policy/options.h"
 #include "snapshot/snapshot.h"
 #include "startup/rules.h"
 #include "startup/upstream.h"
@@ -40,6 +41,7 @@
   RelayOptions relay;
   coordination::CoordinationOptions coordination;
   duties::OwnershipOptions ownership;
+  policy::PolicyOptions policy;
 };
 
 }  // namespace trailcourse::program
--- /dev/null
+++ b/src/program/store_desk.cpp
@@ -0,0 +1,54 @@
+#include "program/store_desk.h"
+
+#include <optional>
+#include <stdexcept>
+
+#include "program/fleet_work.h"
+
+namespace trailcourse::program {
+
+using coordination::Outcome;
+using coordination::Reply;
+using transport::Clock;
+
+namespace {
+
+constexpr std::chrono::seconds kPatience{5};
+constexpr std::chrono::milliseconds kTurn{20};
+
+}  // namespace
+
+StoreDesk::StoreDesk(const coordination::CoordinationOptions& options)
+    : options_(options), store_(open_store(scheduler_, options, 1)) {}
+
+Outcome StoreDesk::commit(const coordination::Transaction& transaction) {
+  const auto reply = std::make_shared<std::optional<Reply<Outcome>>>();
+  store_->commit(transaction, [reply](const Reply<Outcome>& told) { *reply = told; });
+  const Clock::time_point end = Clock::now() + kPatience;
+  while (!*reply && Clock::now() < end) {
+    scheduler_.turn(kTurn);
+  }
+  if (!*reply || !(*reply)->done()) {
+    throw std::runtime_error("the store is not to be had: " + (*reply ? (*reply)->why : "no answer"));
+  }
+  return (*reply)->value;
+}
+
+std::vector<coordination::Entry> StoreDesk::get(const std::string& stem, bool prefix) {
+  coordination::Transaction read;
+  read.then = {coordination::Get{coordination::Range{options_.prefix + stem, prefix}}};
+  std::vector<coordination::Entry> out = commit(read).steps.at(0).found;
+  for (coordination::Entry& entry : out) {
+    entry.key.erase(0, options_.prefix.size());
+  }
+  return out;
+}
+
+void StoreDesk::pause(Clock::duration time) {
+  const Clock::time_point end = Clock::now() + time;
+  while (Clock::now() < end) {
+    scheduler_.turn(std::min<Clock::duration>(kTurn, end - Clock::now()));
+  }
+}
+
+}  // namespace trailcourse::program
--- a/src/program/work_command.cpp
+++ b/src/program/work_command.cpp
@@ -15,60 +15,20 @@
 #include "duties/reporter.h"
 #include "membership/view.h"
 #include "ownership/work.h"
-#include "program/fleet_work.h"
+#include "program/store_desk.h"
 #include "protocol/numbers.h"
 
 namespace trailcourse::program {
 
 using coordination::Entry;
-using coordination::Outcome;
-using coordination::Reply;
 using coordination::Transaction;
 using nlohmann::json;
 using transport::Clock;
 
 namespace {
 
-constexpr std::chrono::seconds kPatience{5};
 constexpr int kFailed = 1;
 
-// The store, asked one thing after the other.
-class Desk {
- public:
-  explicit Desk(const coordination::CoordinationOptions& options)
-      : options_(options), store_(open_store(scheduler_, options, 1)) {}
-
-  // Throws std::runtime_error where there is no answer.
-  Outcome commit(const Transaction& transaction) {
-    const auto reply = std::make_shared<std::optional<Reply<Outcome>>>();
-    store_->commit(transaction, [reply](const Reply<Outcome>& told) { *reply = told; });
-    const Clock::time_point end = Clock::now() + kPatience;
-    while (!*reply && Clock::now() < end) {
-      scheduler_.turn(std::chrono::milliseconds(20));
-    }
-    if (!*reply || !(*reply)->done()) {
-      throw std::runtime_error("the store is not to be had: " + (*reply ? (*reply)->why : "no answer"));
-    }
-    return (*reply)->value;
-  }
-  std::vector<Entry> get(const std::string& stem, bool prefix = true) {
-    Transaction read;
-    read.then = {coordination::Get{coordination::Range{options_.prefix + stem, prefix}}};
-    std::vector<Entry> out = commit(read).steps.at(0).found;
-    for (Entry& entry : out) {
-      entry.key.erase(0, options_.prefix.size());
-    }
-    return out;
-  }
-  std::string key(const std::string& rest) const { return options_.prefix + rest; }
-  std::uint64_t id() const { return store_->id(); }
-
- private:
-  transport::Scheduler scheduler_;
-  coordination::CoordinationOptions options_;
-  std::unique_ptr<coordination::SharedStore> store_;
-};
-
 struct Row {
   ownership::ShardId id;
   ownership::Owner owner;
@@ -86,7 +46,7 @@
                                : "handed over";
 }
 
-std::map<std::string, std::pair<ownership::Work, std::vector<Row>>> read_all(Desk& desk) {
+std::map<std::string, std::pair<ownership::Work, std::vector<Row>>> read_all(StoreDesk& desk) {
   std::map<std::string, std::pair<ownership::Work, std::vector<Row>>> out;
   for (const Entry& entry : desk.get(ownership::kWork)) {
     if (const auto work = ownership::read_work(entry.key, entry.value)) {
@@ -147,7 +107,7 @@
   out << line << '\n';
 }
 
-int list(Desk& desk, const WorkCommand& command, std::ostream& out) {
+int list(StoreDesk& desk, const WorkCommand& command, std::ostream& out) {
   const auto all = read_all(desk);
   if (command.json) {
     json rows = json::array();
@@ -172,7 +132,7 @@
   return 0;
 }
 
-int show(Desk& desk, const WorkCommand& command, std::ostream& out, std::ostream& errors) {
+int show(StoreDesk& desk, const WorkCommand& command, std::ostream& out, std::ostream& errors) {
   const auto all = read_all(desk);
   const auto found = all.find(command.name);
   if (found == all.end()) {
@@ -197,7 +157,7 @@
 }
 
 // Changes the work's record where it is as it was read.
-int change(Desk& desk, const WorkCommand& command, std::ostream& out, std::ostream& errors) {
+int change(StoreDesk& desk, const WorkCommand& command, std::ostream& out, std::ostream& errors) {
   const std::string key = ownership::kWork + command.name;
   const std::vector<Entry> found = desk.get(key, false);
   std::optional<ownership::Work> work =
@@ -223,7 +183,7 @@
   return 0;
 }
 
-int remove(Desk& desk, const WorkCommand& command, std::ostream& out, std::ostream& errors) {
+int remove(StoreDesk& desk, const WorkCommand& command, std::ostream& out, std::ostream& errors) {
   Transaction write;
   const std::string name = command.name;
   write.then = {coordination::Delete{coordination::Range{desk.key(ownership::kWork + name), false}},
@@ -240,7 +200,7 @@
   return 0;
 }
 
-int hand_over(Desk& desk, const WorkCommand& command, std::ostream& out, std::ostream& errors) {
+int hand_over(StoreDesk& desk, const WorkCommand& command, std::ostream& out, std::ostream& errors) {
   const auto all = read_all(desk);
   const auto found = all.find(command.name);
   if (found == all.end()) {
@@ -289,7 +249,7 @@
   return now.count() + static_cast<std::int64_t>(*seconds * 1e3);
 }
 
-int add(Desk& desk, const WorkCommand& command, std::ostream& out, std::ostream& errors) {
+int add(StoreDesk& desk, const WorkCommand& command, std::ostream& out, std::ostream& errors) {
   ownership::Work work;
   work.name = command.name;
   work.kind = command.kind;
@@ -335,7 +295,7 @@
   return 0;
 }
 
-int report(Desk& desk, const WorkCommand& command, std::ostream& out, std::ostream& errors) {
+int report(StoreDesk& desk, const WorkCommand& command, std::ostream& out, std::ostream& errors) {
   const std::vector<Entry> found = desk.get(duties::kReport, false);
   const json text = found.empty() ? json() : json::parse(found.front().value, nullptr, false);
   if (!text.is_object()) {
@@ -356,7 +316,7 @@
   return 0;
 }
 
-int members(Desk& desk, const WorkCommand& command, std::ostream& out) {
+int members(StoreDesk& desk, const WorkCommand& command, std::ostream& out) {
   membership::View view{membership::ViewRules{}};
   const Micros now = std::chrono::duration_cast<Micros>(Clock::now().time_since_epoch());
   for (const char* stem : {membership::kMembers, membership::kDoubts}) {
@@ -394,7 +354,7 @@
 
 int run_work_command(const WorkCommand& command, std::ostream& out, std::ostream& errors) {
   try {
-    Desk desk(command.store);
+    StoreDesk desk(command.store);
     if (command.action == "list") {
       return list(desk, command, out);
     }
--- a/src/routing/front.cpp
+++ b/src/routing/front.cpp
@@ -49,7 +49,7 @@
 
   void served(std::string body, bool same, const ServedBy& by) override {
     if (const auto session = session_.lock()) {
-      session->append(key_, head(same, traced_ ? via(by) : ""));
+      session->append(key_, head(same, traced_ ? via(by) + rule_ : ""));
       session->append(key_, std::move(body));
       session->end(key_, fastcgi::ProtocolStatus::kRequestComplete, 0);
     }
@@ -60,12 +60,15 @@
       text += "X-Come-Back-Ms: " +
               std::to_string(std::chrono::ceil<std::chrono::milliseconds>(retry_after).count()) + "\r\n";
     }
-    whole(text + "\r\n");
+    whole(text + rule_ + "\r\n");
+  }
+  void failed() override { whole(cgi_head(502, "Bad Gateway") + rule_ + "\r\n"); }
+  void ruled(const std::string& words, Micros when) override {
+    rule_ = traced_ ? "X-Policy: " + words + "; " + std::to_string(when.count()) + "\r\n" : "";
   }
-  void failed() override { whole(cgi_head(502, "Bad Gateway") + "\r\n"); }
   void begin(bool same) override {
     if (const auto session = session_.lock()) {
-      session->append(key_, head(same));
+      session->append(key_, head(same, rule_));
     }
   }
   void piece(std::string_view bytes) override {
@@ -99,6 +102,7 @@
   std::weak_ptr<FrontSession> session_;
   fastcgi::RequestKey key_;
   bool traced_;
+  std::string rule_;  // a line of the head, for those who trace
 };
 
 std::string field(const fastcgi::Parameters& parameters, std::string_view name) {
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -15,8 +15,16 @@
 RequestId Router::arrive(ClientRequest request, std::shared_ptr<Reply> reply) {
   // Beyond the bounds memory is not safe. Nothing was sent for this one, so trying again is harmless.
   ++counts_.requests;
+  Rule rule;
+  rule.request_class = request.told.request_class;
+  if (ruler_) {
+    rule = ruler_(request.told.request_class);
+    reply->ruled(rule.words, std::chrono::duration_cast<Micros>(transport::Clock::now().time_since_epoch()));
+  }
+  const std::size_t most_open =
+      rule.open_requests > 0 ? std::min(rule.open_requests, bounds_.open) : bounds_.open;
   const std::size_t bytes = request.body_bytes + bounds_.request_bytes;
-  if (open_ >= bounds_.open || held_bytes_ + bytes > bounds_.bytes) {
+  if (rule.refuse || open_ >= most_open || held_bytes_ + bytes > bounds_.bytes) {
     ++counts_.refused;
     reply->refused(Micros(0));
     return 0;
@@ -25,7 +33,9 @@
   Held& held = held_[id];
   held.passed = std::move(request.passed);
   held.reply = std::move(reply);
-  held.request_class = request.told.request_class;
+  request.told.request_class = rule.request_class;
+  held.request_class = rule.request_class;
+  held.retry_after_most = rule.retry_after_most;
   held.bytes = bytes;
   held_bytes_ += bytes;
   ++open_;
@@ -35,6 +45,13 @@
   return id;
 }
 
+void Router::set_classes(const ClassesSet& set) {
+  classes_.resize(std::max(classes_.size(), set.first + set.classes.size()));
+  std::copy(set.classes.begin(), set.classes.end(),
+            classes_.begin() + static_cast<std::ptrdiff_t>(set.first));
+  tell(set);
+}
+
 void Router::leave(RequestId id) {
   Held* held = find(id);
   if (held == nullptr || !held->reply) {
@@ -215,7 +232,9 @@
 void Router::perform(const Refuse& refuse) {
   if (Held* held = find(refuse.id); held != nullptr && held->reply) {
     ++counts_.refused;
-    close(*held)->refused(refuse.retry_after);
+    const bool cut = held->retry_after_most >= Micros(0);
+    const Micros wait = cut ? std::min(refuse.retry_after, held->retry_after_most) : refuse.retry_after;
+    close(*held)->refused(wait);
     forget_if_over(refuse.id);
   }
 }
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -48,6 +48,17 @@
   virtual void begin(bool same) = 0;
   virtual void piece(std::string_view bytes) = 0;
   virtual void finish(bool whole) = 0;
+  // Under what it is decided, and when by the steady clock: told before any of these, where a policy rules.
+  virtual void ruled(const std::string&, Micros) {}
+};
+
+// What a policy makes of a request that arrives now (policy/holder.h).
+struct Rule {
+  bool refuse = false;            // at once: nobody says under what it could be decided
+  int request_class = 0;          // among the module's, of the version that rules
+  std::size_t open_requests = 0;  // at once; 0: as the router's own bound
+  Micros retry_after_most{-1};    // that it may be told; negative: as the module says
+  std::string words;              // the version, "A+B" for what both allow, "-" for none
 };
 
 struct AttemptKey {
@@ -106,6 +117,11 @@
         bounds_(bounds) {}
 
   void use(Upstream& upstream) { upstream_ = &upstream; }
+  // Asked for each request as it arrives; it then goes by that to its end.
+  using Ruler = std::function<Rule(int request_class)>;
+  void rule_by(Ruler ruler) { ruler_ = std::move(ruler); }
+  // Further classes of the module's (decider.h).
+  void set_classes(const ClassesSet& set);
 
   // Takes a request in; 0 where it was answered at once because the bound on open ones is reached.
   RequestId arrive(ClientRequest request, std::shared_ptr<Reply> reply);
@@ -148,6 +164,7 @@
     int streaming = -1;  // the attempt whose answer is being passed on
     int request_class = 0;
     std::size_t bytes = 0;
+    Micros retry_after_most{-1};
   };
 
   void tell(Event event);
@@ -182,6 +199,7 @@
   bool telling_ = false;
   RouterCounts counts_;
   AttemptWatch attempt_watch_;
+  Ruler ruler_;
 };
 
 }  // namespace trailcourse::routing
