--- a/tests/fleet/policy_test.cpp
+++ b/tests/fleet/policy_test.cpp
@@ -100,9 +100,9 @@
   // A draft with this worth, as a file.
   std::string draft(double worth, const std::string& more = "") {
     const std::string path = rig.folder() + "/draft.json";
-    std::ofstream(path)
-        << R"({"schema":1,"author":"ops","reason":"test","content":{"classes":{"media":{"objective_ms":2000,"give_up_ms":6000,"worth":)"
-        << worth << "}}" << more << "}}";
+    std::ofstream(path) << R"({"schema":1,"author":"ops","reason":"test","content":{"classes":{"media":)"
+                        << R"({"objective_ms":2000,"give_up_ms":6000,"worth":)" << worth << "}}" << more
+                        << "}}";
     return path;
   }
   int propose(double worth, bool urgent = false, const std::string& more = "") {
