--- a/benchmarks/ownership_bench.cpp
+++ b/benchmarks/ownership_bench.cpp
@@ -540,6 +540,7 @@
       "takeover", "rounds of each fault", cxxopts::value<int>()->default_value("0"))(
       "candidates", "routers of --takeover", cxxopts::value<int>()->default_value("30"))(
       "rest", "sizes of the fleet", cxxopts::value<std::vector<int>>())("moves", "shards that move")(
+      "policy", "sizes of the fleet", cxxopts::value<std::vector<int>>())(
       "schedules", "so many drawn ones", cxxopts::value<int>()->default_value("0"))(
       "seed", "the first", cxxopts::value<std::uint64_t>()->default_value("1"))("h,help", "this");
   const cxxopts::ParseResult parsed = options.parse(count, words);
