Read the leases of a ledger's file in one place

Need: the same loop over the table of leases stood twice, where the ledger is read anew and where it follows others. Change: both call read_leases; behaviour is the same.

--- a/src/coordination/ledger_file.cpp
+++ b/src/coordination/ledger_file.cpp
@@ -42,6 +42,16 @@
       .run();
 }
 
+std::map<LeaseId, Lease> read_leases(const Database& database) {
+  std::map<LeaseId, Lease> out;
+  Statement held(database.get(), "SELECT id, ttl, ends FROM leases");
+  while (held.step()) {
+    out[held.number(0)] =
+        Lease{static_cast<std::int64_t>(held.number(1)), static_cast<std::int64_t>(held.number(2))};
+  }
+  return out;
+}
+
 // Rolled back unless it was committed.
 class Write {
  public:
@@ -123,13 +133,7 @@
   ledger_.restore(std::move(entries), std::stoull(meta(database_, "revision")));
   Statement last(database_.get(), "SELECT ifnull(max(seq), 0) FROM events");
   followed_ = last.step() ? last.number(0) : 0;
-  std::map<LeaseId, Lease> leases;
-  Statement held(database_.get(), "SELECT id, ttl, ends FROM leases");
-  while (held.step()) {
-    leases[held.number(0)] =
-        Lease{static_cast<std::int64_t>(held.number(1)), static_cast<std::int64_t>(held.number(2))};
-  }
-  ledger_.set_leases(std::move(leases));
+  ledger_.set_leases(read_leases(database_));
   loaded_ = true;
 }
 
@@ -150,13 +154,7 @@
                                             events.number(5), events.number(6), events.number(7)}});
     followed_ = events.number(0);
   }
-  std::map<LeaseId, Lease> leases;
-  Statement held(database_.get(), "SELECT id, ttl, ends FROM leases");
-  while (held.step()) {
-    leases[held.number(0)] =
-        Lease{static_cast<std::int64_t>(held.number(1)), static_cast<std::int64_t>(held.number(2))};
-  }
-  ledger_.set_leases(std::move(leases));
+  ledger_.set_leases(read_leases(database_));
 }
 
 void LedgerFile::keep(const std::map<LeaseId, Lease>& leases_before) {
