Cold budgets by time slots that lie evenly over all routers, and are void after a restart

Cause: each router drew the phase of its turns at a cold node by itself and sized them by the mean of the few sizes that it had seen. Where a turn is larger than the router's part of the budget, the sum over routers was that of independent draws, and a small mean (most of few sizes of a long tail lie under it) raised it further. decide.cpp, cold_budget_allows and start_afresh.

Now: a slot a router, by SelfIndex and the node's start and name, in steps of half an octave; a slot that began before the router knew of the start is void; the mean is raised by one over the root of what was seen.

--- a/include/trailcourse/decider.h
+++ b/include/trailcourse/decider.h
@@ -73,7 +73,7 @@
 };
 
 struct Settings {
-  int self_index = 0;
+  int self_index = -1;  // among all routers; negative: not told
   int routers = 1;
   std::string zone;
   int routers_in_zone = 1;
--- a/src/decision/decide.cpp
+++ b/src/decision/decide.cpp
@@ -45,10 +45,13 @@
 constexpr Micros kPurgeMargin = seconds(1);     // past the stated end of dropping, against late clocks
 constexpr Micros kGuardLead = milliseconds(3);  // final answers leave this long before the client's own end
 constexpr Micros kSpanMargin = milliseconds(100);  // a keyed repeat must arrive inside the memory span
-constexpr double kColdRate = 0.55;                 // of the overload budget, spread evenly over its span
-constexpr double kColdBurst = 0.2;                 // of the overload budget, at once
-constexpr double kColdTurn = 0.8;                  // of the span that a turn stays open
-constexpr double kColdCostMargin = 1.15;           // the true mean sending time may be above the seen one
+constexpr double kColdRate = 0.7;    // of the overload budget, over all time slots of all routers
+constexpr double kColdSlot = 1.0;    // of the span that a time slot stays open
+constexpr double kColdLeast = 0.25;  // of the span from one time slot of a router to its next, or more
+constexpr double kColdPaid = 0.999;  // of a period: the next slot is not lost to rounding
+constexpr double kColdStep = 0.5;    // octaves: one figure for all routers whose means differ a little
+constexpr double kColdDoubt = 1.0;   // of the mean sending time, over the root of the requests seen
+constexpr double kGoldenPart = 0.6180339887498949;  // its multiples lie evenly, whatever their number
 
 // Load.
 constexpr double kBusyLoad = 1.0;    // transfers over capacity below which nothing is shed
@@ -107,6 +110,7 @@
   Impl(Settings settings, std::uint64_t seed)
       : settings_(std::move(settings)),
         random_(seed),
+        cold_phase_(settings_.self_index >= 0 ? settings_.self_index * kGoldenPart : unit(seed)),
         purges_(kMaxPurges, settings_.purge_done + kPurgeMargin),
         mean_work_(settings_.classes.size()) {}
 
@@ -146,8 +150,7 @@
   }
 
   void start_afresh(Node& node) {
-    node = Node{.entry = {}, .hash = node.hash, .in_flight = node.in_flight, .cold_at = now_};
-    node.cold_tokens = -drawn(0.0, 1.0);
+    node = Node{.entry = {}, .hash = node.hash, .in_flight = node.in_flight, .cold_until = now_};
   }
 
   Node& at(int index) { return nodes_.at(index); }
@@ -167,27 +170,33 @@
     return std::min(1.0, std::max(from, 0.01) + (1.0 - from) * age / span);
   }
 
-  // Whether `cost` seconds of sending fit this router's part of the node's budget now. Where many routers
-  // make that part's burst smaller than one request, they take turns, each from a drawn start; a turn unused
-  // for a part of the span is lost. So the node is used, and even all turns open at once fit its budget.
+  // Whether `cost` seconds of sending fit this router's time slot at the node. The slots of all routers lie
+  // evenly over time, by their index and the node's start, which all know alike, so that their sum is even in
+  // every window; a slot holds what one request may need, and comes as often as that fits the budget. One
+  // that began before this router knew of the start may have been used by its last run: it is void.
   bool cold_budget_allows(Node& node, double cost) {
     const double share = cold_share(node);
-    if (share >= 1.0) {
-      return true;
-    }
     const bool parent = node.entry.role == Role::kParent;
     const double factor = parent ? settings_.parent_overload_factor : settings_.overload_factor;
     const int routers = std::max(1, parent ? settings_.routers : settings_.routers_in_zone);
-    const double budget = factor * share * node.transfers / routers;
+    const double rate = kColdRate * factor * share * node.transfers / routers;
     const double span = to_seconds(settings_.overload_span);
-    const double burst = kColdBurst * budget * span;
-    const double turn = kColdCostMargin * dearest_work();
-    const double start = node.cold_tokens < 0.0 ? -node.cold_tokens * turn : node.cold_tokens;
-    const double raised = start + kColdRate * budget * to_seconds(now_ - node.cold_at);
-    node.cold_tokens = burst < turn ? std::fmod(raised, turn + kColdTurn * kColdRate * budget * span)
-                                    : std::min(burst, raised);
-    node.cold_at = now_;
-    return node.cold_tokens >= cost;
+    if (share >= 1.0 || rate <= 0.0 || span <= 0.0) {
+      return true;
+    }
+    const double octaves = std::log2(dearest_work() / (rate * kColdLeast * span));
+    const double period =
+        kColdLeast * span * std::exp2(kColdStep * std::ceil(std::max(0.0, octaves) / kColdStep));
+    const double age = std::max(0.0, to_seconds(now_ - node.entry.started));
+    const double phase = cold_phase_ + unit(node.hash);
+    const double into = period * (age / period + phase - std::floor(age / period + phase));
+    const Micros begin = now_ - from_seconds(into);
+    if (begin >= node.cold_until) {
+      node.cold_begin = begin;
+      node.cold_until = begin + from_seconds(kColdPaid * period);
+      node.cold_tokens = rate * period;
+    }
+    return node.cold_tokens >= cost && now_ < node.cold_begin + from_seconds(kColdSlot * span);
   }
 
   double take_cold_budget(Node& node, double cost) const {
@@ -196,13 +205,20 @@
     return taken;
   }
 
-  double cold_cost(const Request& request) const { return kColdCostMargin * class_work(request); }
+  // What is not spent yet of the slot that it was taken from, where a hit shows that the source was not
+  // asked.
+  void give_cold_budget_back(Node& node, const Attempt& attempt) const {
+    node.cold_tokens += attempt.sent >= node.cold_begin ? attempt.cold_cost : 0.0;
+  }
 
+  double cold_cost(const Request& request) const {
+    return mean_work_[static_cast<std::size_t>(request.told.request_class)].surely(kDefaultWork, kColdDoubt);
+  }
   double class_work(const Request& request) const {
     return mean_work_[static_cast<std::size_t>(request.told.request_class)].value(kDefaultWork);
   }
   double dearest_work() const {
-    const auto work = [](const Mean& mean) { return mean.value(kDefaultWork); };
+    const auto work = [](const Mean& mean) { return mean.surely(kDefaultWork, kColdDoubt); };
     return mean_work_.empty() ? kDefaultWork : std::ranges::max(mean_work_ | std::views::transform(work));
   }
 
@@ -620,7 +636,9 @@
     node.refuses = node.unreachable && ended.latency < kAtOnce;
     node.trial_out &= !attempt.trial;
     source.trial_out &= !attempt.source_trial;
-    source.cold_tokens += shows_hit(ended.note) ? attempt.cold_cost : 0.0;
+    if (shows_hit(ended.note)) {
+      give_cold_budget_back(source, attempt);
+    }
     learn_load(node, ended.load);
     learn_fill(request, attempt, ended);
     if (ended.status == Status::kOk) {
@@ -862,6 +880,7 @@
 
   Settings settings_;
   std::mt19937_64 random_;
+  double cold_phase_;  // of a period; drawn where the settings tell no index
   Micros now_{0};
   std::vector<Action>* out_ = nullptr;
   NodeTable nodes_{kMaxNodes};
--- a/src/decision/state.h
+++ b/src/decision/state.h
@@ -30,8 +30,9 @@
   bool trial_out = false;
   bool unreachable = false;  // the last attempt there found no connection
   bool refuses = false;      // and was told so at once: the machine lives, the process does not
-  double cold_tokens = 0.0;  // below 0: its drawn start, a share of one turn
-  Micros cold_at{0};
+  double cold_tokens = 0.0;  // seconds of sending left of this router's time slot there
+  Micros cold_begin{0};      // of that slot
+  Micros cold_until{0};      // the next one begins no sooner
 };
 
 struct Entry {
--- a/src/decision/tally.h
+++ b/src/decision/tally.h
@@ -4,6 +4,7 @@
 #include <trailcourse/decider.h>
 
 #include <algorithm>
+#include <cmath>
 
 #include "hashing.h"
 
@@ -17,6 +18,10 @@
     count_ += 1.0;
   }
   double value(double otherwise) const { return count_ > 0.0 ? sum_ / count_ : otherwise; }
+  // The same, raised for a mean of few: where sizes have a long tail most of few lie under their mean.
+  double surely(double otherwise, double doubt) const {
+    return value(otherwise) * (1.0 + doubt / std::sqrt(1.0 + count_));
+  }
 
  private:
   double sum_ = 0.0;
--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -105,7 +105,7 @@
   Settings& settings = profile.settings;
   const json& extra = section(source, "Extra");
   settings.zone = word_at(source, "Az", "");
-  settings.self_index = small_at(source, "SelfIndex", 0);
+  settings.self_index = small_at(source, "SelfIndex", -1);
   settings.routers = small_at(source, "Balancers", 1);
   settings.must_ask_for_list = word_at(source, "Discovery", "push") == "ask";
   settings.weights_are_sizes = look_up(kSizedWeightWords, word_at(source, "Weights", "none"));
