Judge an attempt once more just before its first byte, and read to the end before a close

Cause, by reading: an attempt was judged when it was decided on and then waited in a connection's queue (coming up, or blocked): a client that left where the settings allow no cancel, a drain, a purge, the end of a keyed window or of a cold node's time slot did not reach it (connection.cpp flush, cache_client.cpp send). A connection was closed over unread bytes, which resets it (connection.cpp finish); a request lying unread on a resting one, or half of one at the end of a drain, was lost (front.cpp free_client, reap; serve.cpp drain). A send on a connection that the cache had ended already counted as one that may have run. SAME to a request that named no copy was believed.

Now: Decider::may_begin is the one place; the connection asks it before the first byte, and also looks whether the other side has ended it. Closes from here shut down the writing half and read on for 500 ms at most. Requests of a client that has hung up are not sent on.

--- a/include/trailcourse/decider.h
+++ b/include/trailcourse/decider.h
@@ -223,6 +223,11 @@
   // order.
   void handle(Micros now, const Event& event, std::vector<Action>& out);
 
+  // Whether an attempt ordered before may go out: asked by whoever holds it, just before its first byte. What
+  // was decided on may have changed while it waited, as for a connection that comes up late. Where the answer
+  // is no, not a byte goes out, and the attempt ends as kMoot.
+  bool may_begin(Micros now, RequestId id, int attempt);
+
  private:
   class Impl;
   std::unique_ptr<Impl> impl_;
--- a/src/decision/decide.cpp
+++ b/src/decision/decide.cpp
@@ -120,6 +120,21 @@
     std::visit([this](const auto& one) { on(one); }, event);
   }
 
+  // The one place where client, deadline, drain, purge, effect and cold budget are judged once more.
+  bool may_begin(Micros now, RequestId id, int place) {
+    now_ = std::max(now_, now);
+    const Request* request = requests_.open(id);
+    if (request == nullptr || request->streaming || now_ + kGuardLead >= request->told.due) {
+      return false;
+    }
+    const Attempt& attempt = request->attempts.at(static_cast<std::size_t>(place));
+    const Micros purge = last_purge(*request);
+    const bool old = purge >= Micros(0) && (attempt.age == Micros(0) || attempt.sent - attempt.age < purge);
+    return !attempt.done && !(cacheable(*request) && old) && may_go_to(at(attempt.node), attempt) &&
+           (!attempt.fills() || may_go_to(at(attempt.source), attempt)) &&
+           may_send(*request, at(attempt.node), &attempt);
+  }
+
  private:
   // ---- The list: drains and removals bind at once, as target and as source. ----
 
@@ -150,7 +165,8 @@
   }
 
   void start_afresh(Node& node) {
-    node = Node{.entry = {}, .hash = node.hash, .in_flight = node.in_flight, .cold_until = now_};
+    node = Node{
+        .entry = {}, .hash = node.hash, .in_flight = node.in_flight, .known_at = now_, .cold_until = now_};
   }
 
   Node& at(int index) { return nodes_.at(index); }
@@ -170,6 +186,13 @@
     return std::min(1.0, std::max(from, 0.01) + (1.0 - from) * age / span);
   }
 
+  // Whether a budget binds there: none does where the settings name no multiple or no span of time.
+  bool cold(const Node& node) const {
+    const bool parent = node.entry.role == Role::kParent;
+    const double factor = parent ? settings_.parent_overload_factor : settings_.overload_factor;
+    return cold_share(node) < 1.0 && factor > 0.0 && settings_.overload_span > Micros(0);
+  }
+
   // Whether `cost` seconds of sending fit this router's time slot at the node. The slots of all routers lie
   // evenly over time, by their index and the node's start, which all know alike, so that their sum is even in
   // every window; a slot holds what one request may need, and comes as often as that fits the budget. One
@@ -181,7 +204,7 @@
     const int routers = std::max(1, parent ? settings_.routers : settings_.routers_in_zone);
     const double rate = kColdRate * factor * share * node.transfers / routers;
     const double span = to_seconds(settings_.overload_span);
-    if (share >= 1.0 || rate <= 0.0 || span <= 0.0) {
+    if (!cold(node)) {
       return true;
     }
     const double octaves = std::log2(dearest_work() / (rate * kColdLeast * span));
@@ -200,11 +223,18 @@
   }
 
   double take_cold_budget(Node& node, double cost) const {
-    const double taken = cold_share(node) < 1.0 ? cost : 0.0;
+    const double taken = cold(node) ? cost : 0.0;
     node.cold_tokens -= taken;
     return taken;
   }
 
+  // Listed as it was when the attempt was decided on, and warm, or in the slot that paid for the attempt.
+  bool may_go_to(const Node& node, const Attempt& attempt) const {
+    const Micros end = node.cold_begin + from_seconds(kColdSlot * to_seconds(settings_.overload_span));
+    const bool paid = attempt.sent >= node.cold_begin && node.cold_begin > Micros(0) && now_ < end;
+    return node.listed && node.known_at <= attempt.sent && (paid || !cold(node));
+  }
+
   // What is not spent yet of the slot that it was taken from, where a hit shows that the source was not
   // asked.
   void give_cold_budget_back(Node& node, const Attempt& attempt) const {
@@ -233,12 +263,17 @@
     purges_.add(name, made, now_);
   }
 
+  // Negative: none binds.
+  Micros last_purge(const Request& request) const {
+    return std::max(purges_.last(group_name(request.told.purge_group), now_),
+                    purges_.last(object_name(request.told.object), now_));
+  }
+
   // The oldest copy that will do, up to `stale` past its fresh time; zero where any age is good.
   Micros oldest_copy(const Request& request, bool stale) const {
     const ClassSettings& type = class_of(request);
     Micros age = type.lifetime.count() > 0 && stale ? type.lifetime + type.grace : type.lifetime;
-    const Micros purge = std::max(purges_.last(group_name(request.told.purge_group), now_),
-                                  purges_.last(object_name(request.told.object), now_));
+    const Micros purge = last_purge(request);
     if (purge >= Micros(0)) {
       const Micros since = std::max(Micros(1), now_ - purge - Micros(1));
       age = age.count() > 0 ? std::min(age, since) : since;
@@ -260,20 +295,22 @@
     return type.effect == Effect::kSafe || keyed_everywhere || request.all_proven();
   }
 
-  bool may_send(const Request& request, const Node& node) const {
+  // `own`: the attempt in question, where it is among the request's already.
+  bool may_send(const Request& request, const Node& node, const Attempt* own = nullptr) const {
     const ClassSettings& type = class_of(request);
-    if (!settings_.parallel_tries && request.in_flight()) {
-      return false;
-    }
-    if (type.effect != Effect::kKeyed) {
-      return type.effect == Effect::kSafe || request.all_proven();
-    }
     return std::all_of(request.attempts.begin(), request.attempts.end(), [&](const Attempt& attempt) {
+      if (&attempt == own || (attempt.done && attempt.proven)) {
+        return true;
+      }
+      const bool beside = attempt.done || settings_.parallel_tries;
+      if (!beside || type.effect != Effect::kKeyed) {
+        return beside && type.effect == Effect::kSafe;
+      }
       const NodeEntry& before = at(attempt.node).entry;
       const bool same_group = type.group == RepeatGroup::kAll ||
                               (type.group == RepeatGroup::kZone && before.zone == node.entry.zone) ||
                               (type.group == RepeatGroup::kCell && before.cell == node.entry.cell);
-      return attempt.proven || (same_group && now_ + kSpanMargin < attempt.sent + type.memory_span);
+      return same_group && now_ + kSpanMargin < attempt.sent + type.memory_span;
     });
   }
 
@@ -473,7 +510,9 @@
     ++node.in_flight;
     fill_out_ += attempt.fill_work;
     attempt.overdue_at = now_ + from_seconds(kPatienceBase + kPatienceStretch * expected(request, node));
-    out_->push_back(order_for(request, attempt));
+    const Send order = order_for(request, attempt);
+    attempt.age = order.age;
+    out_->push_back(order);
     request.attempts.push_back(attempt);
     if (class_of(request).effect == Effect::kSafe) {
       set_timer(request, kPatience, attempt.overdue_at - now_);
@@ -542,7 +581,8 @@
     fill_out_ = std::max(0.0, fill_out_ - attempt.fill_work);
     const bool left = attempt.avoid_node || attempt.avoid_source;  // called off for another: blamed by itself
     const bool not_the_fill = (ended.status == Status::kCancelled && (left || on_time(request))) ||
-                              ended.status == Status::kReset || ended.status == Status::kConnectFailed;
+                              ended.status == Status::kReset || ended.status == Status::kConnectFailed ||
+                              ended.status == Status::kMoot;
     if (attempt.fill_work <= 0.0 || not_the_fill || shows_hit(ended.note)) {
       return;
     }
@@ -621,7 +661,9 @@
     const bool closed_to_retry = class_of(request).effect == Effect::kUnsafe && !request.all_proven();
     const bool not_held = last.held_only && (status == Status::kMiss || status == Status::kFull);
     const bool refused_fill = last.fills() && status == Status::kFull && cacheable(request);
-    if (closed_to_retry || (refused_fill && fills_fail()) || (!not_held && !retry_tokens_.spend())) {
+    const bool unsent = status == Status::kMoot;
+    if (closed_to_retry || (refused_fill && fills_fail()) ||
+        (!not_held && !unsent && !retry_tokens_.spend())) {
       give_up(request);
     } else {
       attempt_or_give_up(request);
@@ -906,5 +948,6 @@
 void Decider::handle(Micros now, const Event& event, std::vector<Action>& out) {
   impl_->handle(now, event, out);
 }
+bool Decider::may_begin(Micros now, RequestId id, int attempt) { return impl_->may_begin(now, id, attempt); }
 
 }  // namespace trailcourse
--- a/src/decision/state.h
+++ b/src/decision/state.h
@@ -18,6 +18,7 @@
   bool listed = false;     // ready in the list held now
   double transfers = 1.0;  // what it can send at full pace at once
   int in_flight = 0;
+  Micros known_at{0};   // this router knows of this start of it since
   double others = 0.0;  // requests that other routers hold there
   Micros last_good{-1};
   double streak = 0.0;
@@ -63,6 +64,7 @@
   int source = -1;  // the node itself: no fill
   Micros sent{0};
   Micros overdue_at{0};
+  Micros age{0};           // the oldest copy that it takes; 0: any
   double cold_cost = 0.0;  // from the source's cold budget, given back if a hit shows it was not asked
   double fill_work = 0.0;  // held in the miss window
   bool held_only = false;  // no fill beyond what the source holds
--- a/src/program/configuration.cpp
+++ b/src/program/configuration.cpp
@@ -283,10 +283,13 @@
 }
 
 int Configuration::most_cache_connections() const {
-  return static_cast<int>(
-      std::max<std::int64_t>(8, sockets - static_cast<std::int64_t>(most_clients()) - kReservedSockets));
+  return static_cast<int>(std::max<std::int64_t>(8, sockets - static_cast<std::int64_t>(most_clients()) -
+                                                        kReservedSockets -
+                                                        std::int64_t{2} * most_lingering()));
 }
 
+int Configuration::most_lingering() const { return static_cast<int>(sockets / 32); }
+
 Configuration read_configuration(const Sources& sources) {
   Configuration out;
   const std::optional<std::string> told_file = variable(sources, "NODE_CONFIG");
--- a/src/program/configuration.h
+++ b/src/program/configuration.h
@@ -77,6 +77,7 @@
   std::size_t part_of_memory(std::int64_t part) const;
   std::size_t most_clients() const;  // connections
   int most_cache_connections() const;
+  int most_lingering() const;  // connections that were closed here, of clients and of caches each
   std::chrono::milliseconds drain_answer() const;  // after SIGTERM; what is open then is failed
 };
 
--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -36,6 +36,9 @@
 constexpr milliseconds kDrainCheck{10};
 constexpr milliseconds kLetGo{800};
 constexpr milliseconds kFlush{300};             // for the last answers, where a client is slow to take them
+constexpr milliseconds kHalfSaid{500};          // for the rest of a request of which some has come
+constexpr milliseconds kLinger{500};            // for the other side of a connection that was closed here
+constexpr milliseconds kFarewell{200};          // the same, at the end of the program
 constexpr milliseconds kDefaultConnect{1'000};  // where the settings tell none
 constexpr milliseconds kDefaultIdle{15'000};
 constexpr int kDefaultStreams = 32;
@@ -52,6 +55,9 @@
   bounds.pool.idle = idle / 2;
   bounds.pool.connection.connect_timeout =
       profile.connect_timeout.count() > 0 ? profile.connect_timeout : Micros(kDefaultConnect);
+  bounds.pool.connection.linger = kLinger;
+  bounds.pool.connection.lingering = std::make_shared<transport::Lingering>();
+  bounds.pool.connection.lingering->most = configuration.most_lingering();
   bounds.silent_after = milliseconds(tuning.cache_silent_ms);
   bounds.stall_after = milliseconds(tuning.cache_stall_ms);
   bounds.most_partial = configuration.most_answer_bytes();
@@ -84,6 +90,10 @@
   bounds.connection.stall_timeout = milliseconds(tuning.client_stall_ms);
   bounds.connection.low_mark = static_cast<std::size_t>(tuning.write_low_mark);
   bounds.connection.send_buffer = static_cast<int>(tuning.client_send_buffer);
+  bounds.connection.end_on_hang_up = true;
+  bounds.connection.linger = kLinger;
+  bounds.connection.lingering = std::make_shared<transport::Lingering>();
+  bounds.connection.lingering->most = configuration.most_lingering();
   return bounds;
 }
 
@@ -102,7 +112,8 @@
       log_line(Level::kWarning) << router.open_requests() << " requests failed: the time to drain is over";
       router.fail_open();
     }
-    const bool ceased = since >= linger && Clock::now() - front.last_arrival() >= quiet;
+    const bool awaited = front.half_said() && since < linger + kHalfSaid;
+    const bool ceased = since >= linger && Clock::now() - front.last_arrival() >= quiet && !awaited;
     const bool answered = router.open_requests() == 0 && front.quiet();
     // What it owns of the fleet's work is given back meanwhile; a store that does not answer is not waited
     // for.
@@ -110,12 +121,16 @@
       work.leave();
     }
     const bool let_go = (work.drained() && work.left()) || since >= kLetGo;
-    if ((ceased && answered && let_go) || since >= longest + kFlush) {
+    if ((ceased && answered && let_go && front.settled()) || since >= longest + kFlush) {
       break;
     }
     co_await scheduler.sleep(kDrainCheck);
   }
   front.close_all();
+  const Clock::time_point closed = Clock::now();
+  while (front.lingering() && Clock::now() - closed < kFarewell) {
+    co_await scheduler.sleep(kDrainCheck);
+  }
   log_line(Level::kInfo) << "drained, ending";
   scheduler.stop();
 }
@@ -211,6 +226,9 @@
         decider.handle(now, event, out);
       },
       router_bounds(configuration));
+  router.begin_by([&decider](Micros now, RequestId request, int attempt) {
+    return decider.may_begin(now, request, attempt);
+  });
   routing::Directory directory;
   routing::CacheClient caches(scheduler, router, directory, profile.report_fields,
                               cache_bounds(configuration, start));
--- a/src/routing/cache_client.cpp
+++ b/src/routing/cache_client.cpp
@@ -1,5 +1,6 @@
 #include "routing/cache_client.h"
 
+#include <algorithm>
 #include <utility>
 #include <variant>
 
@@ -39,13 +40,35 @@
 CacheLink::CacheLink(CacheClient& client, const std::weak_ptr<Pool::Slot>& slot)
     : client_(client), slot_(slot), parser_(client.bounds_.answers) {}
 
-void CacheLink::send(const AttemptKey& key, const std::string& id, std::string command, bool streaming) {
+void CacheLink::send(const AttemptKey& key, const protocol::Passed& passed, std::string command,
+                     bool streaming) {
   const std::shared_ptr<Pool::Slot> slot = slot_.lock();
-  Call& call = calls_[id];
+  Call& call = calls_[passed.id];
   call.key = key;
   call.sent = Clock::now();
   call.streaming = streaming;
-  call.token = slot->connection->write(std::move(command));
+  call.tagged = !passed.held_tag.empty();
+  call.token = slot->connection->write(std::move(command),
+                                       [&router = client_.router_, key] { return router.may_begin(key); });
+}
+
+// Not a byte of it has left, and none will.
+void CacheLink::on_withheld(std::uint64_t token) {
+  const auto found = std::find_if(calls_.begin(), calls_.end(),
+                                  [token](const auto& one) { return one.second.token == token; });
+  const std::shared_ptr<Pool::Slot> slot = slot_.lock();
+  if (found == calls_.end()) {
+    return;  // given up meanwhile
+  }
+  const AttemptKey key = found->second.key;
+  calls_.erase(found);
+  client_.places_.erase(key);
+  if (slot) {
+    client_.pool_.give_back(slot);
+  }
+  AttemptResult result;
+  result.status = Status::kMoot;
+  client_.router_.attempt_ended(key, std::move(result));
 }
 
 void CacheLink::cancel(const std::string& id) {
@@ -170,7 +193,10 @@
   count(0);
   const std::optional<AnswerWord> word =
       words_.size() == kWithoutBody ? protocol::answer_word(words_[1]) : std::nullopt;
-  if (!word || (*word == AnswerWord::kSame && !body_.empty())) {
+  // A client's copy that was not named to the cache cannot be the one.
+  const auto call = words_.empty() ? calls_.end() : calls_.find(words_[0]);
+  const bool same = word && *word == AnswerWord::kSame;
+  if (!word || (same && (!body_.empty() || (call != calls_.end() && !call->second.tagged)))) {
     end_unreadable("an answer in unknown words");
     return;
   }
@@ -264,7 +290,7 @@
     return;
   }
   places_[key] = Place{slot->link, request->id};
-  slot->link->send(key, request->id, protocol::write_serve(*request, order), streaming);
+  slot->link->send(key, *request, protocol::write_serve(*request, order), streaming);
 }
 
 void CacheClient::cancel(const AttemptKey& key) {
--- a/src/routing/cache_client.h
+++ b/src/routing/cache_client.h
@@ -31,10 +31,11 @@
 
   // Whether the id is in use here, or may still be answered: it was given up, or an answer may come twice.
   bool knows(const std::string& id) const { return calls_.contains(id) || spent_.contains(id); }
-  void send(const AttemptKey& key, const std::string& id, std::string command, bool streaming);
+  void send(const AttemptKey& key, const protocol::Passed& passed, std::string command, bool streaming);
   void cancel(const std::string& id);
 
   void on_bytes(std::string_view bytes) override;
+  void on_withheld(std::uint64_t token) override;
   void on_end(transport::ConnectionEnd end) override;
 
  private:
@@ -43,6 +44,7 @@
     std::uint64_t token = 0;
     transport::Clock::time_point sent;
     bool streaming = false;
+    bool tagged = false;  // the client's copy was named to the cache, so that it may be the one
   };
 
   void count(std::size_t bytes);
--- a/src/routing/front.cpp
+++ b/src/routing/front.cpp
@@ -457,15 +457,18 @@
 // Gives up the client connection that is worth least, for its descriptor; false where none can go.
 bool Front::free_client() {
   const Clock::time_point young = Clock::now() - bounds_.client_young;
-  FrontSession* least = nullptr;
-  for (FrontSession* session : sessions_) {
-    const bool can_go = session->closable() && session->since() < young;
-    least = can_go && (least == nullptr || session->worth() < least->worth()) ? session : least;
-  }
-  if (least != nullptr) {
-    least->connection().close(ConnectionEnd::kIdle);
+  std::set<FrontSession*> saying;  // a request of theirs has come and was not read yet
+  for (;;) {
+    FrontSession* least = nullptr;
+    for (FrontSession* session : sessions_) {
+      const bool can_go = session->closable() && session->since() < young && !saying.contains(session);
+      least = can_go && (least == nullptr || session->worth() < least->worth()) ? session : least;
+    }
+    if (least == nullptr || least->connection().close_if_read(ConnectionEnd::kIdle)) {
+      return least != nullptr;
+    }
+    saying.insert(least);
   }
-  return least != nullptr;
 }
 
 // Over the bound on requests that have come in part, the connection that holds most of them pays, not the one
@@ -497,18 +500,41 @@
       const bool unused =
           session->closable() && session->connection().last_received() < now - bounds_.client_idle;
       if (unused || session->overdue(now - bounds_.client_request)) {
-        session->connection().close(ConnectionEnd::kIdle);
+        session->connection().close_if_read(ConnectionEnd::kIdle);
       }
     }
   }
 }
 
+bool Front::settled() {
+  bool settled = true;
+  for (;;) {
+    transport::Opened opened = transport::accept_from(listener_.get());
+    if (!opened.descriptor.valid()) {
+      break;
+    }
+    settled = false;
+    last_arrival_ = Clock::now();
+    take_in(std::move(opened.descriptor));
+  }
+  return settled && std::none_of(sessions_.begin(), sessions_.end(),
+                                 [](FrontSession* session) { return session->connection().unread(); });
+}
+
+bool Front::half_said() const {
+  return std::any_of(sessions_.begin(), sessions_.end(),
+                     [](const FrontSession* session) { return session->half_said(); });
+}
+
 bool Front::quiet() const {
   return std::all_of(sessions_.begin(), sessions_.end(),
                      [](const FrontSession* session) { return session->quiet(); });
 }
 
 void Front::close_all() {
+  if (bounds_.connection.lingering) {
+    bounds_.connection.lingering->most = static_cast<int>(sessions_.size()) + lingering();
+  }
   for (FrontSession* session : sessions_) {
     session->connection().close(ConnectionEnd::kShutdown);
   }
--- a/src/routing/front.h
+++ b/src/routing/front.h
@@ -58,6 +58,8 @@
   std::pair<bool, transport::Clock::time_point> worth() const {
     return {useful_, connection_.last_received()};
   }
+  // A request is on its way: some of it has come.
+  bool half_said() const { return useful_ && parser_.partial() && !connection_.ended(); }
   transport::Clock::time_point since() const { return since_; }
   std::size_t partial_bytes() const { return counted_partial_; }
   transport::Connection& connection() { return connection_; }
@@ -135,9 +137,16 @@
   void tell_status(Status status) { status_ = std::move(status); }
   // Whether nothing is owed to any client.
   bool quiet() const;
+  // Takes in the connections that wait; whether there was none, and nothing lies unread in any other.
+  bool settled();
+  // Whether some client is in the middle of a request.
+  bool half_said() const;
   // Of a request; health checks do not count.
   transport::Clock::time_point last_arrival() const { return last_arrival_; }
+  // Every connection is ended in order: what still comes is read, so that the last answers are not reset.
   void close_all();
+  // Whether the other side of any of these has not closed yet.
+  bool lingering() const { return bounds_.connection.lingering && bounds_.connection.lingering->open > 0; }
 
  private:
   friend class FrontSession;
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -96,6 +96,12 @@
   }
 }
 
+bool Router::may_begin(const AttemptKey& key) {
+  Held* held = find(key.request);
+  const bool wanted = held != nullptr && held->reply && held->streaming < 0 && find_out(*held, key.attempt);
+  return wanted && (!gate_ || gate_(now(), key.request, key.attempt));
+}
+
 void Router::attempt_ended(const AttemptKey& key, AttemptResult result) {
   Held* held = find(key.request);
   Attempt* attempt = held != nullptr ? find_out(*held, key.attempt) : nullptr;
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -131,6 +131,12 @@
   // This program ends soon: what is still open is answered as failed, which promises nothing.
   void fail_open();
 
+  // Asked by the upstream just before the first byte of an attempt goes out. If not, the attempt is to be
+  // told as ended, kMoot, and nothing of it may leave.
+  using Gate = std::function<bool(Micros now, RequestId request, int attempt)>;
+  void begin_by(Gate gate) { gate_ = std::move(gate); }
+  bool may_begin(const AttemptKey& key);
+
   void attempt_ended(const AttemptKey& key, AttemptResult result);
   // For classes that stream: the answer has begun, and goes on.
   void stream_started(const AttemptKey& key, bool same);
@@ -189,6 +195,7 @@
   std::vector<ClassSettings> classes_;
   std::size_t attempts_cap_;
   Handler handler_;
+  Gate gate_;
   Bounds bounds_;
   std::size_t held_bytes_ = 0;
   Upstream* upstream_ = nullptr;
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -111,14 +111,20 @@
   }
   self->scheduler_.spawn(write_loop(self));
   int reads = 0;
-  while (!self->ended_) {
+  while (!self->ended_ || self->lingering_) {
     const ssize_t count = ::recv(self->socket_.get(), read_buffer.data(), read_buffer.size(), 0);
     if (count > 0) {
-      self->last_received_ = Clock::now();
-      self->hand_on(std::string_view(read_buffer.data(), static_cast<std::size_t>(count)));
+      if (!self->ended_ && self->bounds_.end_on_hang_up && self->watch_->hung_up()) {
+        self->finish(ConnectionEnd::kPeerClosed);
+      } else if (!self->ended_) {
+        self->last_received_ = Clock::now();
+        self->hand_on(std::string_view(read_buffer.data(), static_cast<std::size_t>(count)));
+      }
       if (++reads % kReadsInTurn == 0) {
         co_await self->scheduler_.yield();
       }
+    } else if (self->ended_ && (count == 0 || (!would_block(errno) && errno != EINTR))) {
+      self->let_go();
     } else if (count == 0) {
       self->finish(ConnectionEnd::kPeerClosed);
     } else if (would_block(errno)) {
@@ -171,13 +177,13 @@
   }
 }
 
-std::uint64_t Connection::write(std::string bytes) {
+std::uint64_t Connection::write(std::string bytes, Gate gate) {
   const std::uint64_t token = ++last_token_;
   if (ended_ || bytes.empty()) {
     return token;
   }
   waiting_ += bytes.size();
-  pieces_.push_back(Piece{token, std::move(bytes), 0});
+  pieces_.push_back(Piece{token, std::move(bytes), 0, std::move(gate)});
   if (waiting_ > bounds_.most_waiting) {
     finish(ConnectionEnd::kOverflow);
     return token;
@@ -191,8 +197,43 @@
   return token;
 }
 
+// Takes back what may not begin any more.
+void Connection::hold_back() {
+  for (auto piece = pieces_.begin(); piece != pieces_.end();) {
+    if (piece->written > 0 || !piece->gate || piece->gate()) {
+      ++piece;
+      continue;
+    }
+    withheld_.insert(piece->token);
+    scheduler_.post([self = shared_from_this(), token = piece->token] {
+      const std::shared_ptr<Handler> handler = self->handler_;
+      if (self->withheld_.erase(token) > 0 && handler) {
+        handler->on_withheld(token);
+      }
+    });
+    waiting_ -= piece->bytes.size();
+    piece = pieces_.erase(piece);
+  }
+}
+
+// Whether the other side has ended it, and what it sent before has been read. What is written now would
+// vanish, and nobody could tell whether it was carried out.
+bool Connection::gone() const {
+  char next = 0;
+  const ssize_t count = ::recv(socket_.get(), &next, 1, MSG_PEEK | MSG_DONTWAIT);
+  return count == 0 || (count < 0 && !would_block(errno) && errno != EINTR);
+}
+
 void Connection::flush() {
   while (!pieces_.empty() && !ended_) {
+    hold_back();
+    if (pieces_.empty()) {
+      return;
+    }
+    if (pieces_.front().gate && pieces_.front().written == 0 && gone()) {
+      finish(ConnectionEnd::kPeerClosed);
+      return;
+    }
     std::array<iovec, kPiecesAtOnce> parts{};
     std::size_t used = 0;
     for (auto piece = pieces_.begin(); piece != pieces_.end() && used < parts.size(); ++piece, ++used) {
@@ -234,13 +275,13 @@
 
 bool Connection::begun(std::uint64_t token) const {
   const auto piece = find_piece(token);
-  return piece == pieces_.end() ? token <= last_token_ : piece->written > 0;
+  return piece == pieces_.end() ? token <= last_token_ && !withheld_.contains(token) : piece->written > 0;
 }
 
 bool Connection::withdraw(std::uint64_t token) {
   const auto piece = find_piece(token);
   if (piece == pieces_.end() || piece->written > 0) {
-    return false;
+    return withheld_.erase(token) > 0;
   }
   waiting_ -= piece->bytes.size();
   pieces_.erase(piece);
@@ -252,15 +293,56 @@
   work_.notify();
 }
 
+bool Connection::unread() const {
+  char next = 0;
+  return !ended_ && up_ && ::recv(socket_.get(), &next, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+bool Connection::close_if_read(ConnectionEnd end) {
+  if (unread()) {
+    return false;
+  }
+  finish(end);
+  return true;
+}
+
+// Only what is closed from here, and not for want of a reader on the other side.
+bool Connection::lingers(ConnectionEnd end) const {
+  const bool ours = end == ConnectionEnd::kIdle || end == ConnectionEnd::kShutdown ||
+                    end == ConnectionEnd::kMalformed || end == ConnectionEnd::kOverflow ||
+                    end == ConnectionEnd::kDropped;
+  const bool room = bounds_.lingering && bounds_.lingering->open < bounds_.lingering->most;
+  return ours && room && up_ && watch_ && bounds_.linger > Clock::duration::zero();
+}
+
+// The descriptor goes, whatever state the connection is in.
+void Connection::let_go() {
+  if (std::exchange(lingering_, false)) {
+    --bounds_.lingering->open;
+  }
+  if (watch_) {
+    watch_->close();
+  }
+  socket_.reset();
+}
+
 void Connection::finish(ConnectionEnd end) {
   if (ended_) {
     return;
   }
   ended_ = true;
-  if (watch_) {
-    watch_->close();
+  lingering_ = lingers(end);
+  if (lingering_) {
+    ++bounds_.lingering->open;
+    ::shutdown(socket_.get(), SHUT_WR);
+    scheduler_.at(Clock::now() + bounds_.linger, [weak = weak_from_this()] {
+      if (const auto self = weak.lock(); self && self->lingering_) {
+        self->let_go();
+      }
+    });
+  } else {
+    let_go();
   }
-  socket_.reset();
   work_.notify();
   // The pieces stay as they are: what was begun is asked for when the end is told.
   scheduler_.post([self = shared_from_this(), end] {
--- a/src/transport/connection.h
+++ b/src/transport/connection.h
@@ -4,7 +4,9 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -15,6 +17,12 @@
 
 namespace trailcourse::transport {
 
+// How many connections linger after their end, each with its descriptor, and how many may.
+struct Lingering {
+  int open = 0;
+  int most = 16;
+};
+
 class Connection : public std::enable_shared_from_this<Connection> {
  public:
   // What happens on a connection. It owns its handler until the end has been told, which is always from the
@@ -27,6 +35,8 @@
     virtual ~Handler() = default;
     virtual void on_bytes(std::string_view bytes) = 0;
     virtual void on_drained() {}  // what waited to be written fell below the low mark
+    // The gate of these bytes was shut: they were taken back, and not one of them has left.
+    virtual void on_withheld(std::uint64_t) {}
     virtual void on_end(ConnectionEnd end) = 0;
   };
 
@@ -35,7 +45,13 @@
     Clock::duration stall_timeout = std::chrono::seconds(10);  // the peer takes nothing for so long
     std::size_t most_waiting = 4U << 20U;                      // bytes to be written; beyond, it ends
     std::size_t low_mark = 32U << 10U;
-    int send_buffer = 0;  // bytes that the system may hold; 0: as it likes
+    int send_buffer = 0;          // bytes that the system may hold; 0: as it likes
+    bool end_on_hang_up = false;  // with the other side gone, what it still said is not handed on
+    // After a close from here, what still comes is read and thrown away for so long, or till the other side
+    // has closed too: a close over unread bytes would reset the connection, and with it what was written
+    // last.
+    Clock::duration linger = Clock::duration::zero();
+    std::shared_ptr<Lingering> lingering;  // of all connections that share it
   };
 
   static std::shared_ptr<Connection> connect(Scheduler& scheduler, const Address& to, const Bounds& bounds);
@@ -44,18 +60,25 @@
   Connection(Scheduler& scheduler, Opened opened, const Bounds& bounds, bool connecting);
   Connection(const Connection&) = delete;
   Connection& operator=(const Connection&) = delete;
-  ~Connection() = default;
+  ~Connection() { let_go(); }
 
   void start(std::shared_ptr<Handler> handler);
 
+  // Asked just before the first of the bytes that it guards goes out, each time that this is tried. It must
+  // not call the connection.
+  using Gate = std::function<bool()>;
   // Queues bytes; the token names them. Nothing is written once it has ended.
-  std::uint64_t write(std::string bytes);
+  std::uint64_t write(std::string bytes, Gate gate = {});
   // Whether any byte of these may have left; what has not can be taken back.
   bool begun(std::uint64_t token) const;
   bool withdraw(std::uint64_t token);
 
   void close(ConnectionEnd end) { finish(end); }
   void close_when_written();
+  // Closes it unless something has come that was not read yet; whether it is closed.
+  bool close_if_read(ConnectionEnd end);
+  // Whether something has come that was not read yet.
+  bool unread() const;
 
   bool up() const { return up_; }
   bool ended() const { return ended_; }
@@ -68,6 +91,7 @@
     std::uint64_t token;
     std::string bytes;
     std::size_t written;
+    Gate gate;
   };
 
   static Task<void> read_loop(std::shared_ptr<Connection> self);
@@ -76,7 +100,11 @@
   void hand_on(std::string_view bytes);
   std::deque<Piece>::const_iterator find_piece(std::uint64_t token) const;
   void flush();
+  void hold_back();
+  bool gone() const;
   void finish(ConnectionEnd end);
+  bool lingers(ConnectionEnd end) const;
+  void let_go();
 
   Scheduler& scheduler_;
   Descriptor socket_;
@@ -88,10 +116,12 @@
   int open_error_;
   bool up_;
   bool ended_ = false;
-  bool blocked_ = false;  // the writer waits for the socket
+  bool lingering_ = false;  // ended, and what still comes is read
+  bool blocked_ = false;    // the writer waits for the socket
   bool closing_ = false;
   std::uint64_t last_token_ = 0;
   std::deque<Piece> pieces_;
+  std::set<std::uint64_t> withheld_;  // taken back, and not told yet
   std::size_t waiting_ = 0;
   Clock::time_point last_received_ = Clock::now();
 };
--- a/src/transport/scheduler.cpp
+++ b/src/transport/scheduler.cpp
@@ -131,6 +131,7 @@
     }
     Watch& watch = *found->second;
     const bool broken = (event.events & (EPOLLERR | EPOLLHUP)) != 0;
+    watch.hung_up_ = watch.hung_up_ || broken || (event.events & EPOLLRDHUP) != 0;
     if (broken || (event.events & (EPOLLIN | EPOLLRDHUP)) != 0) {
       watch.wake(watch.read_);
     }
--- a/src/transport/scheduler.h
+++ b/src/transport/scheduler.h
@@ -110,6 +110,8 @@
   Wait writable() { return Wait{*this, true}; }
   void blocked_reading() { side(false).ready = false; }
   void blocked_writing() { side(true).ready = false; }
+  // The other side has ended its half, or all of it; what it sent before may still be read.
+  bool hung_up() const { return hung_up_; }
 
   // Deregisters and wakes the waiters; they run later in the turn.
   void close();
@@ -128,6 +130,7 @@
   int descriptor_;
   std::uint64_t id_;
   bool closed_ = false;
+  bool hung_up_ = false;
   Side read_;
   Side write_;
 };
