--- a/src/decision/decide.cpp
+++ b/src/decision/decide.cpp
@@ -59,6 +59,9 @@
 constexpr double kSpreadGain = 0.5;  // of the home's load that the second one may have
 constexpr int kSpread = 2;           // caches in hash order among which load may choose
 constexpr double kShedShare = 0.9;   // of the aim that a predicted answer may take
+constexpr double kLargeShare = 0.6;  // of its class's answered share, below which a large object is not shed
+constexpr double kLargeSteps = 2.0;  // sizes over the class's mean that are told apart: from 1, from 2
+constexpr double kAnsweredGain = 0.05;     // smoothing of the shares answered
 constexpr double kAnswerOverhead = 0.04;   // seconds of an answer beside its sending time
 constexpr double kDefaultWork = 0.2;       // seconds of sending where nothing is known yet
 constexpr double kUnknownTransfers = 8.0;  // capacity of a cache whose weight says nothing
@@ -112,7 +115,8 @@
         random_(seed),
         cold_phase_(settings_.self_index >= 0 ? settings_.self_index * kGoldenPart : unit(seed)),
         purges_(kMaxPurges, settings_.purge_done + kPurgeMargin),
-        mean_work_(settings_.classes.size()) {}
+        mean_work_(settings_.classes.size()),
+        answered_(settings_.classes.size()) {}
 
   void handle(Micros now, const Event& event, std::vector<Action>& out) {
     now_ = std::max(now_, now);
@@ -167,8 +171,7 @@
   }
 
   void start_afresh(Node& node) {
-    node = Node{
-        .entry = {}, .hash = node.hash, .in_flight = node.in_flight, .known_at = now_, .cold_until = now_};
+    node = Node{.entry = {}, .hash = node.hash, .in_flight = node.in_flight, .cold_until = now_};
   }
 
   Node& at(int index) { return nodes_.at(index); }
@@ -234,7 +237,7 @@
   bool may_go_to(const Node& node, const Attempt& attempt) const {
     const Micros end = node.cold_begin + from_seconds(kColdSlot * to_seconds(settings_.overload_span));
     const bool paid = attempt.sent >= node.cold_begin && node.cold_begin > Micros(0) && now_ < end;
-    return node.listed && node.known_at <= attempt.sent && (paid || !cold(node));
+    return node.listed && (paid || !cold(node));
   }
 
   // What is not spent yet of the slot that it was taken from, where a hit shows that the source was not
@@ -467,7 +470,7 @@
 
   void attempt_or_give_up(Request& request) {
     const int target = may_try_more(request) ? pick_target(request) : -1;
-    const bool hopeful = target >= 0 && !hopeless(request, at(target));
+    const bool hopeful = target >= 0 && (!hopeless(request, at(target)) || neglected(request));
     const Attempt attempt = hopeful ? plan(request, target) : Attempt{};
     if (!hopeful || (attempt.held_only && !request.attempts.empty())) {
       give_up(request);  // what is held is asked for only once
@@ -556,6 +559,29 @@
     return may_refuse(request) && load(node) >= kBusyLoad && expected(request, node) > part * left;
   }
 
+  // ---- Sizes: none is answered far less than the rest of its class. A large object that is refused however
+  // often it is asked for would never come. ----
+
+  double& answered(const Request& request) {
+    const double steps = std::min(kLargeSteps, std::floor(request.work / class_work(request)));
+    return answered_.at(static_cast<std::size_t>(request.told.request_class))
+        .by_size[static_cast<std::size_t>(std::max(0.0, steps))];
+  }
+
+  void note_answered(const Request& request, bool whether) {
+    const double one = whether ? 1.0 : 0.0;
+    double& own = answered(request);
+    double& all = answered_.at(static_cast<std::size_t>(request.told.request_class)).all;
+    own += kAnsweredGain * (one - own);
+    all += kAnsweredGain * (one - all);
+  }
+
+  bool neglected(const Request& request) {
+    return request.work > class_work(request) &&
+           answered(request) <
+               kLargeShare * answered_.at(static_cast<std::size_t>(request.told.request_class)).all;
+  }
+
   // Whether the target probably lacks the object: another cache answered last, or the copy is void by now.
   bool likely_miss(const Request& request, int target) const {
     const Entry* entry = entries_.find(request.key);
@@ -567,7 +593,8 @@
   // Where fills fail or come late, whatever the cause (origin, parents, link, a mass purge), fewer likely
   // misses wait at once. The rest only asks for what is held.
   bool over_fill_window(const Request& request) {
-    const double cost = request.work + kAnswerOverhead;
+    const double work = neglected(request) ? class_work(request) : request.work;
+    const double cost = work + kAnswerOverhead;
     const double room = fill_limit_ * offered() - fill_out_;
     return may_refuse(request) && room < cost && (fill_out_ > 0.0 || room < cost * drawn(0.0, 1.0));
   }
@@ -608,6 +635,7 @@
   void give_up(Request& request) {
     const Action refusal = Refuse{request.told.id, std::min(kRefusalWait, settings_.max_retry_after)};
     out_->push_back(may_refuse(request) ? refusal : Fail{request.told.id});
+    note_answered(request, false);
     close(request);
   }
 
@@ -650,6 +678,7 @@
     if (!request.open) {
       requests_.forget_if_over(request);
     } else if (ended.finished || ended.status == Status::kOk) {
+      note_answered(request, ended.status == Status::kOk);
       close(request);
     } else if (!request.in_flight()) {
       try_again(request, attempt, ended.status);
@@ -785,6 +814,7 @@
     const std::size_t size = std::max(settings_.classes.size(), set.first + set.classes.size());
     settings_.classes.resize(size);
     mean_work_.resize(size);
+    answered_.resize(size);
     for (std::size_t i = 0; i < set.classes.size(); ++i) {
       settings_.classes[set.first + i] = set.classes[i];
       mean_work_[set.first + i] = mean_work_[set.like + i];
@@ -931,7 +961,8 @@
   RequestTable requests_;
   LruMap<std::uint64_t, Entry> entries_{kMaxEntries};
   PurgeTimes purges_;
-  std::vector<Mean> mean_work_;  // seconds of sending, by class
+  std::vector<Mean> mean_work_;     // seconds of sending, by class
+  std::vector<Answered> answered_;  // by class
   double largest_kb_ = 0.0;
   BoundedPart top_bytes_;
   Rate offered_;  // seconds of sending
--- a/src/decision/state.h
+++ b/src/decision/state.h
@@ -4,6 +4,7 @@
 #include <trailcourse/decider.h>
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <cstdint>
 #include <utility>
@@ -18,7 +19,6 @@
   bool listed = false;     // ready in the list held now
   double transfers = 1.0;  // what it can send at full pace at once
   int in_flight = 0;
-  Micros known_at{0};   // this router knows of this start of it since
   double others = 0.0;  // requests that other routers hold there
   Micros last_good{-1};
   double streak = 0.0;
@@ -79,6 +79,12 @@
   bool fills() const { return source != node; }
 };
 
+// Shares of a class's requests that were answered, in time or late.
+struct Answered {
+  double all = 1.0;
+  std::array<double, 3> by_size{1.0, 1.0, 1.0};  // under the class's mean, from it, from twice the mean on
+};
+
 struct Request {
   RequestArrived told;
   std::uint64_t key = 0;
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -87,7 +87,8 @@
   list(late_);
   start();
   Client client(program_->port());
-  send_and_await(client, read_fields(id_of(1)));
+  // So large that no second cache is asked before the first one is there.
+  send_and_await(client, read_fields(id_of(1), {{"HTTP_X_HEAP_KB", "400"}}));
   board_.post(pool(
       {listed("cache-a", late_.address(), "std", "draining"), listed("cache-b", other_.address(), "std")},
       false));
@@ -161,7 +162,7 @@
   ASSERT_TRUE(client.ask(1, read_fields(id_of(1))).has_value());
   program_->signal(SIGTERM);
   ASSERT_TRUE(program_->await_health(503));
-  program_->signal(SIGSTOP);
+  program_->suspend();
   client.send(request_bytes(2, read_fields(id_of(2)), ""));
   std::this_thread::sleep_for(milliseconds(1'000));
   program_->signal(SIGCONT);
@@ -179,10 +180,10 @@
   list(other_);
   start();
   Client stays(program_->port());
-  ASSERT_TRUE(stays.ask(1, {{"SCRIPT_NAME", "/healthz"}}).has_value());
+  ASSERT_TRUE(stays.ask(1, read_fields(id_of(98))).has_value()) << "the way to the cache is open";
   auto gone = std::make_unique<Client>(program_->port());
   ASSERT_TRUE(gone->ask(1, {{"SCRIPT_NAME", "/healthz"}}).has_value());
-  program_->signal(SIGSTOP);
+  program_->suspend();
   for (std::uint16_t key = 1; key <= 8; ++key) {
     gone->send(request_bytes(key, read_fields(id_of(key)), ""));
   }
@@ -191,8 +192,8 @@
   program_->signal(SIGCONT);
   ASSERT_TRUE(stays.read(2).has_value());
   const auto seen = other_.seen();
-  ASSERT_EQ(seen.size(), 1U);
-  EXPECT_EQ(seen[0].id, id_of(99));
+  ASSERT_EQ(seen.size(), 2U);
+  EXPECT_EQ(seen[1].id, id_of(99));
 }
 
 TEST_F(Crossings, IdleClientsThatHoldAllPlacesAndABoardThatComesBack) {
--- a/tests/decider_test.cpp
+++ b/tests/decider_test.cpp
@@ -1442,6 +1442,39 @@
   return asked.size();
 }
 
+// The parts answered of large requests and of all, where nine of ten are small and the caches are so busy
+// that a large answer will miss its aim.
+struct AnsweredParts {
+  double large = 0.0;
+  double all = 0.0;
+};
+AnsweredParts answered_parts(double large_kb) {
+  Router router;
+  router.list({node("c1", Role::kCache, 4.0), node("o", Role::kOrigin)});
+  LoadReport busy;
+  busy.concurrent = 16.0;
+  AnsweredParts out;
+  for (RequestId id = 1; id <= 2'000; ++id) {
+    const bool large = id % 10 == 0;
+    router.ask(id, kVideo, id % 5, large ? large_kb : 50.0);
+    if (!router.sends[id].empty()) {
+      router.end(id, 0, Status::kOk, Note::kHit, busy);
+      out.all += 1.0 / 2'000;
+      out.large += large ? 1.0 / 200 : 0.0;
+    }
+    router.now += milliseconds(20);
+  }
+  return out;
+}
+
+TEST(Load, NoSizeIsShedFarBeyondTheRestOfItsClass) {
+  for (const double size : {100.0, 200.0, 300.0, 600.0, 1'200.0}) {
+    const AnsweredParts parts = answered_parts(size);
+    EXPECT_GT(parts.all, 0.8) << size;
+    EXPECT_GE(parts.large, 0.5 * parts.all) << size;
+  }
+}
+
 TEST(Load, ReportedUseTellsOfOthersWhereRequestsHeldAreNotTold) {
   EXPECT_EQ(caches_asked(0.2), 1U);  // two of its own say nothing of 17 others
   EXPECT_GT(caches_asked(1.0), 1U);
--- a/tests/stand_ins.cpp
+++ b/tests/stand_ins.cpp
@@ -488,6 +488,17 @@
 
 void Program::signal(int number) const { ::kill(pid_, number); }
 
+void Program::suspend() const {
+  signal(SIGSTOP);
+  const Clock::time_point until = Clock::now() + kPatience;
+  for (std::string state; state != "T" && Clock::now() < until;) {
+    std::ifstream file("/proc/" + std::to_string(pid_) + "/stat");
+    std::string skipped;
+    file >> skipped >> skipped >> state;
+    std::this_thread::yield();
+  }
+}
+
 std::optional<int> Program::await_exit() {
   const Clock::time_point until = Clock::now() + kPatience;
   int status = 0;
--- a/tests/stand_ins.h
+++ b/tests/stand_ins.h
@@ -186,6 +186,8 @@
   // Waits until it answers its health check with this status.
   bool await_health(int status) const;
   void signal(int number) const;
+  // Stops it, and waits until it does not run any more; SIGCONT wakes it.
+  void suspend() const;
   // Waits for its end: the exit status, or nothing where it did not end or was killed.
   std::optional<int> await_exit();
   std::string log() const;
