--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -24,6 +24,21 @@
      {"any", SiblingSources::kAny}}};
 constexpr std::array<std::pair<const char*, bool>, 4> kSizedWeightWords{
     {{"none", false}, {"nominal", true}, {"rough", true}, {"live", false}}};
+
+// Settings come from many deployments: what is absent or below nought is taken as nought, which docs/
+// configuration.md gives a meaning for each key; a value of another type ends the start and names the key.
+Micros span_at(const json& object, const char* key) { return std::max(Micros(0), seconds_at(object, key)); }
+double amount_at(const json& object, const char* key, double absent) {
+  return std::max(0.0, number_at(object, key, absent));
+}
+// Between nought and one.
+double part_at(const json& object, const char* key) { return std::min(1.0, amount_at(object, key, 1.0)); }
+// A multiple or a span that binds a budget: without one the strictest that is of use.
+double multiple_at(const json& object, const char* key) {
+  const double multiple = number_at(object, key, 1.0);
+  return multiple > 0.0 ? multiple : 1.0;
+}
+
 ClassSettings read_class(const json& entry, const json& extra, std::size_t index) {
   const auto by_class = [&](const char* key) -> const json* {
     const json& values = array_at(extra, key);
@@ -35,17 +50,17 @@
   };
   const auto span = [&](const char* key) {
     const json* value = by_class(key);
-    return value == nullptr ? Micros(0) : to_micros(*value, key);
+    return value == nullptr ? Micros(0) : std::max(Micros(0), to_micros(*value, key));
   };
   ClassSettings settings;
   settings.effect = look_up(kEffectWords, word_at(entry, "Effect", "unsafe"));
   settings.group = look_up(kGroupWords, word_at(entry, "Group", "all"));
-  settings.memory_span = seconds_at(entry, "MemorySpanS");
-  settings.objective = seconds_at(entry, "ObjectiveS");
-  settings.objective_stretch = number_at(entry, "AimStretch", 0.0);
-  settings.give_up = seconds_at(entry, "GiveUpS");
-  settings.worth = number_at(entry, "Worth", 1.0);
-  settings.late_share = number_at(entry, "LateShare", 0.0);
+  settings.memory_span = span_at(entry, "MemorySpanS");
+  settings.objective = span_at(entry, "ObjectiveS");
+  settings.objective_stretch = amount_at(entry, "AimStretch", 0.0);
+  settings.give_up = span_at(entry, "GiveUpS");
+  settings.worth = amount_at(entry, "Worth", 1.0);
+  settings.late_share = amount_at(entry, "LateShare", 0.0);
   settings.streaming = flag_at(entry, "Streaming");
   settings.lifetime = span("LifetimeByClassS");
   settings.grace = span("ClassGraceS");
@@ -58,21 +73,22 @@
   settings.attempts_cap = small_at(limits, "AttemptsCap", 1);
   settings.may_cancel = flag_at(limits, "Cancel");
   settings.parallel_tries = flag_at(limits, "ParallelTries");
-  settings.max_retry_after = flag_at(limits, "RetryAfter") ? seconds_at(limits, "MaxRetryAfterS") : Micros(0);
+  settings.max_retry_after = flag_at(limits, "RetryAfter") ? span_at(limits, "MaxRetryAfterS") : Micros(0);
 }
 
 void read_rules(const json& rules, const json& extra, Settings& settings) {
-  settings.answer_slack = seconds_at(rules, "AnswerSlackS");
-  settings.drain_grace = seconds_at(rules, "DrainGraceS");
-  settings.cold_from = number_at(rules, "ColdFrom", 1.0);
-  settings.cold_span = seconds_at(rules, "ColdS");
-  settings.overload_factor = number_at(rules, "OverloadFactor", 1.0);
-  settings.overload_span = seconds_at(rules, "OverloadForS");
-  settings.purge_grace = seconds_at(extra, "HeedWithinS");
-  settings.purge_done = seconds_at(extra, "ClearedWithinS");
-  settings.parent_cold_from = number_at(extra, "ParentFloor", 1.0);
-  settings.parent_cold_span = seconds_at(extra, "ParentRampS");
-  settings.parent_overload_factor = number_at(extra, "ParentBreaksAt", 1.0);
+  settings.answer_slack = span_at(rules, "AnswerSlackS");
+  settings.drain_grace = span_at(rules, "DrainGraceS");
+  settings.cold_from = part_at(rules, "ColdFrom");
+  settings.cold_span = span_at(rules, "ColdS");
+  settings.overload_factor = multiple_at(rules, "OverloadFactor");
+  const Micros overload_span = span_at(rules, "OverloadForS");
+  settings.overload_span = overload_span > Micros(0) ? overload_span : Micros(std::chrono::seconds(1));
+  settings.purge_grace = span_at(extra, "HeedWithinS");
+  settings.purge_done = span_at(extra, "ClearedWithinS");
+  settings.parent_cold_from = part_at(extra, "ParentFloor");
+  settings.parent_cold_span = span_at(extra, "ParentRampS");
+  settings.parent_overload_factor = multiple_at(extra, "ParentBreaksAt");
 }
 
 void read_extra(const json& extra, Settings& settings) {
@@ -80,7 +96,7 @@
   settings.joins = flag_at(extra, "Collapses");
   settings.siblings = look_up(kSiblingWords, word_at(extra, "Siblings", "none"));
   settings.notes = look_up(kNoteWords, word_at(extra, "NoteLevel", "none"));
-  settings.stream_kb_per_s = number_at(extra, "StreamKbPerS", 0.0);
+  settings.stream_kb_per_s = amount_at(extra, "StreamKbPerS", 0.0);
 }
 
 // The values that stand at this instance's own zone in the lists kept by zone.
@@ -123,8 +139,8 @@
   profile.origin_kind = small_at(extra, "OriginKind", -1);
   profile.report_fields = texts_at(section(source, "Report"), "Fields");
   const json& limits = section(source, "Limits");
-  profile.connection_idle = seconds_at(limits, "ConnIdleS");
-  profile.connect_timeout = seconds_at(limits, "ConnectTimeoutS");
+  profile.connection_idle = span_at(limits, "ConnIdleS");
+  profile.connect_timeout = span_at(limits, "ConnectTimeoutS");
   profile.streams_per_connection = small_at(limits, "StreamsPerConn", 0);
   profile.most_open = small_at(limits, "MaxOpen", 0);
   return profile;
--- a/tests/configuration_test.cpp
+++ b/tests/configuration_test.cpp
@@ -14,6 +14,8 @@
 #include <vector>
 
 #include "program/command_line.h"
+#include "protocol/json_fields.h"
+#include "protocol/settings.h"
 
 namespace trailcourse::program {
 namespace {
@@ -148,6 +150,41 @@
   }
 }
 
+TEST(SettingsOfOthers, UnknownKeysArePassedOverAndOddFiguresGetTheirDefaults) {
+  const nlohmann::json odd = nlohmann::json::parse(R"({"Later":{"x":1},"Balancers":0,
+    "Classes":[{"Name":"a","Effect":"keyed","MemorySpanS":-2,"AimStretch":-1,"New":true}],
+    "Extra":{"ParentFloor":7,"ParentBreaksAt":0,"StreamKbPerS":-5,"LifetimeByClassS":[-1]},
+    "Limits":{"ConnIdleS":-1,"ConnectTimeoutS":-1,"RetryAfter":true,"MaxRetryAfterS":-1},
+    "Rules":{"ColdFrom":-0.5,"ColdS":-1,"OverloadFactor":-3,"OverloadForS":0,"DrainGraceS":-1}})");
+  const protocol::Profile profile = protocol::read_profile(odd);
+  const Settings& settings = profile.settings;
+  EXPECT_EQ(settings.classes.at(0).memory_span, Micros(0));
+  EXPECT_EQ(settings.classes.at(0).objective_stretch, 0.0);
+  EXPECT_EQ(settings.classes.at(0).lifetime, Micros(0));
+  EXPECT_EQ(settings.self_index, -1) << "not told";
+  EXPECT_EQ(settings.parent_cold_from, 1.0);
+  EXPECT_EQ(settings.parent_overload_factor, 1.0);
+  EXPECT_EQ(settings.overload_factor, 1.0);
+  EXPECT_EQ(settings.overload_span, std::chrono::seconds(1));
+  EXPECT_EQ(settings.cold_from, 0.0);
+  EXPECT_EQ(settings.cold_span, Micros(0));
+  EXPECT_EQ(settings.drain_grace, Micros(0));
+  EXPECT_EQ(settings.max_retry_after, Micros(0));
+  EXPECT_EQ(settings.stream_kb_per_s, 0.0);
+  EXPECT_EQ(profile.connection_idle, Micros(0));
+  EXPECT_EQ(profile.connect_timeout, Micros(0));
+  for (const char* key : {"ColdFrom", "ColdS", "OverloadFactor", "OverloadForS", "DrainGraceS"}) {
+    nlohmann::json wrong = odd;
+    wrong["Rules"][key] = "soon";
+    try {
+      protocol::read_profile(wrong);
+      ADD_FAILURE() << key << " is a word, and was taken";
+    } catch (const protocol::FormatError& error) {
+      EXPECT_NE(std::string(error.what()).find(key), std::string::npos) << error.what();
+    }
+  }
+}
+
 TEST_F(ConfigurationTest, MissingKeysAreNamed) {
   for (const char* key : {"name", "listen", "board", "known", "settings"}) {
     json config = good_config();
