--- a/src/routing/front.cpp
+++ b/src/routing/front.cpp
@@ -413,7 +413,7 @@
 
 transport::Task<void> Front::accept_loop() {
   int accepts = 0;
-  for (;;) {
+  while (listener_.valid()) {
     // Descriptors are shared out beforehand, so that clients never leave too few for caches.
     if (sessions_.size() >= bounds_.most_clients && !free_client()) {
       co_await scheduler_.sleep(kAcceptPause);
@@ -541,6 +541,7 @@
   if (watch_) {
     watch_->close();
   }
+  listener_.reset();  // who comes now is turned away at once, and knows that nothing was taken
 }
 
 }  // namespace trailcourse::routing
