--- a/tests/cold_sum_test.cpp
+++ b/tests/cold_sum_test.cpp
@@ -298,114 +298,112 @@
   std::map<std::string, std::vector<Arrival>> arrivals_;
 };
 
+// A world like another, but for what `change` sets.
+World like(World world, const std::string& name, const std::function<void(World&)>& change) {
+  world.name = name;
+  change(world);
+  return world;
+}
+
 std::vector<World> worlds() {
-  std::vector<World> out;
-  World base;
-  base.name = "plain";
-  out.push_back(base);
-  World uneven = base;
-  uneven.name = "uneven_and_busy";
-  uneven.unevenness = 1.5;
-  uneven.requests_per_s = 30.0;
-  out.push_back(uneven);
-  World restarts = base;
-  restarts.name = "routers_restart";
-  restarts.restarts_per_s = 10.0;
-  restarts.requests_per_s = 20.0;
-  out.push_back(restarts);
-  World herd = base;
-  herd.name = "all_routers_restart_at_once";
-  herd.all_restart_at_3 = true;
-  herd.requests_per_s = 20.0;
-  out.push_back(herd);
-  World saved = base;
-  saved.name = "quiet_then_busy";
-  saved.quiet_until_s = 4.0;
-  saved.requests_per_s = 40.0;
-  out.push_back(saved);
-  World failing = base;
-  failing.name = "half_of_the_attempts_fail";
-  failing.fails = 0.5;
-  failing.requests_per_s = 20.0;
-  out.push_back(failing);
-  World tail = base;
-  tail.name = "sizes_of_a_long_tail";
-  tail.sigma = 1.6;
-  tail.requests_per_s = 4.0;
-  tail.all_restart_at_3 = true;
-  out.push_back(tail);
-  World small = base;
-  small.name = "small_caches";
-  small.transfers = 3.0;
-  small.factor = 1.5;
-  small.span_s = 1.0;
-  small.requests_per_s = 20.0;
-  out.push_back(small);
-  World thirty = small;
-  thirty.name = "small_caches_with_restarts";
-  thirty.restarts_per_s = 10.0;
-  thirty.fails = 0.3;
-  out.push_back(thirty);
-  World tiny = small;
-  tiny.name = "tiny_caches";
-  tiny.transfers = 2.0;
-  tiny.factor = 1.2;
-  out.push_back(tiny);
-  World idle = small;
-  idle.name = "small_caches_quiet_then_busy";
-  idle.quiet_until_s = 4.0;
-  idle.requests_per_s = 40.0;
-  out.push_back(idle);
-  World crowd = small;
-  crowd.name = "three_hundred_routers_small_caches";
-  crowd.routers = 300;
-  crowd.requests_per_s = 5.0;
-  crowd.length_s = 10.0;
-  out.push_back(crowd);
-  World trio = small;
-  trio.name = "three_routers_small_caches";
-  trio.routers = 3;
-  trio.requests_per_s = 100.0;
-  out.push_back(trio);
-  World middle = small;
-  middle.name = "twenty_routers_middle_caches";
-  middle.routers = 20;
-  middle.transfers = 8.0;
-  middle.factor = 2.0;
-  middle.span_s = 1.0;
-  out.push_back(middle);
-  World third = small;
-  third.name = "every_third_router_is_here";
-  third.stride = 3;
-  out.push_back(third);
-  World eighth = small;
-  eighth.name = "every_eighth_router_is_here";
-  eighth.stride = 8;
-  out.push_back(eighth);
-  World large = base;
-  large.name = "large_caches";
-  large.transfers = 60.0;
-  large.requests_per_s = 40.0;
-  out.push_back(large);
-  World few = base;
-  few.name = "three_routers";
-  few.routers = 3;
-  few.requests_per_s = 100.0;
-  out.push_back(few);
-  World twenty = base;
-  twenty.name = "twenty_routers";
-  twenty.routers = 20;
-  twenty.restarts_per_s = 4.0;
-  twenty.requests_per_s = 20.0;
-  out.push_back(twenty);
-  World many = base;
-  many.name = "three_hundred_routers";
-  many.routers = 300;
-  many.requests_per_s = 3.0;
-  many.all_restart_at_3 = true;
-  many.length_s = 10.0;
-  out.push_back(many);
-  return out;
+  World plain;
+  plain.name = "plain";
+  const World small = like(plain, "small_caches", [](World& w) {
+    w.transfers = 3.0;
+    w.factor = 1.5;
+    w.span_s = 1.0;
+    w.requests_per_s = 20.0;
+  });
+  return {plain,
+          like(plain, "uneven_and_busy",
+               [](World& w) {
+                 w.unevenness = 1.5;
+                 w.requests_per_s = 30.0;
+               }),
+          like(plain, "routers_restart",
+               [](World& w) {
+                 w.restarts_per_s = 10.0;
+                 w.requests_per_s = 20.0;
+               }),
+          like(plain, "all_routers_restart_at_once",
+               [](World& w) {
+                 w.all_restart_at_3 = true;
+                 w.requests_per_s = 20.0;
+               }),
+          like(plain, "quiet_then_busy",
+               [](World& w) {
+                 w.quiet_until_s = 4.0;
+                 w.requests_per_s = 40.0;
+               }),
+          like(plain, "half_of_the_attempts_fail",
+               [](World& w) {
+                 w.fails = 0.5;
+                 w.requests_per_s = 20.0;
+               }),
+          like(plain, "sizes_of_a_long_tail",
+               [](World& w) {
+                 w.sigma = 1.6;
+                 w.requests_per_s = 4.0;
+                 w.all_restart_at_3 = true;
+               }),
+          small,
+          like(small, "small_caches_with_restarts",
+               [](World& w) {
+                 w.restarts_per_s = 10.0;
+                 w.fails = 0.3;
+               }),
+          like(small, "tiny_caches",
+               [](World& w) {
+                 w.transfers = 2.0;
+                 w.factor = 1.2;
+               }),
+          like(small, "small_caches_quiet_then_busy",
+               [](World& w) {
+                 w.quiet_until_s = 4.0;
+                 w.requests_per_s = 40.0;
+               }),
+          like(small, "three_hundred_routers_small_caches",
+               [](World& w) {
+                 w.routers = 300;
+                 w.requests_per_s = 5.0;
+                 w.length_s = 10.0;
+               }),
+          like(small, "three_routers_small_caches",
+               [](World& w) {
+                 w.routers = 3;
+                 w.requests_per_s = 100.0;
+               }),
+          like(small, "twenty_routers_middle_caches",
+               [](World& w) {
+                 w.routers = 20;
+                 w.transfers = 8.0;
+                 w.factor = 2.0;
+                 w.span_s = 1.0;
+               }),
+          like(small, "every_third_router_is_here", [](World& w) { w.stride = 3; }),
+          like(small, "every_eighth_router_is_here", [](World& w) { w.stride = 8; }),
+          like(plain, "large_caches",
+               [](World& w) {
+                 w.transfers = 60.0;
+                 w.requests_per_s = 40.0;
+               }),
+          like(plain, "three_routers",
+               [](World& w) {
+                 w.routers = 3;
+                 w.requests_per_s = 100.0;
+               }),
+          like(plain, "twenty_routers",
+               [](World& w) {
+                 w.routers = 20;
+                 w.restarts_per_s = 4.0;
+                 w.requests_per_s = 20.0;
+               }),
+          like(plain, "three_hundred_routers", [](World& w) {
+            w.routers = 300;
+            w.requests_per_s = 3.0;
+            w.all_restart_at_3 = true;
+            w.length_s = 10.0;
+          })};
 }
 
 class ColdSum : public testing::TestWithParam<World> {};
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -160,10 +160,12 @@
   ASSERT_TRUE(client.ask(1, read_fields(id_of(1))).has_value());
   const std::string bytes = request_bytes(2, read_fields(id_of(2)), "");
   client.send(bytes.substr(0, bytes.size() / 2));
+  const auto told = Steady::now();
   program_->signal(SIGTERM);
   ASSERT_TRUE(program_->await_health(503));
-  // Past the end of a drain with nothing on its way, and well inside that of one with half a request.
-  std::this_thread::sleep_for(milliseconds(850));
+  // Past the end of a drain with nothing on its way (650 ms), and well inside that of one with half a
+  // request.
+  std::this_thread::sleep_until(told + milliseconds(800));
   client.send(bytes.substr(bytes.size() / 2));
   const auto answer = client.read(2);
   ASSERT_TRUE(answer.has_value()) << program_->log();
--- a/tests/transport_test.cpp
+++ b/tests/transport_test.cpp
@@ -178,6 +178,16 @@
     connection->start(std::make_shared<Noted>(seen_));
     return connection;
   }
+  // Listens with a backlog that is full: connects have no answer while its fillers are there.
+  std::vector<Opened> fill_backlog() {
+    listener_ = listen_on(kAnyPort, 0);
+    address_ = local_of(listener_.descriptor.get());
+    std::vector<Opened> fillers;
+    for (int i = 0; i < 8; ++i) {
+      fillers.push_back(start_connect(address_));
+    }
+    return fillers;
+  }
   Descriptor accept() {
     Descriptor socket;
     turn_until(scheduler_, [&] {
@@ -226,12 +236,7 @@
 // ---- Crossings (docs/crossings.md) ----
 
 TEST_F(ConnectionTest, BytesWhoseGateShutsWhileTheyWaitAreTakenBack) {
-  Opened full = listen_on(kAnyPort, 0);
-  address_ = local_of(full.descriptor.get());
-  std::vector<Opened> fillers;
-  for (int i = 0; i < 8; ++i) {
-    fillers.push_back(start_connect(address_));
-  }
+  std::vector<Opened> fillers = fill_backlog();
   Connection::Bounds bounds;
   bounds.connect_timeout = std::chrono::seconds(20);
   const auto connection = connect(bounds);
@@ -241,7 +246,6 @@
   EXPECT_FALSE(connection->begun(first));
   open = false;
   fillers.clear();
-  listener_ = std::move(full);
   std::string got;
   std::vector<Descriptor> peers;  // the fillers stand before it in the queue
   turn_until(scheduler_, [&] {
@@ -378,12 +382,7 @@
 
 TEST_F(ConnectionTest, AConnectThatNeverComesUpTimesOut) {
   // A full backlog leaves the connect without an answer.
-  Opened full = listen_on(kAnyPort, 0);
-  address_ = local_of(full.descriptor.get());
-  std::vector<Opened> fillers;
-  for (int i = 0; i < 8; ++i) {
-    fillers.push_back(start_connect(address_));
-  }
+  std::vector<Opened> fillers = fill_backlog();
   Connection::Bounds bounds;
   bounds.connect_timeout = milliseconds(30);
   const auto connection = connect(bounds);
