--- a/tests/cold_sum_test.cpp
+++ b/tests/cold_sum_test.cpp
@@ -47,6 +47,9 @@
   double length_s = 14.0;
 };
 
+// As it is told where a test of it is listed or fails.
+void PrintTo(const World& world, std::ostream* out) { *out << world.name; }
+
 struct Arrival {
   Micros at{0};
   double work = 0.0;
