At the end of the program every client's connection is read to its end

Cause, seen on rereading: Front::close_all took whether any connection lingers for how many do, so that with several lingering already as many of the others were closed at once, over unread bytes too. front.cpp, close_all.

--- a/src/routing/front.cpp
+++ b/src/routing/front.cpp
@@ -533,7 +533,8 @@
 
 void Front::close_all() {
   if (bounds_.connection.lingering) {
-    bounds_.connection.lingering->most = static_cast<int>(sessions_.size()) + lingering();
+    bounds_.connection.lingering->most =
+        bounds_.connection.lingering->open + static_cast<int>(sessions_.size());
   }
   for (FrontSession* session : sessions_) {
     session->connection().close(ConnectionEnd::kShutdown);
