--- a/src/decision/decide.cpp
+++ b/src/decision/decide.cpp
@@ -193,9 +193,15 @@
 
   // Whether a budget binds there: none does where the settings name no multiple or no span of time.
   bool cold(const Node& node) const {
-    const bool parent = node.entry.role == Role::kParent;
-    const double factor = parent ? settings_.parent_overload_factor : settings_.overload_factor;
-    return cold_share(node) < 1.0 && factor > 0.0 && settings_.overload_span > Micros(0);
+    return cold_share(node) < 1.0 && overload_factor(node) > 0.0 && settings_.overload_span > Micros(0);
+  }
+  double overload_factor(const Node& node) const {
+    return node.entry.role == Role::kParent ? settings_.parent_overload_factor : settings_.overload_factor;
+  }
+
+  // Whether this router's last time slot there is open still.
+  bool slot_open(const Node& node) const {
+    return now_ < node.cold_begin + from_seconds(kColdSlot * to_seconds(settings_.overload_span));
   }
 
   // Whether `cost` seconds of sending fit this router's time slot at the node. The slots of all routers lie
@@ -203,15 +209,13 @@
   // every window; a slot holds what one request may need, and comes as often as that fits the budget. One
   // that began before this router knew of the start may have been used by its last run: it is void.
   bool cold_budget_allows(Node& node, double cost) {
-    const double share = cold_share(node);
-    const bool parent = node.entry.role == Role::kParent;
-    const double factor = parent ? settings_.parent_overload_factor : settings_.overload_factor;
-    const int routers = std::max(1, parent ? settings_.routers : settings_.routers_in_zone);
-    const double rate = kColdRate * factor * share * node.transfers / routers;
-    const double span = to_seconds(settings_.overload_span);
     if (!cold(node)) {
       return true;
     }
+    const bool parent = node.entry.role == Role::kParent;
+    const int routers = std::max(1, parent ? settings_.routers : settings_.routers_in_zone);
+    const double rate = kColdRate * overload_factor(node) * cold_share(node) * node.transfers / routers;
+    const double span = to_seconds(settings_.overload_span);
     const double octaves = std::log2(dearest_work() / (rate * kColdLeast * span));
     const double period =
         kColdLeast * span * std::exp2(kColdStep * std::ceil(std::max(0.0, octaves) / kColdStep));
@@ -224,7 +228,7 @@
       node.cold_until = begin + from_seconds(kColdPaid * period);
       node.cold_tokens = rate * period;
     }
-    return node.cold_tokens >= cost && now_ < node.cold_begin + from_seconds(kColdSlot * span);
+    return node.cold_tokens >= cost && slot_open(node);
   }
 
   double take_cold_budget(Node& node, double cost) const {
@@ -235,17 +239,10 @@
 
   // Listed as it was when the attempt was decided on, and warm, or in the slot that paid for the attempt.
   bool may_go_to(const Node& node, const Attempt& attempt) const {
-    const Micros end = node.cold_begin + from_seconds(kColdSlot * to_seconds(settings_.overload_span));
-    const bool paid = attempt.sent >= node.cold_begin && node.cold_begin > Micros(0) && now_ < end;
+    const bool paid = attempt.sent >= node.cold_begin && node.cold_begin > Micros(0) && slot_open(node);
     return node.listed && (paid || !cold(node));
   }
 
-  // What is not spent yet of the slot that it was taken from, where a hit shows that the source was not
-  // asked.
-  void give_cold_budget_back(Node& node, const Attempt& attempt) const {
-    node.cold_tokens += attempt.sent >= node.cold_begin ? attempt.cold_cost : 0.0;
-  }
-
   double cold_cost(const Request& request) const {
     return mean_work_[static_cast<std::size_t>(request.told.request_class)].surely(kDefaultWork, kColdDoubt);
   }
@@ -562,24 +559,21 @@
   // ---- Sizes: none is answered far less than the rest of its class. A large object that is refused however
   // often it is asked for would never come. ----
 
-  double& answered(const Request& request) {
-    const double steps = std::min(kLargeSteps, std::floor(request.work / class_work(request)));
-    return answered_.at(static_cast<std::size_t>(request.told.request_class))
-        .by_size[static_cast<std::size_t>(std::max(0.0, steps))];
+  std::size_t size_step(const Request& request) const {
+    return static_cast<std::size_t>(std::min(kLargeSteps, request.work / class_work(request)));
   }
 
   void note_answered(const Request& request, bool whether) {
-    const double one = whether ? 1.0 : 0.0;
-    double& own = answered(request);
-    double& all = answered_.at(static_cast<std::size_t>(request.told.request_class)).all;
-    own += kAnsweredGain * (one - own);
-    all += kAnsweredGain * (one - all);
+    Answered& answered = answered_[static_cast<std::size_t>(request.told.request_class)];
+    for (double* share : {&answered.all, &answered.by_size[size_step(request)]}) {
+      *share += kAnsweredGain * ((whether ? 1.0 : 0.0) - *share);
+    }
   }
 
-  bool neglected(const Request& request) {
+  bool neglected(const Request& request) const {
+    const Answered& answered = answered_[static_cast<std::size_t>(request.told.request_class)];
     return request.work > class_work(request) &&
-           answered(request) <
-               kLargeShare * answered_.at(static_cast<std::size_t>(request.told.request_class)).all;
+           answered.by_size[size_step(request)] < kLargeShare * answered.all;
   }
 
   // Whether the target probably lacks the object: another cache answered last, or the copy is void by now.
@@ -709,9 +703,8 @@
     node.refuses = node.unreachable && ended.latency < kAtOnce;
     node.trial_out &= !attempt.trial;
     source.trial_out &= !attempt.source_trial;
-    if (shows_hit(ended.note)) {
-      give_cold_budget_back(source, attempt);
-    }
+    const bool not_asked = shows_hit(ended.note) && attempt.sent >= source.cold_begin;  // in the same slot
+    source.cold_tokens += not_asked ? attempt.cold_cost : 0.0;
     learn_load(node, ended.load);
     learn_fill(request, attempt, ended);
     if (ended.status == Status::kOk) {
--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -43,6 +43,13 @@
 constexpr milliseconds kDefaultIdle{15'000};
 constexpr int kDefaultStreams = 32;
 
+// The connections that get these bounds share one count.
+void let_linger(transport::Connection::Bounds& bounds, const Configuration& configuration) {
+  bounds.linger = kLinger;
+  bounds.lingering = std::make_shared<transport::Lingering>();
+  bounds.lingering->most = configuration.most_lingering();
+}
+
 routing::CacheClient::Bounds cache_bounds(const Configuration& configuration, const StartSupport& start) {
   const protocol::Profile& profile = configuration.profile;
   const Tuning& tuning = configuration.tuning;
@@ -55,9 +62,7 @@
   bounds.pool.idle = idle / 2;
   bounds.pool.connection.connect_timeout =
       profile.connect_timeout.count() > 0 ? profile.connect_timeout : Micros(kDefaultConnect);
-  bounds.pool.connection.linger = kLinger;
-  bounds.pool.connection.lingering = std::make_shared<transport::Lingering>();
-  bounds.pool.connection.lingering->most = configuration.most_lingering();
+  let_linger(bounds.pool.connection, configuration);
   bounds.silent_after = milliseconds(tuning.cache_silent_ms);
   bounds.stall_after = milliseconds(tuning.cache_stall_ms);
   bounds.most_partial = configuration.most_answer_bytes();
@@ -91,9 +96,7 @@
   bounds.connection.low_mark = static_cast<std::size_t>(tuning.write_low_mark);
   bounds.connection.send_buffer = static_cast<int>(tuning.client_send_buffer);
   bounds.connection.end_on_hang_up = true;
-  bounds.connection.linger = kLinger;
-  bounds.connection.lingering = std::make_shared<transport::Lingering>();
-  bounds.connection.lingering->most = configuration.most_lingering();
+  let_linger(bounds.connection, configuration);
   return bounds;
 }
 
--- a/src/routing/cache_client.cpp
+++ b/src/routing/cache_client.cpp
@@ -52,20 +52,25 @@
                                        [&router = client_.router_, key] { return router.may_begin(key); });
 }
 
+// It is out no more; its place on the connection is free.
+AttemptKey CacheLink::end_call(std::map<std::string, Call>::iterator call) {
+  const AttemptKey key = call->second.key;
+  calls_.erase(call);
+  client_.places_.erase(key);
+  if (const std::shared_ptr<Pool::Slot> slot = slot_.lock()) {
+    client_.pool_.give_back(slot);
+  }
+  return key;
+}
+
 // Not a byte of it has left, and none will.
 void CacheLink::on_withheld(std::uint64_t token) {
   const auto found = std::find_if(calls_.begin(), calls_.end(),
                                   [token](const auto& one) { return one.second.token == token; });
-  const std::shared_ptr<Pool::Slot> slot = slot_.lock();
   if (found == calls_.end()) {
     return;  // given up meanwhile
   }
-  const AttemptKey key = found->second.key;
-  calls_.erase(found);
-  client_.places_.erase(key);
-  if (slot) {
-    client_.pool_.give_back(slot);
-  }
+  const AttemptKey key = end_call(found);
   AttemptResult result;
   result.status = Status::kMoot;
   client_.router_.attempt_ended(key, std::move(result));
@@ -205,22 +210,17 @@
 
 void CacheLink::finish(const std::string& id, AnswerWord word, const AnswerFields& fields) {
   const auto found = calls_.find(id);
-  const std::shared_ptr<Pool::Slot> slot = slot_.lock();
   if (found == calls_.end()) {
+    const std::shared_ptr<Pool::Slot> slot = slot_.lock();
     if (!spent_.contains(id)) {
       log_line(Level::kDebug) << "cache " << (slot ? slot->peer : "") << " answered an unknown id";
     }
     return;
   }
-  const AttemptKey key = found->second.key;
-  calls_.erase(found);
-  client_.places_.erase(key);
   if (word != AnswerWord::kOk && word != AnswerWord::kSame) {
     spend(id);  // a further try may follow, and so may a second copy of this answer
   }
-  if (slot) {
-    client_.pool_.give_back(slot);
-  }
+  const AttemptKey key = end_call(found);
   AttemptResult result;
   result.status = status_of_word(word);
   result.same = word == AnswerWord::kSame;
--- a/src/routing/cache_client.h
+++ b/src/routing/cache_client.h
@@ -48,6 +48,7 @@
   };
 
   void count(std::size_t bytes);
+  AttemptKey end_call(std::map<std::string, Call>::iterator call);
   void spend(const std::string& id);
   void watch_progress();
   void end_unreadable(std::string_view why);
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -114,30 +114,40 @@
   while (!self->ended_ || self->lingering_) {
     const ssize_t count = ::recv(self->socket_.get(), read_buffer.data(), read_buffer.size(), 0);
     if (count > 0) {
-      if (!self->ended_ && self->bounds_.end_on_hang_up && self->watch_->hung_up()) {
-        self->finish(ConnectionEnd::kPeerClosed);
-      } else if (!self->ended_) {
-        self->last_received_ = Clock::now();
-        self->hand_on(std::string_view(read_buffer.data(), static_cast<std::size_t>(count)));
-      }
+      self->hand_on(std::string_view(read_buffer.data(), static_cast<std::size_t>(count)));
       if (++reads % kReadsInTurn == 0) {
         co_await self->scheduler_.yield();
       }
-    } else if (self->ended_ && (count == 0 || (!would_block(errno) && errno != EINTR))) {
-      self->let_go();
     } else if (count == 0) {
-      self->finish(ConnectionEnd::kPeerClosed);
+      self->end_reading(ConnectionEnd::kPeerClosed);
     } else if (would_block(errno)) {
       self->watch_->blocked_reading();
       co_await self->watch_->readable();
     } else if (errno != EINTR) {
-      self->finish(end_of(errno));
+      self->end_reading(end_of(errno));
     }
   }
 }
 
+// Nothing more will come: the end, or that of a connection which ended before and was read on.
+void Connection::end_reading(ConnectionEnd end) {
+  if (ended_) {
+    let_go();
+  } else {
+    finish(end);
+  }
+}
+
 // A handler that fails has lost its place in the bytes: its connection ends, and so is heard of.
 void Connection::hand_on(std::string_view bytes) {
+  if (ended_) {
+    return;  // read on so that the close resets nothing
+  }
+  if (bounds_.end_on_hang_up && watch_->hung_up()) {
+    finish(ConnectionEnd::kPeerClosed);
+    return;
+  }
+  last_received_ = Clock::now();
   const std::shared_ptr<Handler> handler = handler_;
   try {
     handler->on_bytes(bytes);
@@ -219,8 +229,7 @@
 // Whether the other side has ended it, and what it sent before has been read. What is written now would
 // vanish, and nobody could tell whether it was carried out.
 bool Connection::gone() const {
-  char next = 0;
-  const ssize_t count = ::recv(socket_.get(), &next, 1, MSG_PEEK | MSG_DONTWAIT);
+  const ssize_t count = peek();
   return count == 0 || (count < 0 && !would_block(errno) && errno != EINTR);
 }
 
@@ -293,11 +302,14 @@
   work_.notify();
 }
 
-bool Connection::unread() const {
+// What the next read would say, and with it errno; nothing is taken.
+ssize_t Connection::peek() const {
   char next = 0;
-  return !ended_ && up_ && ::recv(socket_.get(), &next, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+  return ::recv(socket_.get(), &next, 1, MSG_PEEK);
 }
 
+bool Connection::unread() const { return !ended_ && up_ && peek() > 0; }
+
 bool Connection::close_if_read(ConnectionEnd end) {
   if (unread()) {
     return false;
--- a/src/transport/connection.h
+++ b/src/transport/connection.h
@@ -1,6 +1,8 @@
 // One TCP connection: reads what comes and hands it on, writes what it is given, and ends exactly once.
 #pragma once
 
+#include <sys/types.h>
+
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -98,9 +100,11 @@
   static Task<void> write_loop(std::shared_ptr<Connection> self);
   Task<bool> come_up();
   void hand_on(std::string_view bytes);
+  void end_reading(ConnectionEnd end);
   std::deque<Piece>::const_iterator find_piece(std::uint64_t token) const;
   void flush();
   void hold_back();
+  ssize_t peek() const;
   bool gone() const;
   void finish(ConnectionEnd end);
   bool lingers(ConnectionEnd end) const;
