One loop that accepts for the store's stand-in, the board's pages and the fault proxy

The three were the same but for the pause and what they do with a socket: transport/accept_loop.h. The clients' front and the cache node's listener free descriptors and yield within theirs, and keep their own.

--- a/src/board/page_server.cpp
+++ b/src/board/page_server.cpp
@@ -1,13 +1,13 @@
 #include "board/page_server.h"
 
 #include <algorithm>
-#include <cerrno>
 #include <string_view>
 #include <utility>
 #include <vector>
 
 #include "protocol/http_request.h"
 #include "protocol/numbers.h"
+#include "transport/accept_loop.h"
 #include "transport/log.h"
 
 namespace trailcourse::board {
@@ -147,32 +147,21 @@
 void PageServer::listen(const transport::Address& address) {
   listener_ = transport::listen_or_throw(address, bounds_.backlog);
   watch_ = std::make_unique<transport::Watch>(scheduler_, listener_.get());
-  scheduler_.spawn(accept_loop());
+  scheduler_.spawn(
+      transport::accept_loop(scheduler_, listener_.get(), *watch_, kAcceptPause,
+                             [this](transport::Descriptor socket) { take_in(std::move(socket)); }));
   scheduler_.spawn(reap());
 }
 
-transport::Task<void> PageServer::accept_loop() {
-  for (;;) {
-    transport::Opened opened = transport::accept_from(listener_.get());
-    if (opened.descriptor.valid()) {
-      const bool beyond = sessions_.size() >= bounds_.connections;
-      if (sessions_.size() >= bounds_.connections + kOverflow) {
-        continue;  // closed at once
-      }
-      const auto connection = Connection::adopt(scheduler_, std::move(opened.descriptor), bounds_.connection);
-      const auto session = std::make_shared<Session>(*this, connection, beyond);
-      sessions_.insert(session);
-      connection->start(session);
-    } else if (opened.error == EAGAIN || opened.error == EWOULDBLOCK) {
-      watch_->blocked_reading();
-      const bool open = co_await watch_->readable();
-      if (!open) {
-        co_return;
-      }
-    } else {
-      co_await scheduler_.sleep(kAcceptPause);
-    }
+void PageServer::take_in(transport::Descriptor socket) {
+  const bool beyond = sessions_.size() >= bounds_.connections;
+  if (sessions_.size() >= bounds_.connections + kOverflow) {
+    return;  // closed at once
   }
+  const auto connection = Connection::adopt(scheduler_, std::move(socket), bounds_.connection);
+  const auto session = std::make_shared<Session>(*this, connection, beyond);
+  sessions_.insert(session);
+  connection->start(session);
 }
 
 transport::Task<void> PageServer::reap() {
--- a/src/board/page_server.h
+++ b/src/board/page_server.h
@@ -58,7 +58,7 @@
  private:
   class Session;
 
-  transport::Task<void> accept_loop();
+  void take_in(transport::Descriptor socket);
   transport::Task<void> reap();
   void call(Session& session, std::uint64_t watch, std::int64_t linger_ms);
   void tell_due();
--- a/src/coordination/registry.cpp
+++ b/src/coordination/registry.cpp
@@ -1,9 +1,9 @@
 #include "coordination/registry.h"
 
 #include <algorithm>
-#include <cerrno>
 #include <utility>
 
+#include "transport/accept_loop.h"
 #include "transport/log.h"
 
 namespace trailcourse::coordination {
@@ -165,33 +165,22 @@
 void Registry::listen(const transport::Address& address) {
   listener_ = transport::listen_or_throw(address, kBacklog);
   watch_ = std::make_unique<transport::Watch>(scheduler_, listener_.get());
-  scheduler_.spawn(accept_loop());
+  scheduler_.spawn(
+      transport::accept_loop(scheduler_, listener_.get(), *watch_, kAcceptPause,
+                             [this](transport::Descriptor socket) { take_in(std::move(socket)); }));
   scheduler_.spawn(heartbeat());
   end_leases();
 }
 
-transport::Task<void> Registry::accept_loop() {
-  for (;;) {
-    transport::Opened opened = transport::accept_from(listener_.get());
-    if (opened.descriptor.valid()) {
-      if (sessions_.size() >= static_cast<std::size_t>(options_.connections)) {
-        ++refused_;
-        continue;  // closed at once
-      }
-      const auto connection = Connection::adopt(scheduler_, std::move(opened.descriptor), {});
-      const auto session = std::make_shared<Session>(*this, connection);
-      sessions_.insert(session);
-      connection->start(session);
-    } else if (opened.error == EAGAIN || opened.error == EWOULDBLOCK) {
-      watch_->blocked_reading();
-      const bool open = co_await watch_->readable();
-      if (!open) {
-        co_return;
-      }
-    } else {
-      co_await scheduler_.sleep(kAcceptPause);
-    }
+void Registry::take_in(transport::Descriptor socket) {
+  if (sessions_.size() >= static_cast<std::size_t>(options_.connections)) {
+    ++refused_;
+    return;  // closed at once
   }
+  const auto connection = Connection::adopt(scheduler_, std::move(socket), {});
+  const auto session = std::make_shared<Session>(*this, connection);
+  sessions_.insert(session);
+  connection->start(session);
 }
 
 // So that whoever watches can tell a quiet store from a dead connection.
--- a/src/coordination/registry.h
+++ b/src/coordination/registry.h
@@ -42,7 +42,7 @@
     nlohmann::json body;
   };
 
-  transport::Task<void> accept_loop();
+  void take_in(transport::Descriptor socket);
   transport::Task<void> heartbeat();
   Answer answer(const std::string& path, const nlohmann::json& body);
   etcd::Header header(const Ledger& ledger) const { return {file_.id(), ledger.revision()}; }
--- a/src/fleet/fault_proxy.cpp
+++ b/src/fleet/fault_proxy.cpp
@@ -4,10 +4,11 @@
 #include <sys/socket.h>
 
 #include <algorithm>
-#include <cerrno>
 #include <deque>
 #include <utility>
 
+#include "transport/accept_loop.h"
+
 namespace trailcourse::fleet {
 
 using std::chrono::milliseconds;
@@ -188,7 +189,9 @@
       target_(target),
       listener_(transport::listen_or_throw(listen, 1'024)),
       watch_(std::make_unique<transport::Watch>(scheduler, listener_.get())) {
-  scheduler_.spawn(accept_loop());
+  scheduler_.spawn(
+      transport::accept_loop(scheduler_, listener_.get(), *watch_, kPump,
+                             [this](transport::Descriptor socket) { take_in(std::move(socket)); }));
   scheduler_.spawn(pump_loop());
 }
 
@@ -199,25 +202,6 @@
   }
 }
 
-transport::Task<void> FaultProxy::accept_loop() {
-  for (;;) {
-    transport::Opened opened = transport::accept_from(listener_.get());
-    if (opened.descriptor.valid()) {
-      take_in(std::move(opened.descriptor));
-      continue;
-    }
-    if (opened.error != EAGAIN && opened.error != EWOULDBLOCK) {
-      co_await scheduler_.sleep(kPump);
-      continue;
-    }
-    watch_->blocked_reading();
-    const bool open = co_await watch_->readable();
-    if (!open) {
-      co_return;
-    }
-  }
-}
-
 // What is delayed or trickles goes on as its time comes.
 transport::Task<void> FaultProxy::pump_loop() {
   for (;;) {
--- a/src/fleet/fault_proxy.h
+++ b/src/fleet/fault_proxy.h
@@ -42,7 +42,6 @@
   class Pair;
   class End;
 
-  transport::Task<void> accept_loop();
   transport::Task<void> pump_loop();
   void pump_all();
   void take_in(transport::Descriptor socket);
