--- a/src/policy/change.cpp
+++ b/src/policy/change.cpp
@@ -111,16 +111,25 @@
 }
 
 std::string write_permit(const Permit& permit) {
-  return json{{"incarnation", permit.incarnation},
-              {"zone", permit.zone},
-              {"version", permit.version},
-              {"ready", permit.ready},
-              {"held", permit.held},
-              {"no", permit.no},
-              {"why", permit.why},
-              {"requests", permit.requests},
-              {"refused", permit.refused}}
-      .dump();
+  json out{{"incarnation", permit.incarnation},
+           {"zone", permit.zone},
+           {"version", permit.version},
+           {"ready", permit.ready},
+           {"held", permit.held},
+           {"no", permit.no},
+           {"why", permit.why},
+           {"requests", permit.requests},
+           {"refused", permit.refused}};
+  if (permit.number > 0) {
+    out["number"] = permit.number;
+  }
+  if (permit.routers > 0) {
+    out["routers"] = permit.routers;
+  }
+  if (!permit.awaits.empty()) {
+    out["awaits"] = permit.awaits;
+  }
+  return out.dump();
 }
 
 std::optional<Permit> read_permit(const std::string& text) {
@@ -138,6 +147,9 @@
   out.why = text_of(from, "why");
   out.requests = number_of(from, "requests");
   out.refused = number_of(from, "refused");
+  out.number = number_of(from, "number");
+  out.routers = number_of(from, "routers");
+  out.awaits = text_of(from, "awaits");
   return out;
 }
 
--- a/src/policy/change.h
+++ b/src/policy/change.h
@@ -62,6 +62,9 @@
   std::uint64_t no = 0;       // that it cannot live by, and why
   std::string why;
   std::uint64_t requests = 0, refused = 0;  // since its start; refused or failed
+  std::uint64_t number = 0;                 // grows with each statement under one lease; 0: not numbered
+  std::uint64_t routers = 0;  // that it stands for, of an aggregator's summary; 0: for its writer alone
+  std::string awaits;         // of a summary: a router that has not done what is asked for; for staff
 
   friend bool operator==(const Permit&, const Permit&) = default;
 };
--- a/src/policy/holder.cpp
+++ b/src/policy/holder.cpp
@@ -258,6 +258,7 @@
         say_out_ = false;
         saying_ = wanted();
         ask.permit = *saying_;
+        ask.permit.number = ++say_number_;
         ask.known = known_;
       }
       out.push_back(std::move(ask));
@@ -276,7 +277,9 @@
     say_out_ = true;
     saying_ = want;
     say_after_ = watched ? now + rules_.lease.retry : now;
-    out.push_back(SayPermit{++say_number_, want});
+    SayPermit say{++say_number_, want};
+    say.permit.number = say.number;
+    out.push_back(std::move(say));
   }
   return out;
 }
