--- a/src/board/page_server.cpp
+++ b/src/board/page_server.cpp
@@ -16,8 +16,6 @@
 using transport::Clock;
 using transport::Connection;
 using transport::ConnectionEnd;
-using transport::Level;
-using transport::log_line;
 
 namespace {
 
--- a/src/cache_node/source_client.cpp
+++ b/src/cache_node/source_client.cpp
@@ -60,7 +60,7 @@
   result.word = *word;
   result.fields = protocol::read_answer_out(words_[2]);
   result.body = std::make_shared<const std::string>(std::exchange(body_, {}));
-  finish(words_[0], std::move(result));
+  finish(words_[0], result);
 }
 
 void SourceLink::take(const protocol::resp::Unreadable& unreadable) { spoilt(unreadable.why); }
@@ -72,7 +72,7 @@
   }
 }
 
-void SourceLink::finish(const std::string& id, FetchResult result) {
+void SourceLink::finish(const std::string& id, const FetchResult& result) {
   const auto found = calls_.find(id);
   const FillNumber fill = found->second.fill;
   calls_.erase(found);
--- a/src/cache_node/source_client.h
+++ b/src/cache_node/source_client.h
@@ -43,7 +43,7 @@
   void take(const protocol::resp::ArrayEnd&);
   void take(const protocol::resp::Unreadable& unreadable);
   void spoilt(std::string_view why);
-  void finish(const std::string& id, FetchResult result);
+  void finish(const std::string& id, const FetchResult& result);
 
   SourceClient& client_;
   std::weak_ptr<Pool::Slot> slot_;
--- a/src/config/record.cpp
+++ b/src/config/record.cpp
@@ -111,7 +111,7 @@
   if (!value.is_string()) {
     throw KeyError(path, given(value) + " is not a text");
   }
-  const auto text = value.get<std::string>();
+  auto text = value.get<std::string>();
   const Words& words = std::get<Words>(key.allowed);
   const bool known = words.allowed.empty() ||
                      std::find(words.allowed.begin(), words.allowed.end(), text) != words.allowed.end();
--- a/src/duties/steward.cpp
+++ b/src/duties/steward.cpp
@@ -12,7 +12,6 @@
 using coordination::LeaseId;
 using coordination::Outcome;
 using coordination::Reply;
-using coordination::Result;
 using ownership::Ask;
 using ownership::ShardId;
 using std::chrono::milliseconds;
@@ -344,7 +343,7 @@
     drop(id, term);
     turn_soon();
   };
-  out.get = [this](std::string key, std::function<void(std::optional<std::string>)> then) {
+  out.get = [this](const std::string& key, std::function<void(std::optional<std::string>)> then) {
     coordination::Transaction read;
     read.then = {coordination::Get{coordination::Range{prefix_ + key, false}}};
     store_.commit(std::move(read), [then = std::move(then)](const Reply<Outcome>& reply) {
@@ -354,7 +353,7 @@
       }
     });
   };
-  out.put = [this, id, term](std::string key, std::string value) {
+  out.put = [this, id, term](const std::string& key, std::string value) {
     coordination::Transaction transaction;
     transaction.when = {coordination::created_at(prefix_ + ownership::kOwn + to_string(id), term)};
     if (value.empty()) {
--- a/src/fleet/fault_proxy.cpp
+++ b/src/fleet/fault_proxy.cpp
@@ -196,7 +196,8 @@
 }
 
 FaultProxy::~FaultProxy() {
-  const auto pairs = pairs_;
+  decltype(pairs_) pairs;
+  pairs.swap(pairs_);  // each leaves the set as it closes
   for (const std::shared_ptr<Pair>& pair : pairs) {
     pair->close();
   }
--- a/src/fleet/process.cpp
+++ b/src/fleet/process.cpp
@@ -14,8 +14,6 @@
 
 #include "transport/socket.h"
 
-extern char** environ;
-
 namespace trailcourse::fleet {
 namespace {
 
--- a/src/routing/board_watcher.cpp
+++ b/src/routing/board_watcher.cpp
@@ -188,7 +188,7 @@
 }
 
 std::shared_ptr<BoardWatcher::Link> BoardWatcher::link_to(const transport::Address& address) {
-  const auto link = std::make_shared<Link>(scheduler_, bounds_.answers);
+  auto link = std::make_shared<Link>(scheduler_, bounds_.answers);
   link->to = address;
   const auto connection = Connection::connect(scheduler_, address, bounds_.connection);
   link->connection = transport::ConnectionHandle(connection);
--- a/src/startup/opening.cpp
+++ b/src/startup/opening.cpp
@@ -77,6 +77,7 @@
   }
   std::sort(due.begin(), due.end());
   std::vector<std::string> out;
+  out.reserve(due.size());
   for (auto& [at, name] : due) {
     out.push_back(std::move(name));
   }
--- a/src/startup/relay_tree.cpp
+++ b/src/startup/relay_tree.cpp
@@ -8,7 +8,7 @@
 
 namespace trailcourse::startup {
 
-RelayTree::RelayTree(std::string self, std::vector<std::string> peers, int degree)
+RelayTree::RelayTree(const std::string& self, std::vector<std::string> peers, int degree)
     : order_(std::move(peers)), degree_(static_cast<std::size_t>(std::max(1, degree))) {
   order_.push_back(self);
   std::sort(order_.begin(), order_.end(), [](const std::string& one, const std::string& other) {
--- a/src/startup/relay_tree.h
+++ b/src/startup/relay_tree.h
@@ -16,7 +16,7 @@
 class RelayTree {
  public:
   // `peers`: the names of this zone's routers, with or without `self`, in any order, doubles allowed.
-  RelayTree(std::string self, std::vector<std::string> peers, int degree);
+  RelayTree(const std::string& self, std::vector<std::string> peers, int degree);
 
   // From the one that this router asks up to the first; empty for the first itself, which asks the board.
   std::vector<std::string> ancestors() const;
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -491,7 +491,8 @@
   opened_();
 }
 
-void Store::unusable(std::string why) {
+// The reason is copied: its owner, the opening, ends here.
+void Store::unusable(std::string why) {  // NOLINT(performance-unnecessary-value-param)
   recovering_ = false;
   opening_.reset();
   health_.closed(why);
