Data file of measured slopes: fit by least squares, merge by name

benchmarks/scale/slopes: an entry names what grows with what, its points, its form (constant, linear, n log n, quadratic: the simplest whose R squared is within 0.01 of the best), where it was measured, by which command, when, at which commit and on which machine. Tools merge theirs into docs/capacity/slopes.json by name.

--- /dev/null
+++ b/tests/scale_test.cpp
@@ -0,0 +1,92 @@
+// How costs grow with the fleet: the form that is fitted to points, the file of slopes.
+#include <gtest/gtest.h>
+
+#include <cmath>
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <random>
+
+#include "scale/slopes.h"
+
+namespace trailcourse::scale {
+namespace {
+
+Points points_of(double (*function)(double), double noise, std::uint64_t seed) {
+  std::mt19937_64 random(seed);
+  std::uniform_real_distribution<double> share(-noise, noise);
+  Points out;
+  for (const double x : {30.0, 100.0, 200.0, 300.0, 1'000.0, 3'000.0, 10'000.0, 19'000.0}) {
+    out.emplace_back(x, function(x) * (1.0 + share(random)));
+  }
+  return out;
+}
+
+TEST(SlopesTest, TheFormThatThePointsHaveIsNamed) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    EXPECT_EQ(fit(points_of([](double) { return 70.0; }, 0.04, seed)).form, Form::kConstant);
+    const Fit line = fit(points_of([](double x) { return 100.0 + 3.0 * x; }, 0.01, seed));
+    EXPECT_EQ(line.form, Form::kLinear);
+    EXPECT_NEAR(line.slope, 3.0, 0.15);
+    EXPECT_GT(line.r_squared, 0.99);
+    const Fit square = fit(points_of([](double x) { return 5.0 + 0.02 * x * x; }, 0.01, seed));
+    EXPECT_EQ(square.form, Form::kQuadratic);
+    EXPECT_NEAR(value_at(square, 38'000.0), 0.02 * 38'000.0 * 38'000.0, 2e6);
+  }
+  const Points logarithmic = {{10, 10 * std::log(10.0)}, {20, 20 * std::log(20.0)}, {1'000, 6'907.755}};
+  const Fit any = fit(logarithmic);
+  EXPECT_EQ(any.form, Form::kLinear) << "the simplest within a hundredth of the best";
+  EXPECT_EQ(fit({{100, 7.0}}).form, Form::kConstant);
+  EXPECT_EQ(fit({{100, 0.0}, {200, 0.0}}).r_squared, 1.0);
+  EXPECT_THROW(fit({}), std::invalid_argument);
+}
+
+Slope slope_named(const std::string& name, double y) {
+  Slope out;
+  out.name = name;
+  out.what = "calls";
+  out.unit = "calls";
+  out.per = "routers";
+  out.points = {{200, 2 * y}, {100, y}};
+  out.setting = "hollow, virtual time";
+  out.command = "scale_bench";
+  return measured_here(out);
+}
+
+TEST(SlopesTest, AFileIsMergedByName) {
+  const std::filesystem::path path = std::filesystem::path(testing::TempDir()) / "scale_test_slopes.json";
+  std::filesystem::remove(path);
+  save_slopes(path, {slope_named("b", 1.0), slope_named("c", 2.0)});
+  save_slopes(path, {slope_named("c", 3.0), slope_named("a", 4.0)});
+  const std::vector<Slope> read = load_slopes(path);
+  ASSERT_EQ(read.size(), 3U);
+  EXPECT_EQ(read[0].name, "a");
+  EXPECT_EQ(read[1].name, "b");
+  EXPECT_EQ(read[2].points, (Points{{100, 3.0}, {200, 6.0}}));
+  EXPECT_EQ(read[2].bound, 200.0);
+  EXPECT_EQ(read[2].fit.form, Form::kLinear);
+  EXPECT_EQ(write_slopes(read_slopes(write_slopes(read))), write_slopes(read));
+  std::filesystem::remove(path);
+}
+
+TEST(SlopesTest, WhatCannotBeUsedIsNamed) {
+  const auto why = [](const char* key, const nlohmann::json& value) -> std::string {
+    nlohmann::json list = write_slopes({slope_named("one", 1.0)});
+    list[0][key] = value;
+    try {
+      read_slopes(list);
+    } catch (const BadSlopes& error) {
+      return error.what();
+    }
+    return "";
+  };
+  EXPECT_EQ(why("unit", "bytes"), "");
+  EXPECT_EQ(why("form", "cubic"), "one: form: 'cubic' is none that is known");
+  EXPECT_EQ(why("slope", "steep"), "one: slope is of the wrong type");
+  EXPECT_EQ(why("points", nlohmann::json::array()), "one: points: there is none");
+  EXPECT_NE(why("setting", "guessed"), "");
+  EXPECT_THROW(load_slopes("/dev/null"), BadSlopes) << "a file that is there must be whole";
+}
+
+}  // namespace
+}  // namespace trailcourse::scale
