--- a/src/aggregation/aggregator.cpp
+++ b/src/aggregation/aggregator.cpp
@@ -136,12 +136,23 @@
 Outcome Aggregator::commit(Micros now, const Transaction& transaction) {
   return counted([&] {
     leases_.expire(now);
+    check_conditions(transaction);
     const bool writes = std::any_of(transaction.then.begin(), transaction.then.end(),
                                     [](const auto& step) { return !std::holds_alternative<Get>(step); });
     return writes ? take_permit(now, transaction) : read_records(transaction);
   });
 }
 
+// A key that is not mirrored would look as if it were absent.
+void Aggregator::check_conditions(const Transaction& transaction) const {
+  const std::string stem = identity_.prefix + kPolicyRecords;
+  const bool all_mirrored = std::all_of(transaction.when.begin(), transaction.when.end(),
+                                        [&](const auto& one) { return one.key.starts_with(stem); });
+  if (!all_mirrored) {
+    refuse(Refused::Why::kNotServed, "an aggregator compares the policy's records, and nothing else");
+  }
+}
+
 Outcome Aggregator::take_permit(Micros now, const Transaction& transaction) {
   const bool one_put = transaction.then.size() == 1 && transaction.otherwise.empty() &&
                        std::holds_alternative<Put>(transaction.then.front());
--- a/src/aggregation/aggregator.h
+++ b/src/aggregation/aggregator.h
@@ -84,6 +84,7 @@
   std::map<std::string, policy::Permit> summaries() const;
 
  private:
+  void check_conditions(const coordination::Transaction& transaction) const;
   coordination::Outcome take_permit(Micros now, const coordination::Transaction& transaction);
   coordination::Outcome read_records(const coordination::Transaction& transaction);
   policy::Permit checked_permit(const coordination::Put& put, std::string& router) const;
--- a/src/aggregation/permit_summary.cpp
+++ b/src/aggregation/permit_summary.cpp
@@ -17,14 +17,6 @@
   return change && change->open() && change->concerns(zone) ? policy::step_of(*change) : 0;
 }
 
-// `wanted` where every router says it, else what the first one says that does not.
-template <typename Field>
-std::uint64_t agreed(const RouterPermits& routers, Field field, std::uint64_t wanted) {
-  const auto other = std::find_if(routers.begin(), routers.end(),
-                                  [&](const auto& one) { return one.second.permit.*field != wanted; });
-  return other == routers.end() ? wanted : other->second.permit.*field;
-}
-
 // What a router says that has done all it is asked for.
 Permit fulfilled(const Known& known, const std::string& zone) {
   Permit out;
@@ -46,19 +38,65 @@
          (wanted.ready == 0 || said.ready == wanted.ready);
 }
 
+// What a router decides under and what it holds for: read together, never one by one.
+struct Decision {
+  std::uint64_t version = 0;
+  std::uint64_t held = 0;
+};
+Decision decision_of(const Permit& permit) { return {permit.version, permit.held}; }
+
+// Whether the aggregator knows that the step is past its commit or abort.
+bool is_past(const Known& known, std::uint64_t step) {
+  if (!known.change || step == 0) {
+    return false;
+  }
+  const std::uint64_t at_hand = policy::step_of(*known.change);
+  const ChangeState state = known.change->state;
+  const bool settled = state != ChangeState::kPreparing && state != ChangeState::kHolding;
+  return step < at_hand || (step == at_hand && settled);
+}
+
+// Whether nobody takes what this router alone says for what all have done. A router may have heard of a step
+// that the aggregator has not, and a router that joins later goes by what the aggregator has heard.
+bool may_stand_for_all(const Known& known, const std::string& zone, const Permit& said) {
+  if (said.held != 0) {
+    return is_past(known, said.held);
+  }
+  const bool is_target = step_at_hand(known, zone) != 0 && said.version == known.change->version;
+  return said.version == known.version && !is_target;
+}
+
+Decision decision_of_all(const Known& known, const Permit& wanted, const RouterPermits& routers) {
+  Decision out = decision_of(wanted);
+  bool all = true;
+  for (const auto& [lease, one] : routers) {
+    if (one.permit.version == wanted.version && one.permit.held == wanted.held) {
+      continue;
+    }
+    if (may_stand_for_all(known, wanted.zone, one.permit)) {
+      return decision_of(one.permit);
+    }
+    out.version = all ? one.permit.version : out.version;
+    out.held = kRoutersDiffer;
+    all = false;
+  }
+  return out;
+}
+
 }  // namespace
 
 Permit summarize(const Known& known, const std::string& zone, const RouterPermits& routers) {
   const Permit wanted = fulfilled(known, zone);
   Permit out = wanted;
-  out.version = agreed(routers, &Permit::version, wanted.version);
-  out.held = agreed(routers, &Permit::held, wanted.held);
-  const std::uint64_t step = step_at_hand(known, zone);
+  const Decision decision = decision_of_all(known, wanted, routers);
+  out.version = decision.version;
+  out.held = decision.held;
   for (const auto& [lease, one] : routers) {
     // Not ready is 0 and never the step before, so that a change is not taken to be prepared too early.
     out.ready = one.permit.ready == wanted.ready ? out.ready : 0;
-    if (step != 0 && one.permit.no == step && out.no == 0) {
-      out.no = step;
+    // Also of a step that the aggregator has not heard of: a no must not wait for its mirror.
+    if (one.permit.no > out.no) {
+      out.no = one.permit.no;
       out.why = one.router + ": " + one.permit.why;
     }
     if (out.awaits.empty() && !fulfils(one.permit, wanted)) {
--- a/src/aggregation/router_leases.cpp
+++ b/src/aggregation/router_leases.cpp
@@ -11,7 +11,7 @@
 constexpr std::uint64_t kLeaseBits = (1ULL << 62U) - 1;
 
 void check_covered(Micros now, Micros ttl, Micros until) {
-  if (now + ttl > until) {
+  if (ttl > until - now) {  // never a sum: a caller may ask for any time
     throw Refused(Refused::Why::kNoPermission, "the aggregator's own permission ends sooner");
   }
 }
@@ -81,6 +81,9 @@
     ++changes_;
     return;
   }
+  if (place->second.router != router) {
+    throw Refused(Refused::Why::kMalformed, "key: of another router than before under this lease");
+  }
   Permit& before = place->second.permit;
   if (before.number > 0 && permit.number <= before.number) {
     throw Refused(Refused::Why::kBackwards,
