--- a/src/coordination/ledger.cpp
+++ b/src/coordination/ledger.cpp
@@ -42,6 +42,8 @@
     id = (revision_ << 20U) + (++last_grant_ & 0xfffffU);
   }
   leases_[id] = Lease{ttl_ms, now_ms + ttl_ms};
+  ends_.emplace(now_ms + ttl_ms, id);
+  lease_changes_[id] = LeaseChange::kGranted;
   return id;
 }
 
@@ -50,8 +52,12 @@
   if (found == leases_.end()) {
     return 0;
   }
-  found->second.ends_ms = now_ms + found->second.ttl_ms;
-  return found->second.ttl_ms;
+  Lease& lease = found->second;
+  ends_.erase({lease.ends_ms, id});
+  lease.ends_ms = now_ms + lease.ttl_ms;
+  ends_.emplace(lease.ends_ms, id);
+  lease_changes_.try_emplace(id, LeaseChange::kRenewed);
+  return lease.ttl_ms;
 }
 
 void Ledger::revoke(LeaseId id) {
@@ -62,27 +68,20 @@
 }
 
 void Ledger::expire(std::int64_t now_ms) {
-  std::vector<LeaseId> over;
-  for (const auto& [id, lease] : leases_) {
-    if (lease.ends_ms <= now_ms) {
-      over.push_back(id);
-    }
-  }
-  for (const LeaseId id : over) {
-    end(id);
+  while (!ends_.empty() && ends_.begin()->first <= now_ms) {
+    end(ends_.begin()->second);
   }
 }
 
 std::optional<std::int64_t> Ledger::next_expiry() const {
-  std::optional<std::int64_t> out;
-  for (const auto& [id, lease] : leases_) {
-    out = std::min(out.value_or(lease.ends_ms), lease.ends_ms);
-  }
-  return out;
+  return ends_.empty() ? std::nullopt : std::optional<std::int64_t>(ends_.begin()->first);
 }
 
 void Ledger::end(LeaseId id) {
-  leases_.erase(id);
+  const auto lease = leases_.find(id);
+  ends_.erase({lease->second.ends_ms, id});
+  leases_.erase(lease);
+  lease_changes_[id] = LeaseChange::kEnded;
   const auto held = held_.find(id);
   if (held == held_.end()) {
     return;
@@ -269,6 +268,8 @@
 
 std::vector<Change> Ledger::changes() { return std::exchange(fresh_, {}); }
 
+std::map<LeaseId, LeaseChange> Ledger::lease_changes() { return std::exchange(lease_changes_, {}); }
+
 void Ledger::restore(std::vector<Entry> entries, Revision revision) {
   entries_.clear();
   held_.clear();
@@ -284,12 +285,24 @@
   compacted_ = revision_ + 1;
 }
 
-void Ledger::set_leases(std::map<LeaseId, Lease> leases) { leases_ = std::move(leases); }
+void Ledger::set_leases(std::map<LeaseId, Lease> leases) {
+  leases_ = std::move(leases);
+  order_leases();
+}
 
 void Ledger::renew_all(std::int64_t now_ms) {
   for (auto& [id, lease] : leases_) {
     lease.ends_ms = now_ms + lease.ttl_ms;
   }
+  order_leases();
+}
+
+void Ledger::order_leases() {
+  ends_.clear();
+  lease_changes_.clear();
+  for (const auto& [id, lease] : leases_) {
+    ends_.emplace(lease.ends_ms, id);
+  }
 }
 
 }  // namespace trailcourse::coordination
--- a/src/coordination/ledger.h
+++ b/src/coordination/ledger.h
@@ -17,6 +17,7 @@
 #include <set>
 #include <stdexcept>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "coordination/types.h"
@@ -41,6 +42,9 @@
   friend bool operator==(const Lease&, const Lease&) = default;
 };
 
+// What became of a lease since its changes were taken out last.
+enum class LeaseChange { kGranted, kRenewed, kEnded };
+
 struct Limits {
   std::size_t key_bytes = 512;
   std::size_t value_bytes = 1U << 20U;  // as etcd's requests, 1.5 MB by default, may hold
@@ -81,6 +85,9 @@
   // What the last calls changed, taken out; to be kept.
   std::vector<Change> changes();
 
+  // The leases that the last calls touched, taken out; those that change none are not among them.
+  std::map<LeaseId, LeaseChange> lease_changes();
+
   // Reading back: entries, then the revision; then changes that came later, in order.
   void restore(std::vector<Entry> entries, Revision revision);
   void follow(const Change& change);
@@ -96,6 +103,7 @@
   void put(const Put& put, Revision at);
   std::uint64_t remove(const Range& range, Revision at);
   void end(LeaseId id);
+  void order_leases();
 
   Limits limits_;
   Revision revision_ = 1;
@@ -103,6 +111,8 @@
   std::uint64_t last_grant_ = 0;
   std::map<std::string, Entry> entries_;
   std::map<LeaseId, Lease> leases_;
+  std::set<std::pair<std::int64_t, LeaseId>> ends_;  // of all leases, the next to end first
+  std::map<LeaseId, LeaseChange> lease_changes_;
   std::map<LeaseId, std::set<std::string>> held_;  // keys under each lease
   std::deque<Change> history_;
   std::vector<Change> fresh_;
--- a/src/coordination/ledger_file.cpp
+++ b/src/coordination/ledger_file.cpp
@@ -157,7 +157,7 @@
   ledger_.set_leases(read_leases(database_));
 }
 
-void LedgerFile::keep(const std::map<LeaseId, Lease>& leases_before) {
+void LedgerFile::keep() {
   const std::vector<Change> changes = ledger_.changes();
   if (!changes.empty()) {
     Statement event(database_.get(),
@@ -185,22 +185,25 @@
       Statement(database_.get(), "DELETE FROM events WHERE seq <= ?").bind(followed_ - keep).run();
     }
   }
-  const std::map<LeaseId, Lease>& leases = ledger_.leases();
-  Statement put(database_.get(), "INSERT OR REPLACE INTO leases (id, ttl, ends) VALUES (?, ?, ?)");
-  for (const auto& [id, lease] : leases) {
-    const auto before = leases_before.find(id);
+  keep_leases();
+}
+
+void LedgerFile::keep_leases() {
+  for (const auto& [id, change] : ledger_.lease_changes()) {
     // A registry's leases go on in full after its restart: their ends need not be kept.
-    const bool changed = before == leases_before.end() ||
-                         (sharing_ == Sharing::kShared && before->second.ends_ms != lease.ends_ms);
-    if (changed) {
-      put.bind(id).bind(lease.ttl_ms).bind(lease.ends_ms).run();
+    if (change == LeaseChange::kRenewed && sharing_ == Sharing::kAlone) {
+      continue;
     }
-  }
-  Statement gone(database_.get(), "DELETE FROM leases WHERE id = ?");
-  for (const auto& [id, lease] : leases_before) {
-    if (!leases.contains(id)) {
-      gone.bind(id).run();
+    if (change == LeaseChange::kEnded) {
+      Statement(database_.get(), "DELETE FROM leases WHERE id = ?").bind(id).run();
+      continue;
     }
+    const Lease& lease = ledger_.leases().at(id);
+    Statement(database_.get(), "INSERT OR REPLACE INTO leases (id, ttl, ends) VALUES (?, ?, ?)")
+        .bind(id)
+        .bind(lease.ttl_ms)
+        .bind(lease.ends_ms)
+        .run();
   }
 }
 
@@ -214,14 +217,16 @@
     if (sharing_ == Sharing::kShared || !loaded_) {
       follow_others();
     }
-    const std::map<LeaseId, Lease> before = ledger_.leases();
     what(ledger_);
-    keep(before);
+    keep();
     write.commit();
   };
   try {
     // What is over ends in a transaction of its own: it has happened, whatever becomes of the call.
-    attempt([now_ms](Ledger& ledger) { ledger.expire(now_ms); });
+    const bool alone = sharing_ == Sharing::kAlone && loaded_;
+    if (!alone || ledger_.next_expiry().value_or(now_ms + 1) <= now_ms) {
+      attempt([now_ms](Ledger& ledger) { ledger.expire(now_ms); });
+    }
     attempt(use);
   } catch (const SqliteError&) {
     loaded_ = false;  // what stands in memory may not stand in the file
--- a/src/coordination/ledger_file.h
+++ b/src/coordination/ledger_file.h
@@ -39,13 +39,17 @@
   // which need not.
   void use(std::int64_t now_ms, bool durable, const std::function<void(Ledger&)>& use);
 
+  // As the last use left it, which did not throw SqliteError; for one that has the file alone.
+  const Ledger& ledger() const { return ledger_; }
+
   // Milliseconds since the machine was started; goes on while it is suspended, and is not set.
   static std::int64_t machine_ms();
 
  private:
   void reload();
   void follow_others();
-  void keep(const std::map<LeaseId, Lease>& leases_before);
+  void keep();
+  void keep_leases();
 
   Limits limits_;
   Sharing sharing_;
