Watches move at once when calls go to another endpoint

A watch on a process that was stopped or cut off stayed for watch_silent_ms while calls had long gone to the next endpoint. It now ends and goes on there from where it was, without telling its watcher that the store is silent. Endpoints may be asked in the order in which they are named, for aggregators.

--- a/src/coordination/etcd_store.cpp
+++ b/src/coordination/etcd_store.cpp
@@ -71,6 +71,7 @@
   Watcher* watcher = nullptr;
   WatchProgress progress;
   bool ended = false;
+  bool moved = false;  // calls go to another endpoint: it goes on there, at once
   transport::Signal wake;
   std::shared_ptr<Link> link;
 };
@@ -98,6 +99,24 @@
     link->connection->start(link);
     return link;
   }
+  void worked(std::size_t endpoint) {
+    endpoints.worked(endpoint);
+    move_watches();
+  }
+  void failed(std::size_t endpoint) {
+    endpoints.failed(endpoint, now());
+    move_watches();
+  }
+  // A watch on an endpoint that calls have left may tell nothing for as long as it stands.
+  void move_watches() {
+    const auto endpoint = endpoints.pick(now());
+    for (const auto& [id, watching] : watches) {
+      if (endpoint && watching->link && watching->link->endpoint != *endpoint) {
+        watching->moved = true;
+        watching->link->changed.notify();
+      }
+    }
+  }
   std::string post(std::string_view path, const std::string& body, std::size_t endpoint) const {
     return protocol::http::write_post(path, to_string(addresses[endpoint]), body);
   }
@@ -117,8 +136,13 @@
   WatchId last_watch = 0;
 };
 
-EtcdStore::EtcdStore(transport::Scheduler& scheduler, const CoordinationOptions& options, std::uint64_t seed)
-    : state_(std::make_shared<State>(scheduler, options, seed)) {}
+EtcdStore::EtcdStore(transport::Scheduler& scheduler, const CoordinationOptions& options, std::uint64_t seed,
+                     First first)
+    : state_(std::make_shared<State>(scheduler, options, seed)) {
+  if (first == First::kAsNamed) {
+    state_->endpoints.begin_with(0);
+  }
+}
 
 EtcdStore::~EtcdStore() {
   state_->ended = true;
@@ -211,7 +235,7 @@
       raw.body = json::parse(response->body, nullptr, false);
       if (!raw.body.is_object()) {
         raw.why = "an answer that is no JSON object, status " + std::to_string(response->status);
-        state->endpoints.failed(link->endpoint, now());
+        state->failed(link->endpoint);
       } else if (const auto error = etcd::read_error(raw.body)) {
         // The store is not there behind its address, or was in between: it may have been done.
         const bool sure = error->code == static_cast<int>(etcd::Code::kInvalidArgument) ||
@@ -220,14 +244,14 @@
         raw.result = sure ? Result::kRejected : Result::kUnknown;
         raw.why = error->text;
         if (!sure) {
-          state->endpoints.failed(link->endpoint, now());
+          state->failed(link->endpoint);
         }
       } else if (response->status != kOkay) {
         raw.why = "status " + std::to_string(response->status);
-        state->endpoints.failed(link->endpoint, now());
+        state->failed(link->endpoint);
       } else {
         raw.result = Result::kDone;
-        state->endpoints.worked(link->endpoint);
+        state->worked(link->endpoint);
       }
     } else {
       const bool begun = link->end ? !never_up(*link->end) : link->connection->begun(token);
@@ -235,7 +259,7 @@
       raw.why = link->parser.failed() && !link->end ? "an answer that cannot be read: " + link->parser.why()
                 : link->end                         ? "the connection ended"
                                                     : "no answer in time";
-      state->endpoints.failed(link->endpoint, now());
+      state->failed(link->endpoint);
     }
     if (response && response->keep_open && link->usable()) {
       state->idle.push_back(link);
@@ -349,6 +373,9 @@
     if (watching->ended) {
       co_return;
     }
+    if (std::exchange(watching->moved, false)) {
+      continue;
+    }
     const Micros rest =
         std::max(state->endpoints.rests_until() - now(), Micros(milliseconds(state->options.rest_ms)) / 4);
     co_await watching->wake.wait(rest);
@@ -416,7 +443,7 @@
       break;
     }
     const bool told = co_await link->changed.wait(milliseconds(state->options.watch_silent_ms));
-    if (watching->ended) {
+    if (watching->ended || watching->moved) {
       break;
     }
     if (!told) {
@@ -443,9 +470,9 @@
     link->connection->close(ConnectionEnd::kSilent);
     link->connection.reset();
   }
-  if (!watching->ended) {
+  if (!watching->ended && !watching->moved) {
     if (!begun) {
-      state->endpoints.failed(*endpoint, now());
+      state->failed(*endpoint);
     }
     watching->watcher->silent(why);
   }
--- a/src/coordination/etcd_store.h
+++ b/src/coordination/etcd_store.h
@@ -25,8 +25,12 @@
 
 class EtcdStore : public SharedStore {
  public:
+  // Which endpoint is asked first: one that is drawn, so that clients spread over a cluster, or the first.
+  enum class First { kDrawn, kAsNamed };
+
   // `options`' endpoints and store_id must have been checked.
-  EtcdStore(transport::Scheduler& scheduler, const CoordinationOptions& options, std::uint64_t seed);
+  EtcdStore(transport::Scheduler& scheduler, const CoordinationOptions& options, std::uint64_t seed,
+            First first = First::kDrawn);
   ~EtcdStore() override;
 
   void grant(Micros ttl, Then<GrantedLease> then) override;
--- a/src/coordination/judgement.h
+++ b/src/coordination/judgement.h
@@ -45,6 +45,9 @@
  public:
   Endpoints(std::size_t count, Micros first_rest, Micros longest_rest, std::uint64_t seed);
 
+  // Begins with this one, where their order is one of preference; before the first call.
+  void begin_with(std::size_t endpoint) { current_ = endpoint; }
+
   // The one to ask now; nothing while all rest.
   std::optional<std::size_t> pick(Micros now) const;
   void worked(std::size_t endpoint);
--- a/tests/coordination_test.cpp
+++ b/tests/coordination_test.cpp
@@ -521,6 +521,31 @@
   EXPECT_TRUE(dynamic_cast<EtcdStore&>(store).went_back());
 }
 
+// The first address falls silent with its connections open, as a stopped process does: calls go on at the
+// second, and so does the watch, long before it would count as silent.
+TEST(EtcdStoreTest, AWatchMovesAtOnceWithTheCalls) {
+  World world(Backend::kEtcd);
+  SharedStore& witness = world.store();
+  const std::string direct = world.options().endpoints.at(0);
+  world.proxy();
+  world.options().endpoints.push_back(direct);
+  world.options().call_ms = 300;
+  world.options().watch_silent_ms = 600'000;
+  EtcdStore store(world.scheduler, world.options(), 7, EtcdStore::First::kAsNamed);
+  Told told;
+  const auto watch = store.watch(Range{"w/", true}, told);
+  ASSERT_TRUE(world.until([&] { return told.currents == 1; }));
+  ASSERT_TRUE(world.commit(witness, put("w/1", "before")).done());
+  ASSERT_TRUE(world.until([&] { return told.state.contains("w/1"); }));
+  world.proxy().apply(fleet::read_script("0 cut router>store both").at(0));
+  ASSERT_TRUE(world.until([&] { return world.commit(store, put("a", "1")).done(); }));
+  ASSERT_TRUE(world.commit(witness, put("w/1", "after")).done());
+  EXPECT_TRUE(world.until([&] { return told.state["w/1"] == "after"; })) << "told by a dead connection alone";
+  EXPECT_EQ(told.currents, 1) << "it goes on from where it was";
+  EXPECT_EQ(told.silences, 0) << "the store was there all the time";
+  store.unwatch(watch);
+}
+
 TEST(RegistryTest, ASecondOneOnTheSameFolderIsRefused) {
   World world(Backend::kEtcd);
   SharedStore& store = world.store();
