trailcourse aggregator, and routers that go by aggregators

The core of aggregation had no process. aggregation::Service carries its orders out at the store above and answers routers through EtcdServer; 'trailcourse aggregator' runs it with a steward for the kind policy alone, drains at SIGTERM and logs its figures at SIGHUP. Section 'aggregator' for the process, section 'aggregation' for routers, which may then do without 'coordination': no steward and no session at the store.

--- /dev/null
+++ b/src/aggregation/options.cpp
@@ -0,0 +1,127 @@
+#include "aggregation/options.h"
+
+#include <chrono>
+#include <set>
+
+#include "transport/socket.h"
+
+namespace trailcourse::aggregation {
+
+using config::KeyError;
+using config::RealRange;
+using config::WholeRange;
+using config::Words;
+using std::chrono::milliseconds;
+
+namespace {
+
+// All summaries go into one transaction, of which each needs a condition and a write.
+constexpr std::size_t kMostZones = 64;
+
+void check_address(const std::string& key, const std::string& text) {
+  if (!transport::parse_address(text)) {
+    throw KeyError(key, "'" + text + "' is not an address like 10.0.0.4:4100");
+  }
+}
+
+}  // namespace
+
+const config::Record<AggregatorOptions>& aggregator_record() {
+  static const config::Record<AggregatorOptions> kRecord = [] {
+    using O = AggregatorOptions;
+    config::Record<O> record("aggregator",
+                             "A process between the routers of a region and the store of shared truth, which "
+                             "is that of the section coordination.");
+    const WholeRange ms{1, 600'000};
+    record.text("listen", &O::listen, "IP:PORT", Words{{}, true}, "where the region's routers reach it")
+        .text("name", &O::name, "-", Words{{}, true},
+              "of this aggregator; summaries stand in the store under NAME.ZONE")
+        .texts("zones", &O::zones, "-", "whose routers it takes; 1 to 64")
+        .whole("ttl_ms", &O::ttl_ms, "ms", WholeRange{200, 600'000},
+               "of its own permission at the store: a change waits so long for an aggregator that is lost")
+        .whole("renew_ms", &O::renew_ms, "ms", ms,
+               "after which it is renewed; ttl_ms holds two, and one beside a router's permission")
+        .real("drift_percent", &O::drift_percent, "%", RealRange{0.0, 20.0},
+              "by which its clock and the store's may run apart")
+        .whole("margin_ms", &O::margin_ms, "ms", WholeRange{0, 60'000},
+               "by which its permission ends sooner: between a look at the clock and the answer")
+        .whole("retry_ms", &O::retry_ms, "ms", ms, "after a call to the store that was lost or refused")
+        .whole("routers", &O::routers, "routers", WholeRange{1, 100'000},
+               "with permission at once; others are sent on to the next aggregator")
+        .whole("connections", &O::connections, "connections", WholeRange{1, 1'000'000},
+               "at once; three of each router at most, two as a rule");
+    return record;
+  }();
+  return kRecord;
+}
+
+void check_aggregator(const AggregatorOptions& options, std::int64_t router_ttl_ms) {
+  check_address("aggregator.listen", options.listen);
+  if (options.zones.empty() || options.zones.size() > kMostZones) {
+    throw KeyError("aggregator.zones", std::to_string(options.zones.size()) + " are named, 1 to " +
+                                           std::to_string(kMostZones) + " are allowed");
+  }
+  std::set<std::string> zones;
+  for (const std::string& zone : options.zones) {
+    if (!coordination::is_name(options.name + "." + zone)) {
+      throw KeyError("aggregator.zones", "'" + options.name + "." + zone +
+                                             "' is no name of up to 64 letters, digits, '.', '-', '_'");
+    }
+    if (!zones.insert(zone).second) {
+      throw KeyError("aggregator.zones", "'" + zone + "' stands twice");
+    }
+  }
+  const auto sure =
+      static_cast<std::int64_t>(static_cast<double>(options.ttl_ms) * (1.0 - options.drift_percent / 100.0)) -
+      options.margin_ms;
+  if (2 * options.renew_ms > sure) {
+    throw KeyError("aggregator.renew_ms", std::to_string(options.renew_ms) + " is over half of the " +
+                                              std::to_string(sure) + " ms that its permission surely holds");
+  }
+  // Just before a renewal so much is surely left, and routers are given their whole time or none.
+  if (router_ttl_ms + options.renew_ms > sure) {
+    throw KeyError("aggregator.ttl_ms", "of the " + std::to_string(sure) + " ms that it surely holds " +
+                                            std::to_string(sure - options.renew_ms) +
+                                            " are left before a renewal: a router's policy.ttl_ms, " +
+                                            std::to_string(router_ttl_ms) + ", does not fit");
+  }
+}
+
+AggregatorRules aggregator_rules(const AggregatorOptions& options) {
+  AggregatorRules rules;
+  rules.lease.ttl = milliseconds(options.ttl_ms);
+  rules.lease.drift = options.drift_percent / 100.0;
+  rules.lease.margin = milliseconds(options.margin_ms);
+  rules.lease.renew_after = milliseconds(options.renew_ms);
+  rules.lease.retry = milliseconds(options.retry_ms);
+  rules.routers.most_routers = static_cast<std::size_t>(options.routers);
+  return rules;
+}
+
+const config::Record<AggregationOptions>& aggregation_record() {
+  static const config::Record<AggregationOptions> kRecord = [] {
+    config::Record<AggregationOptions> record(
+        "aggregation",
+        "The aggregators of a router's region. With them it gets the policy and its permission there, and "
+        "needs the store of the section coordination only for owned work.");
+    record.texts("endpoints", &AggregationOptions::endpoints, "IP:PORT",
+                 "of aggregators that serve this router's zone, the first to be asked first");
+    return record;
+  }();
+  return kRecord;
+}
+
+void check_aggregation(const AggregationOptions& options) {
+  for (const std::string& endpoint : options.endpoints) {
+    check_address("aggregation.endpoints", endpoint);
+  }
+}
+
+coordination::CoordinationOptions through_aggregators(coordination::CoordinationOptions coordination,
+                                                      const AggregationOptions& options) {
+  coordination.store = "etcd";
+  coordination.endpoints = options.endpoints;
+  return coordination;
+}
+
+}  // namespace trailcourse::aggregation
--- a/src/program/command_line.cpp
+++ b/src/program/command_line.cpp
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "fleet/fault_script.h"
+#include "program/aggregator_command.h"
 #include "program/board_server.h"
 #include "program/configuration.h"
 #include "program/fleet_command.h"
@@ -167,6 +168,10 @@
   return run_board(operator_file(parsed, {"board"}));
 }
 
+int run_aggregator_command(const cxxopts::ParseResult& parsed, const Output&) {
+  return run_aggregator(operator_file(parsed, {"aggregator", "coordination"}));
+}
+
 int run_registry_command(const cxxopts::ParseResult& parsed, const Output&) {
   return run_registry(operator_file(parsed, {"registry"}));
 }
@@ -540,6 +545,9 @@
       {"registry", "--config FILE",
        "runs a store of shared truth of one process, in the form of etcd's v3 interface",
        "trailcourse registry --config operator.json", add_config_option, run_registry_command},
+      {"aggregator", "--config FILE",
+       "runs an aggregator: permission for the routers of a region, under one of its own at the store",
+       "trailcourse aggregator --config operator.json", add_config_option, run_aggregator_command},
       {"notice", "FILE object ID|group N", "adds a purge to a notice board's file",
        "trailcourse notice board.json object 7f3a9c21e0b4d655", add_words, run_notice},
       {"fleet", "start|status|stop|fault --folder DIR",
--- a/src/program/fleet_work.cpp
+++ b/src/program/fleet_work.cpp
@@ -50,15 +50,27 @@
       store_(open_store(scheduler, configuration.start.coordination, configuration.seed)),
       suspects_(static_cast<int>(configuration.start.ownership.suspect_after)),
       verdicts_(milliseconds(configuration.start.ownership.verdict_ms)) {
-  if (!store_) {
-    return;
+  if (store_) {
+    take_on_work();
+  }
+  const StartSections& start = configuration.start;
+  if (start.policy.follow && !start.aggregation.endpoints.empty()) {
+    policy_store_ = std::make_unique<coordination::EtcdStore>(
+        scheduler, aggregation::through_aggregators(start.coordination, start.aggregation),
+        configuration.seed ^ kStoreSeed, coordination::EtcdStore::First::kAsNamed);
   }
-  const duties::OwnershipOptions& options = configuration.start.ownership;
-  const std::string& prefix = configuration.start.coordination.prefix;
-  const std::string& zone = configuration.profile.settings.zone;
-  steward_.emplace(scheduler, *store_, options, prefix,
-                   duties::Steward::Self{configuration.name, incarnation_of(configuration.seed), zone,
-                                         to_string(configuration.listen), ""});
+  if (start.policy.follow && (policy_store_ || store_)) {
+    follow_policy();
+  }
+}
+
+void FleetWork::take_on_work() {
+  const duties::OwnershipOptions& options = configuration_.start.ownership;
+  const std::string& prefix = configuration_.start.coordination.prefix;
+  steward_.emplace(
+      scheduler_, *store_, options, prefix,
+      duties::Steward::Self{configuration_.name, incarnation_of(configuration_.seed),
+                            configuration_.profile.settings.zone, to_string(configuration_.listen), ""});
   steward_->add("probe", [this, prefix, options](duties::Charge charge) {
     return std::make_unique<duties::Prober>(scheduler_, *store_, prefix, directory_, options,
                                             std::move(charge));
@@ -74,23 +86,32 @@
     return std::make_unique<duties::Conductor>(scheduler_, *store_, prefix, configuration_.start.policy,
                                                std::move(charge));
   });
-  if (configuration.start.policy.follow) {
-    policy_.emplace(scheduler, *store_, configuration.start.policy, prefix,
-                    duties::PolicyKeeper::Self{configuration.name, incarnation_of(configuration.seed), zone,
-                                               static_cast<std::int64_t>(configuration.most_open_requests())},
-                    configuration.profile, router, [this](std::optional<std::set<std::string>> kinds) {
-                      if (kinds) {
-                        kinds->insert(duties::kPolicyWork);  // else no policy could ever be changed
-                      }
-                      steward_->allow(std::move(kinds));
-                    });
-  }
   steward_->tell_keys(duties::kVerdicts,
                       [this](const std::string& key, const std::string& value) { hear_verdict(key, value); });
-  router.watch_attempts(
+  router_.watch_attempts(
       [this](const std::string& cache, Status status, Note note) { attempt_ended(cache, status, note); });
 }
 
+void FleetWork::follow_policy() {
+  const duties::PolicyKeeper::Self self{configuration_.name, incarnation_of(configuration_.seed),
+                                        configuration_.profile.settings.zone,
+                                        static_cast<std::int64_t>(configuration_.most_open_requests())};
+  policy_.emplace(scheduler_, policy_store_ ? *policy_store_ : *store_, configuration_.start.policy,
+                  configuration_.start.coordination.prefix, self, configuration_.profile, router_,
+                  [this](std::optional<std::set<std::string>> kinds) { allow(std::move(kinds)); });
+}
+
+// What work the policy in force lets this router own.
+void FleetWork::allow(std::optional<std::set<std::string>> kinds) {
+  if (!steward_) {
+    return;
+  }
+  if (kinds) {
+    kinds->insert(duties::kPolicyWork);  // else no policy could ever be changed
+  }
+  steward_->allow(std::move(kinds));
+}
+
 FleetWork::~FleetWork() { *alive_ = false; }
 
 void FleetWork::start() {
--- a/src/program/fleet_work.h
+++ b/src/program/fleet_work.h
@@ -1,9 +1,11 @@
-// A router's part in the fleet's work, put together: the store, the steward, the three duties, and what the
-// router tells them and hears from them. There only where the operator's file names a store.
+// A router's part in the fleet's work, put together: the store, the steward, its duties, the policy, and what
+// the router tells them and hears from them. There only where the operator's file names a store, or the
+// aggregators of its region, which stand for the store where only the policy is followed.
 #pragma once
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "coordination/shared_store.h"
@@ -23,7 +25,7 @@
 
 class FleetWork {
  public:
-  // Nothing happens where no store is named.
+  // Nothing happens where neither a store nor an aggregator is named.
   FleetWork(transport::Scheduler& scheduler, const Configuration& configuration, routing::Router& router,
             const routing::Directory& directory);
   ~FleetWork();
@@ -44,6 +46,9 @@
   std::string policy_status() const { return policy_ ? policy_->status() : std::string(); }
 
  private:
+  void take_on_work();
+  void follow_policy();
+  void allow(std::optional<std::set<std::string>> kinds);
   void attempt_ended(const std::string& cache, Status status, Note note);
   void hear_verdict(const std::string& key, const std::string& value);
   void tell_suspects();
@@ -53,7 +58,8 @@
   const Configuration& configuration_;
   routing::Router& router_;
   const routing::Directory& directory_;
-  std::unique_ptr<coordination::SharedStore> store_;
+  std::unique_ptr<coordination::SharedStore> store_;         // null for none
+  std::unique_ptr<coordination::SharedStore> policy_store_;  // through aggregators; null for none
   std::optional<duties::Steward> steward_;
   std::optional<duties::PolicyKeeper> policy_;
   duties::SuspectBook suspects_;
--- a/src/program/operator_file.cpp
+++ b/src/program/operator_file.cpp
@@ -23,6 +23,8 @@
   visit(relay_record(), file.relay);
   visit(coordination::coordination_record(), file.coordination);
   visit(coordination::registry_record(), file.registry);
+  visit(aggregation::aggregator_record(), file.aggregator);
+  visit(aggregation::aggregation_record(), file.aggregation);
   visit(duties::ownership_record(), file.ownership);
   visit(policy::policy_record(), file.policy);
   visit(tuning_record(), file.router);
@@ -75,6 +77,15 @@
   if (has("policy")) {
     policy::check_policy(file.policy);
   }
+  if (has("aggregator")) {
+    if (file.coordination.store == "none") {
+      throw ConfigurationError("aggregator: no store is named in the section coordination");
+    }
+    aggregation::check_aggregator(file.aggregator, file.policy.ttl_ms);
+  }
+  if (has("aggregation")) {
+    aggregation::check_aggregation(file.aggregation);
+  }
   if (has("relay")) {
     check_relay(file.relay);
   }
--- a/src/program/operator_file.h
+++ b/src/program/operator_file.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "aggregation/options.h"
 #include "board/board_core.h"
 #include "cache_node/node_options.h"
 #include "coordination/options.h"
@@ -27,6 +28,8 @@
   RelayOptions relay;
   coordination::CoordinationOptions coordination;
   coordination::RegistryOptions registry;
+  aggregation::AggregatorOptions aggregator;
+  aggregation::AggregationOptions aggregation;
   duties::OwnershipOptions ownership;
   policy::PolicyOptions policy;
   Tuning router;
--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -1,7 +1,6 @@
 #include "program/serve.h"
 
 #include <malloc.h>
-#include <sys/resource.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -11,6 +10,7 @@
 #include <system_error>
 #include <utility>
 
+#include "program/descriptors.h"
 #include "program/fleet_work.h"
 #include "program/signals.h"
 #include "program/start_support.h"
@@ -177,27 +177,22 @@
 
 // The start's line of JSON with the fleet's work and policy in it.
 std::string status_of(const std::string& start, const FleetWork& work) {
-  if (work.status().empty()) {
+  const std::string owned = work.status();
+  const std::string policy = work.policy_status();
+  if (owned.empty() && policy.empty()) {
     return start;
   }
   nlohmann::json out = nlohmann::json::parse(start, nullptr, false);
   out = out.is_object() ? out : nlohmann::json::object();
-  out["work"] = nlohmann::json::parse(work.status(), nullptr, false);
-  if (const std::string policy = work.policy_status(); !policy.empty()) {
+  if (!owned.empty()) {
+    out["work"] = nlohmann::json::parse(owned, nullptr, false);
+  }
+  if (!policy.empty()) {
     out["policy"] = nlohmann::json::parse(policy, nullptr, false);
   }
   return out.dump();
 }
 
-// The limit told is kept by the system: beyond it calls fail, and are handled as such.
-void limit_descriptors(std::int64_t most) {
-  rlimit limit{};
-  if (::getrlimit(RLIMIT_NOFILE, &limit) == 0) {
-    limit.rlim_cur = std::min(limit.rlim_max, static_cast<rlim_t>(most));
-    ::setrlimit(RLIMIT_NOFILE, &limit);
-  }
-}
-
 // Large buffers come from the system and go back to it, whatever lies between them, and a free end of the
 // heap does too: else days of changing sizes leave more and more memory in pieces.
 void keep_heap_small() {
--- a/src/program/start_options.h
+++ b/src/program/start_options.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "aggregation/options.h"
 #include "config/record.h"
 #include "coordination/options.h"
 #include "duties/options.h"
@@ -40,6 +41,7 @@
   bool has_relay = false;
   RelayOptions relay;
   coordination::CoordinationOptions coordination;
+  aggregation::AggregationOptions aggregation;
   duties::OwnershipOptions ownership;
   policy::PolicyOptions policy;
 };
