--- a/src/fleet/layout.cpp
+++ b/src/fleet/layout.cpp
@@ -43,12 +43,16 @@
       return "parent";
     case Kind::kCache:
       return "cache";
+    case Kind::kAggregator:
+      return "aggregator";
     case Kind::kRouter:
       break;
   }
   return "router";
 }
 
+bool is_listed(Kind kind) { return kind == Kind::kOrigin || kind == Kind::kParent || kind == Kind::kCache; }
+
 Layout::Layout(Shape shape, std::string folder, PortBook& ports)
     : shape_(std::move(shape)), folder_(std::move(folder)) {
   const auto add = [&](Kind kind, const std::string& name, const std::string& zone) {
@@ -74,6 +78,9 @@
   for (int i = 0; i < shape_.caches; ++i) {
     add(Kind::kCache, numbered("cache", i), zone(i));
   }
+  for (int i = 0; i < shape_.aggregators; ++i) {
+    add(Kind::kAggregator, numbered("aggregator", i), kHub);
+  }
   for (int i = 0; i < shape_.routers; ++i) {
     add(Kind::kRouter, numbered("router", i), zone(i));
   }
@@ -81,7 +88,57 @@
   const std::string registry = shape_.registry ? member("registry").address : "";
   for (Member& one : members_) {
     one.board = board;
-    one.registry = one.kind == Kind::kRouter ? registry : "";
+    const Kind asks = shape_.aggregators > 0 ? Kind::kAggregator : Kind::kRouter;
+    one.registry = one.kind == asks ? registry : "";
+  }
+  connect_aggregators();
+}
+
+std::size_t Layout::region_count() const {
+  return static_cast<std::size_t>(std::clamp(shape_.regions, 1, std::max(1, shape_.aggregators)));
+}
+
+std::size_t Layout::region_of_zone(const std::string& zone) const {
+  const auto place = std::find(shape_.zones.begin(), shape_.zones.end(), zone) - shape_.zones.begin();
+  return static_cast<std::size_t>(place) % region_count();
+}
+
+std::size_t Layout::region_of_aggregator(const std::string& name) const {
+  const std::vector<std::string> all = names(Kind::kAggregator);
+  return static_cast<std::size_t>(std::find(all.begin(), all.end(), name) - all.begin()) % region_count();
+}
+
+std::vector<std::string> Layout::served_zones(const std::string& aggregator) const {
+  const std::size_t own = region_of_aggregator(aggregator);
+  const std::size_t before = (own + region_count() - 1) % region_count();
+  std::vector<std::string> out;
+  std::copy_if(shape_.zones.begin(), shape_.zones.end(), std::back_inserter(out), [&](const auto& zone) {
+    return region_of_zone(zone) == own || region_of_zone(zone) == before;
+  });
+  return out;
+}
+
+// Each router gets the aggregators of its region, from another one on than the router before it, and then one
+// of the next region.
+void Layout::connect_aggregators() {
+  std::vector<std::vector<Endpoint>> by_region(region_count());
+  for (const Member& one : members_) {
+    if (one.kind == Kind::kAggregator) {
+      by_region[region_of_aggregator(one.name)].push_back({one.name, one.address});
+    }
+  }
+  std::ptrdiff_t number = 0;
+  for (Member& one : members_) {
+    if (one.kind != Kind::kRouter || shape_.aggregators <= 0) {
+      continue;
+    }
+    const std::size_t region = region_of_zone(one.zone);
+    one.aggregators = by_region[region];
+    const auto first = number++ / std::ssize(shape_.zones) % std::ssize(one.aggregators);
+    std::rotate(one.aggregators.begin(), one.aggregators.begin() + first, one.aggregators.end());
+    if (region_count() > 1) {
+      one.aggregators.push_back(by_region[(region + 1) % region_count()].front());
+    }
   }
 }
 
@@ -123,7 +180,7 @@
 json Layout::first_page() const {
   json entries = json::array();
   for (const Member& member : members_) {
-    if (member.kind != Kind::kBoard && member.kind != Kind::kRegistry && member.kind != Kind::kRouter) {
+    if (is_listed(member.kind)) {
       entries.push_back(entry(member, "up", member.kind == Kind::kOrigin ? 0 : shape_.since_ms));
     }
   }
@@ -207,6 +264,8 @@
       }
       return {{"store", store}, {"cache", cache}, {"classes", {{"media", json::object()}}}};
     }
+    case Kind::kAggregator:
+      return aggregator_config(member);
     case Kind::kRouter:
       break;
   }
@@ -228,6 +287,19 @@
   return out;
 }
 
+json Layout::aggregator_config(const Member& member) const {
+  json section{{"listen", member.address},
+               {"name", member.known_as.empty() ? member.name : member.known_as},
+               {"zones", served_zones(member.name)}};
+  section.update(shape_.aggregator);
+  json coordination{{"store", "etcd"}, {"endpoints", {member.registry}}};
+  coordination.update(shape_.coordination);
+  return {{"aggregator", section},
+          {"coordination", coordination},
+          {"ownership", shape_.ownership},
+          {"policy", shape_.policy}};
+}
+
 // Of a router: the sections that its platform does not tell.
 json Layout::operator_config(const Member& member) const {
   json out = shape_.operators;
@@ -246,10 +318,17 @@
     out["coordination"] = {{"store", "etcd"}, {"endpoints", {member.registry}}};
   } else if (!shape_.embedded.empty()) {
     out["coordination"] = {{"store", "embedded"}, {"folder", shape_.embedded}};
+  } else if (!member.aggregators.empty()) {
+    out["coordination"] = {{"store", "none"}};  // its times hold for the calls to the aggregators
+    for (const Endpoint& endpoint : member.aggregators) {
+      out["aggregation"]["endpoints"].push_back(endpoint.address);
+    }
   }
   if (out.contains("coordination")) {
     out["coordination"].update(shape_.coordination);
-    out["ownership"] = shape_.ownership;
+    if (member.aggregators.empty()) {
+      out["ownership"] = shape_.ownership;
+    }
     if (!shape_.policy.empty()) {
       out["policy"] = shape_.policy;
       out["policy"]["follow"] = true;
--- a/src/fleet/layout.h
+++ b/src/fleet/layout.h
@@ -4,6 +4,7 @@
 // Package `fleet`; files are written where write() is told, no socket is opened. Not thread-safe.
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -13,8 +14,13 @@
 
 namespace trailcourse::fleet {
 
-enum class Kind { kRegistry, kBoard, kOrigin, kParent, kCache, kRouter };
+enum class Kind { kRegistry, kBoard, kOrigin, kParent, kCache, kAggregator, kRouter };
 const char* to_string(Kind kind);
+// Whether the board lists members of this kind to routers.
+bool is_listed(Kind kind);
+// In which members are started: each after those that it needs.
+inline constexpr std::array kStartOrder{Kind::kRegistry, Kind::kBoard,      Kind::kOrigin, Kind::kParent,
+                                        Kind::kCache,    Kind::kAggregator, Kind::kRouter};
 
 // How large it is, and what its parts can do.
 struct Shape {
@@ -37,7 +43,11 @@
   nlohmann::json ownership = nlohmann::json::object();  // keys of that section, of each router
   nlohmann::json coordination = nlohmann::json::object();
   nlohmann::json policy = nlohmann::json::object();  // the same; empty: routers follow none
-  std::string router_program;                        // of the routers, where it is another
+  // Between the routers and the registry, dealt out to the regions in turn; 0: routers ask the registry.
+  int aggregators = 0;
+  int regions = 1;                                       // zones are dealt out to them in turn
+  nlohmann::json aggregator = nlohmann::json::object();  // further keys of the aggregators' section
+  std::string router_program;                            // of the routers, where it is another
   int memory_mb = 192;
   int sockets = 1'024;
   nlohmann::json router = nlohmann::json::object();  // the routers' tuning keys
@@ -47,6 +57,12 @@
   nlohmann::json board = nlohmann::json::object();  // further keys of the board's section
 };
 
+// Another member as one reaches it.
+struct Endpoint {
+  std::string name;
+  std::string address;  // a proxy's, or its own
+};
+
 struct Member {
   Kind kind = Kind::kRouter;
   std::string name;
@@ -54,7 +70,9 @@
   std::string address;                   // where it listens
   std::string told_address;              // where others are told to reach it: a proxy's, or its own
   std::string board;                     // where it reaches the board: a proxy's, or the board's own
-  std::string registry;                  // where a router reaches the store; empty: it has none
+  std::string registry;                  // where a router or aggregator reaches the store; empty: it has none
+  std::vector<Endpoint> aggregators;     // of a router, in order of preference
+  std::string known_as;                  // by which an aggregator signs what it writes; else its name
   std::vector<std::string> environment;  // NAME=VALUE, of its process
   std::string relay;                     // where a router passes pages on; empty: it does not
   int starts = 0;                        // so far: each start has a seed of its own
@@ -74,6 +92,9 @@
   const Member& member(const std::string& name) const;
   Member& member(const std::string& name);
   std::vector<std::string> names(Kind kind) const;
+  // The zones whose routers an aggregator takes: those of its region, and of the region before, whose routers
+  // turn to it where their own aggregators are lost.
+  std::vector<std::string> served_zones(const std::string& aggregator) const;
 
   // The first page of the board: all caches, parents and the origin, up.
   nlohmann::json first_page() const;
@@ -102,7 +123,12 @@
   std::string operator_file(const std::string& name) const { return folder_ + "/" + name + ".operator.json"; }
 
  private:
+  void connect_aggregators();
+  std::size_t region_count() const;
+  std::size_t region_of_zone(const std::string& zone) const;
+  std::size_t region_of_aggregator(const std::string& name) const;
   nlohmann::json config(const Member& member) const;
+  nlohmann::json aggregator_config(const Member& member) const;
   nlohmann::json operator_config(const Member& member) const;
 
   int relay_degree_ = 0;
--- a/src/fleet/scenario.cpp
+++ b/src/fleet/scenario.cpp
@@ -27,8 +27,6 @@
     : scheduler_(scheduler), layout_(layout), supervisor_(scheduler, layout, std::move(program)) {
   const std::string board = layout.member(layout.names(Kind::kBoard).front()).address;
   for (Member& member : layout.members()) {
-    const bool lists =
-        member.kind == Kind::kCache || member.kind == Kind::kParent || member.kind == Kind::kOrigin;
     const std::string to_board = member.name + ">board";
     const std::string to_node = "*>" + member.name;
     const auto add = [&](const std::string& name, const std::string& target) {
@@ -46,7 +44,13 @@
     if (!member.registry.empty() && fits_any(proxied, to_registry)) {
       member.registry = add(to_registry, member.registry);
     }
-    if (lists && fits_any(proxied, to_node)) {
+    for (Endpoint& endpoint : member.aggregators) {
+      if (const std::string to_aggregator = member.name + ">" + endpoint.name;
+          fits_any(proxied, to_aggregator)) {
+        endpoint.address = add(to_aggregator, endpoint.address);
+      }
+    }
+    if (is_listed(member.kind) && fits_any(proxied, to_node)) {
       member.told_address = add(to_node, member.address);
     }
   }
--- a/src/fleet/scenario.h
+++ b/src/fleet/scenario.h
@@ -23,7 +23,7 @@
 class Scenario {
  public:
   // Proxies are put on the links whose names fit one of these patterns: "ROUTER>board", "ROUTER>registry",
-  // and "*>NODE" for a cache or parent as the board lists it.
+  // "ROUTER>AGGREGATOR", "AGGREGATOR>registry", and "*>NODE" for a cache or parent as the board lists it.
   Scenario(transport::Scheduler& scheduler, Layout& layout, PortBook& ports, std::string program,
            const std::vector<std::string>& proxied);
   ~Scenario();
--- a/src/program/command_line.cpp
+++ b/src/program/command_line.cpp
@@ -291,6 +291,8 @@
                  cxxopts::value<double>()->default_value("0"),
                  "N")("proxies", "a proxy on each link, so that what passes is counted")(
       "registry", "a store of shared truth, and routers that do the fleet's work on it")(
+      "aggregators", "so many between the routers, which follow a policy, and a store; 0: none",
+      cxxopts::value<int>()->default_value("0"), "N")(
       "cold", "caches and parents are listed as just started")("disk", "caches and parents have a disk tier")(
       "object-kb", "of the origin's objects", cxxopts::value<int>()->default_value("20"), "KB")(
       "origin-delay", "before each answer of the origin", cxxopts::value<int>()->default_value("0"), "MS")(
@@ -325,6 +327,7 @@
     command.program = std::filesystem::read_symlink("/proc/self/exe");
   }
   command.registry = parsed.count("registry") > 0;
+  command.aggregators = parsed["aggregators"].as<int>();
   command.cold = parsed.count("cold") > 0;
   command.disk = parsed.count("disk") > 0;
   command.object_kb = parsed["object-kb"].as<int>();
@@ -351,10 +354,10 @@
   command.quiet = parsed.count("quiet") > 0;
   const bool sound = command.routers >= 1 && command.routers <= 2'000 && command.caches >= 0 &&
                      command.caches <= 500 && command.parents >= 0 && command.parents <= 100 &&
-                     !command.zones.empty() && command.relay_degree >= 0 && command.object_kb >= 0 &&
-                     command.object_kb <= 234;
+                     command.aggregators >= 0 && command.aggregators <= 100 && !command.zones.empty() &&
+                     command.relay_degree >= 0 && command.object_kb >= 0 && command.object_kb <= 234;
   if (!sound) {
-    throw WrongUse("1 to 2000 routers, up to 500 caches and 100 parents, one zone at least");
+    throw WrongUse("1 to 2000 routers, up to 500 caches, 100 parents and 100 aggregators, one zone at least");
   }
   return run_fleet_command(command, output.out, output.errors);
 }
--- a/src/program/fleet_command.cpp
+++ b/src/program/fleet_command.cpp
@@ -84,7 +84,12 @@
     shape.since_ms =
         std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
   }
-  shape.registry = command.registry;
+  shape.registry = command.registry || command.aggregators > 0;
+  shape.aggregators = command.aggregators;
+  if (command.aggregators > 0) {
+    shape.regions = std::min(command.aggregators, static_cast<int>(command.zones.size()));
+    shape.policy = {{"ttl_ms", 3'000}};
+  }
   shape.disk = command.disk;
   shape.object_kb = command.object_kb;
   shape.origin_delay_ms = command.origin_delay_ms;
@@ -183,7 +188,10 @@
   }
 
   bool start_nodes() {
-    for (const Kind kind : {Kind::kRegistry, Kind::kBoard, Kind::kOrigin, Kind::kParent, Kind::kCache}) {
+    for (const Kind kind : fleet::kStartOrder) {
+      if (kind == Kind::kRouter) {
+        continue;  // started in their turn
+      }
       scenario_->fleet().start_all(kind);
       for (const std::string& name : layout_.names(kind)) {
         if (!scenario_->fleet().await_up(name, kUp)) {
--- a/src/program/fleet_command.h
+++ b/src/program/fleet_command.h
@@ -31,6 +31,7 @@
   std::uint64_t seed = 1;
   double seconds = 0.0;  // 0: until it is told to end
   double load_per_s = 0.0;
+  int aggregators = 0;      // between the routers and a store, whose policy they follow; 0: none
   bool registry = false;    // a store, and routers that do the fleet's work
   bool cold = false;        // caches and parents are listed as just started
   bool disk = false;        // caches and parents have a disk tier
--- a/tests/fleet/rig.cpp
+++ b/tests/fleet/rig.cpp
@@ -58,8 +58,10 @@
 }
 
 void Rig::start_all() {
-  for (const Kind kind : {Kind::kRegistry, Kind::kBoard, Kind::kOrigin, Kind::kParent, Kind::kCache}) {
-    start(kind);
+  for (const Kind kind : fleet::kStartOrder) {
+    if (kind != Kind::kRouter) {
+      start(kind);
+    }
   }
   for (const Kind kind : {Kind::kParent, Kind::kCache}) {
     for (const std::string& name : layout_->names(kind)) {
--- a/tests/fleet_parts_test.cpp
+++ b/tests/fleet_parts_test.cpp
@@ -12,6 +12,7 @@
 #include "fleet/fault_proxy.h"
 #include "fleet/fault_script.h"
 #include "fleet/figures.h"
+#include "fleet/layout.h"
 #include "fleet/ports.h"
 #include "fleet/process.h"
 #include "stand_ins.h"
@@ -188,6 +189,41 @@
   std::optional<transport::ConnectionEnd> end;
 };
 
+std::vector<std::string> names_of(const std::vector<Endpoint>& endpoints) {
+  std::vector<std::string> out;
+  for (const Endpoint& endpoint : endpoints) {
+    out.push_back(endpoint.name);
+  }
+  return out;
+}
+
+TEST(LayoutTest, RoutersGetTheAggregatorsOfTheirRegionAndThenOneOfTheNext) {
+  using Names = std::vector<std::string>;
+  Shape shape;
+  shape.routers = 6;
+  shape.zones = {"a", "b", "c"};
+  shape.registry = true;
+  shape.aggregators = 4;
+  shape.regions = 2;  // a and c, b
+  PortBook ports;
+  const Layout layout(shape, ::testing::TempDir(), ports);
+  EXPECT_EQ(layout.names(Kind::kAggregator).size(), 4U);
+  EXPECT_EQ(layout.served_zones("aggregator0"), (Names{"a", "b", "c"}))
+      << "two regions: each helps the other";
+  EXPECT_EQ(names_of(layout.member("router0").aggregators),
+            (Names{"aggregator0", "aggregator2", "aggregator1"}));
+  EXPECT_EQ(names_of(layout.member("router1").aggregators),
+            (Names{"aggregator1", "aggregator3", "aggregator0"}));
+  EXPECT_EQ(names_of(layout.member("router3").aggregators),
+            (Names{"aggregator2", "aggregator0", "aggregator1"}))
+      << "the next of a zone begins at another one";
+  EXPECT_TRUE(layout.member("router0").registry.empty());
+  EXPECT_FALSE(layout.member("aggregator0").registry.empty());
+  shape.aggregators = shape.regions = 3;
+  const Layout three(shape, ::testing::TempDir(), ports);
+  EXPECT_EQ(three.served_zones("aggregator1"), (Names{"a", "b"})) << "its own, and that of the region before";
+}
+
 class FaultProxyTest : public testing::Test {
  protected:
   std::shared_ptr<transport::Connection> connect(const std::shared_ptr<Asker>& asker) {
