The text form of a term belongs to ownership: board no longer links fencing

board/fenced_notice.cpp included fencing/token.h, and with it board linked the layer that knows the store's files.

--- a/src/board/fenced_notice.cpp
+++ b/src/board/fenced_notice.cpp
@@ -1,6 +1,6 @@
 #include "board/fenced_notice.h"
 
-#include "fencing/token.h"
+#include "ownership/token.h"
 
 namespace trailcourse::board {
 
@@ -29,7 +29,7 @@
     return call.is_object() && call.contains(name) && call[name].is_string() ? call[name].get<std::string>()
                                                                              : std::string();
   };
-  const auto token = fencing::read_token(text("fence"));
+  const auto token = ownership::read_token(text("fence"));
   const std::string id = text("id");
   if (!token) {
     out.why = "fence_unreadable";
--- a/src/fencing/term_book.h
+++ b/src/fencing/term_book.h
@@ -14,13 +14,15 @@
 #include <string>
 #include <vector>
 
-#include "fencing/token.h"
 #include "ownership/fence.h"
+#include "ownership/token.h"
 #include "store/executor.h"
 #include "store/files.h"
 
 namespace trailcourse::fencing {
 
+using ownership::Token;
+
 struct FenceCounts {
   std::uint64_t admitted = 0, refused = 0, foreign = 0, kept = 0, unreadable = 0;
 };
--- a/src/fleet/term_check.cpp
+++ b/src/fleet/term_check.cpp
@@ -3,7 +3,7 @@
 #include <fstream>
 #include <map>
 
-#include "fencing/token.h"
+#include "ownership/token.h"
 
 namespace trailcourse::fleet {
 
@@ -15,7 +15,7 @@
   for (std::string line; std::getline(file, line);) {
     const std::size_t at = line.find(words);
     const auto token =
-        at == std::string::npos ? std::nullopt : fencing::read_token(line.substr(at + words.size()));
+        at == std::string::npos ? std::nullopt : ownership::read_token(line.substr(at + words.size()));
     if (token && token->term < highest[token->work]) {
       out.push_back(name + ": " + line);
     } else if (token) {
--- a/src/fencing/token.h
+++ b/src/ownership/token.h
@@ -1,6 +1,6 @@
 // The term of owned work as it goes with an effect: which store gave it, for what, and the term itself.
 //
-// Package `fencing`: no I/O, no clock.
+// Package `ownership`: no I/O, no clock.
 #pragma once
 
 #include <cstdint>
@@ -10,12 +10,12 @@
 
 #include "ownership/lease.h"
 
-namespace trailcourse::fencing {
+namespace trailcourse::ownership {
 
 struct Token {
   std::uint64_t store = 0;
   std::string work;  // with its shard
-  ownership::Term term = 0;
+  Term term = 0;
 
   friend bool operator==(const Token&, const Token&) = default;
 };
@@ -24,4 +24,4 @@
 std::optional<Token> read_token(std::string_view text);
 std::string to_string(const Token& token);
 
-}  // namespace trailcourse::fencing
+}  // namespace trailcourse::ownership
--- a/tests/fencing_test.cpp
+++ b/tests/fencing_test.cpp
@@ -162,6 +162,7 @@
 }
 
 TEST(TokenTest, OnlyWholeTokensAreRead) {
+  using ownership::read_token;
   EXPECT_EQ(read_token("9:w/0:5"), (Token{9, "w/0", 5}));
   EXPECT_EQ(to_string(Token{9, "w/0", 5}), "9:w/0:5");
   for (const char* bad : {"", "9", "9:5", "9::5", ":w:5", "9:w:", "0:w:5", "9:w:0", "9:w:x", "x:w:5",
