--- a/src/policy/change.cpp
+++ b/src/policy/change.cpp
@@ -315,6 +315,22 @@
   return out;
 }
 
+namespace {
+
+// A router, or an aggregator's summary with the routers that it stood for when it was written.
+std::string described(const std::string& key, const Permit& permit) {
+  std::string out = router_of(key);
+  if (permit.routers > 0) {
+    out += " for " + std::to_string(permit.routers) + " routers";
+  }
+  if (!permit.awaits.empty()) {
+    out += ", among them " + permit.awaits + ",";
+  }
+  return out;
+}
+
+}  // namespace
+
 std::vector<std::string> awaited(const Seen& seen) {
   std::vector<std::string> out;
   if (!seen.change || !seen.change->open()) {
@@ -323,12 +339,12 @@
   const Change& change = *seen.change;
   for (const auto& [name, permit] : concerned(seen)) {
     if (change.state == ChangeState::kPreparing && permit.ready != step_of(change)) {
-      out.push_back(router_of(name) + " is to say that it is ready");
+      out.push_back(described(name, permit) + " is to say that it is ready");
     } else if (change.state == ChangeState::kHolding && permit.held != step_of(change)) {
-      out.push_back(router_of(name) + " is to hold, or its permission to run out");
+      out.push_back(described(name, permit) + " is to hold, or its permission to run out");
     } else if (change.state == ChangeState::kCommitted &&
                (permit.version != change.version || permit.held != 0)) {
-      out.push_back(router_of(name) + " is to switch, or its permission to run out; it holds");
+      out.push_back(described(name, permit) + " is to switch, or its permission to run out; it holds");
     }
   }
   return out;
--- a/src/program/policy_command.cpp
+++ b/src/program/policy_command.cpp
@@ -71,7 +71,9 @@
                        {"version", permit.version},
                        {"ready", permit.ready},
                        {"held", permit.held},
-                       {"no", permit.why}});
+                       {"no", permit.why},
+                       {"routers", permit.routers},
+                       {"awaits", permit.awaits}});
   }
   json out{{"version", seen.current},
            {"zones", seen.zones},
@@ -81,12 +83,27 @@
   return out;
 }
 
+// Of routers one by one, and of those that aggregators stand for.
+std::string permission_line(const policy::Seen& seen) {
+  std::size_t summaries = 0;
+  std::uint64_t behind = 0;
+  for (const auto& [name, permit] : seen.permits) {
+    summaries += permit.routers > 0 ? 1 : 0;
+    behind += permit.routers;
+  }
+  if (summaries == 0) {
+    return std::to_string(seen.permits.size()) + " routers have permission";
+  }
+  return std::to_string(seen.permits.size()) + " permits stand, " + std::to_string(summaries) +
+         " of them of aggregators for " + std::to_string(behind) + " routers when they were written";
+}
+
 void print_status(const policy::Seen& seen, std::ostream& out) {
   out << "in force: version " << seen.current;
   for (const auto& [zone, version] : seen.zones) {
     out << ", in zone " << zone << " version " << version;
   }
-  out << "\n" << seen.permits.size() << " routers have permission\n";
+  out << "\n" << permission_line(seen) << "\n";
   if (!seen.change) {
     out << "no change was made yet\n";
     return;
--- a/tests/config_record_test.cpp
+++ b/tests/config_record_test.cpp
@@ -74,6 +74,19 @@
   expect(R"({"cache": {"name": "a", "listen": "127.0.0.1:1", "value_kb": 200}, "classes": {"m": {}}})",
          {"cache.answer_bytes", "240000", "value_kb"});
   expect(R"({"shop": {}})", {"shop", "no such section"});
+  const auto aggregator = [](const std::string& keys) {
+    return R"({"coordination": {"store": "etcd", "endpoints": ["127.0.0.1:2379"]}, "aggregator": {)" +
+           std::string(R"("listen": "127.0.0.1:1", "name": "a", "zones": ["east"])") + keys + "}}";
+  };
+  EXPECT_EQ(fault(aggregator("")), "");
+  expect(R"({"aggregator": {"listen": "127.0.0.1:1", "name": "a", "zones": ["east"]}})",
+         {"aggregator", "no store", "coordination"});
+  expect(aggregator(R"(, "ttl_ms": 3500)"), {"aggregator.ttl_ms", "policy.ttl_ms", "3000"});
+  expect(aggregator(R"(, "renew_ms": 2000)"), {"aggregator.renew_ms", "2000", "3940"});
+  expect(aggregator(R"(, "name": "a b")"), {"aggregator.zones", "a b.east"});
+  expect(aggregator(R"(, "zones": [])"), {"aggregator.zones", "1 to 64"});
+  expect(aggregator(R"(, "zones": ["east", "east"])"), {"aggregator.zones", "east", "twice"});
+  expect(R"({"aggregation": {"endpoints": ["nowhere"]}})", {"aggregation.endpoints", "nowhere"});
   expect("{", {"file"});
   expect("[]", {"not a JSON object"});
 }
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -171,6 +171,16 @@
   Micros now{0};
 };
 
+TEST_F(DriverTest, AnAggregatorIsAwaitedWithTheRouterThatItWaitsFor) {
+  seen.permits.clear();
+  seen.permits["a1.edge/9"] = permit("edge");
+  seen.permits["a1.edge/9"].routers = 40;
+  seen.permits["a1.edge/9"].awaits = "r7";
+  const std::vector<std::string> words = awaited(seen);
+  ASSERT_EQ(words.size(), 1U);
+  EXPECT_EQ(words[0], "a1.edge for 40 routers, among them r7, is to say that it is ready");
+}
+
 TEST_F(DriverTest, ItCommitsOnlyOnceEachIsReadyAndThenHolds) {
   EXPECT_FALSE(driver.next(now, seen));
   EXPECT_EQ(awaited(seen).size(), 2U);
