A release that was lost is tried again in its time, however often it is told to stop

An aggregator that drains asks its lease to stop at every look, and each set the time of the next try back to now: with the store gone, release and loss followed each other within one turn for ever, and the process did not end. Lease::stop counts once.

LeaseTest.AReleaseThatWasLostIsTriedAgainInItsTimeAlone fails without; ownership_test and desk_test pass. With six routers, two aggregators and a registry as processes an aggregator without its store ends 4.1 s after SIGTERM (before: not in 8 s).

--- a/src/ownership/lease.cpp
+++ b/src/ownership/lease.cpp
@@ -1,6 +1,7 @@
 #include "ownership/lease.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace trailcourse::ownership {
 
@@ -129,7 +130,9 @@
 }
 
 void Lease::stop(Micros now) {
-  stopping_ = true;
+  if (std::exchange(stopping_, true)) {
+    return;  // a release that was lost is tried again in its time
+  }
   until_ = Micros(-1);
   not_before_ = std::min(not_before_, now);
 }
--- a/tests/ownership_test.cpp
+++ b/tests/ownership_test.cpp
@@ -368,6 +368,21 @@
   EXPECT_EQ(lease.phase(seconds(9)), Phase::kStopped);
 }
 
+// A store that does not answer is told again after a while, however often the owner is told to stop.
+TEST(LeaseTest, AReleaseThatWasLostIsTriedAgainInItsTimeAlone) {
+  LeaseRules rules;
+  Lease lease(rules);
+  lease.granted(seconds(1), lease.due(seconds(1))->number, 5);
+  lease.stop(seconds(2));
+  lease.lost(seconds(2), lease.due(seconds(2))->number);
+  lease.stop(seconds(2));
+  EXPECT_FALSE(lease.due(seconds(2)).has_value());
+  EXPECT_EQ(lease.next(seconds(2)), std::optional<Micros>(seconds(2) + rules.retry));
+  const auto again = lease.due(seconds(2) + rules.retry);
+  ASSERT_TRUE(again.has_value());
+  EXPECT_EQ(again->ask, Ask::kRelease);
+}
+
 TEST(FenceTest, KeepsAHigherTermFirstAndRefusesALowerOne) {
   Fence fence;
   EXPECT_EQ(fence.admit("fill", 0), Verdict::kRefuse);
