scale_bench: hollow routers on the real state machines in virtual time

Figures of a fleet of 19,000 routers cannot be had from processes on one machine.

policy::Holder for each router, aggregation::Aggregator for each aggregator, coordination::Ledger as the store and policy::Driver as in duties::Conductor, on an event queue; single-server queues, delays drawn by seed, clocks that drift, links that are cut, processes killed, stopped, woken. The rule (no decision under a version once one was decided under a later one) is checked exactly, whenever a ruling may change.

--- /dev/null
+++ b/benchmarks/scale/fleet_model.cpp
@@ -0,0 +1,306 @@
+#include "scale/fleet_model.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "policy/options.h"
+
+namespace trailcourse::scale {
+
+namespace {
+
+// The fleet ahead.
+constexpr double kRoutersAhead = 19'000.0;
+constexpr double kRegionsAhead = 53.0;
+constexpr double kZonesAhead = 203.0;
+
+constexpr Micros kLooks{1'000};  // between two looks whether a condition holds
+constexpr Micros kSettleLooks{50'000};
+constexpr int kMostDescribed = 5;
+
+}  // namespace
+
+int regions_of(int routers) {
+  return std::max(2, static_cast<int>(std::lround(routers * kRegionsAhead / kRoutersAhead)));
+}
+
+FleetShape shape_of(int routers, bool flat, std::uint64_t seed) {
+  FleetShape out;
+  out.routers = routers;
+  out.flat = flat;
+  out.seed = seed;
+  out.router.holder = policy::holder_rules(policy::PolicyOptions{});
+  out.aggregator.lease = out.router.holder.lease;
+  out.aggregator.lease.ttl = Micros(4'000'000);
+  out.aggregator.lease.renew_after = Micros(500'000);
+  return out;
+}
+
+// ---- The rule ----
+
+void RulingCheck::fail(Micros now, const HollowRouter& router, const std::string& what) {
+  if (broken_.empty()) {
+    broken_ = "at " + std::to_string(now.count() / 1'000) + " ms: " + what + ": " + router.describe();
+  }
+}
+
+void RulingCheck::ruled(HollowRouter& router, Micros now) {
+  if (!router.runs()) {
+    return;
+  }
+  const policy::Ruling ruling = router.ruling();
+  ++rulings_;
+  if (ruling.kind != policy::Ruling::Kind::kVersion || ruling.version == newest_) {
+    return;
+  }
+  if (ruling.version < newest_) {
+    fail(now, router,
+         "decides under version " + std::to_string(ruling.version) + " after " + std::to_string(newest_) +
+             " was decided under");
+    return;
+  }
+  if (ruling.version > store_.version_in_force()) {
+    fail(now, router, "decides under a version that is not in force");
+  }
+  if (aborted_.contains(ruling.version)) {
+    fail(now, router, "decides under a version whose change was aborted");
+  }
+  newest_ = ruling.version;
+  for (const auto& other : *routers_) {
+    if (!other->runs()) {
+      continue;
+    }
+    const policy::Ruling theirs = other->ruling();
+    if (theirs.kind == policy::Ruling::Kind::kVersion && theirs.version < newest_) {
+      fail(now, *other, "may decide under the version before " + std::to_string(newest_) + " still");
+    }
+  }
+}
+
+// ---- The fleet ----
+
+FleetModel::FleetModel(const FleetShape& shape) : shape_(shape) {
+  shape_.regions = shape_.regions > 0 ? shape_.regions : regions_of(shape_.routers);
+  const auto zones = static_cast<int>(std::lround(shape_.regions * kZonesAhead / kRegionsAhead));
+  shape_.zones = shape_.zones > 0 ? shape_.zones : zones;
+  simulation_ = std::make_unique<Simulation>(shape_.seed, shape_.network, shape_.costs);
+  for (int i = 0; i < shape_.regions; ++i) {
+    simulation_->distances.push_back(simulation_->drawn(shape_.network.most_distance));
+  }
+  build();
+}
+
+void FleetModel::build() {
+  store_ = std::make_unique<HollowStore>(*simulation_);
+  driver_ =
+      std::make_unique<HollowDriver>(*simulation_, *store_, policy::driver_rules(policy::PolicyOptions{}),
+                                     [this](const policy::Step& step) { stepped(step); });
+  check_ = std::make_unique<RulingCheck>(*store_);
+  std::vector<std::vector<std::string>> zones(static_cast<std::size_t>(shape_.regions));
+  for (int i = 0; i < shape_.zones; ++i) {
+    zones[static_cast<std::size_t>(i % shape_.regions)].push_back("zone" + std::to_string(i));
+  }
+  std::vector<std::vector<PermitServer*>> servers(static_cast<std::size_t>(shape_.regions));
+  for (int region = 0; region < shape_.regions; ++region) {
+    const auto at = static_cast<std::size_t>(region);
+    for (int i = 0; i < shape_.aggregators && !shape_.flat; ++i) {
+      aggregators_.push_back(std::make_unique<HollowAggregator>(
+          *simulation_, "aggregator" + std::to_string(region) + "-" + std::to_string(i), region, zones[at],
+          *store_, shape_.aggregator));
+      servers[at].push_back(aggregators_.back().get());
+    }
+    if (shape_.flat) {
+      servers[at].push_back(store_.get());
+    }
+  }
+  const auto ruled = [this](HollowRouter& router) { check_->ruled(router, now()); };
+  for (int i = 0; i < shape_.routers; ++i) {
+    const int region = i % shape_.regions;
+    const std::vector<std::string>& theirs = zones[static_cast<std::size_t>(region)];
+    const std::string& zone = theirs[static_cast<std::size_t>(i / shape_.regions) % theirs.size()];
+    routers_.push_back(std::make_unique<HollowRouter>(*simulation_, "router" + std::to_string(i), region,
+                                                      zone, servers[static_cast<std::size_t>(region)],
+                                                      shape_.router, ruled));
+  }
+  check_->watch(routers_);
+}
+
+void FleetModel::start(Micros spread) {
+  store_->begin();
+  driver_->begin();
+  for (const auto& aggregator : aggregators_) {
+    simulation_->events.after(simulation_->drawn(spread), [one = aggregator.get()] { one->begin(); });
+  }
+  for (const auto& router : routers_) {
+    simulation_->events.after(simulation_->drawn(spread), [one = router.get()] { one->begin(); });
+  }
+}
+
+bool FleetModel::run_until(const std::function<bool()>& over, Micros limit) {
+  const Micros end = now() + limit;
+  Micros look = now();
+  while (now() < end && check_->broken().empty()) {
+    if (now() >= look) {
+      if (over()) {
+        return true;
+      }
+      look = now() + kLooks;
+    }
+    simulation_->events.step(std::min(end, std::max(look, now())));
+  }
+  return over();
+}
+
+bool FleetModel::settled() const {
+  const std::uint64_t version = store_->version_in_force();
+  return std::all_of(routers_.begin(), routers_.end(), [version](const auto& router) {
+    const policy::Ruling ruling = router->ruling();
+    return !router->runs() || (ruling.kind == policy::Ruling::Kind::kVersion && ruling.version == version);
+  });
+}
+
+bool FleetModel::settle(Micros limit) {
+  Micros look{0};
+  return run_until(
+      [this, &look] {
+        if (now() < look) {
+          return false;
+        }
+        look = now() + kSettleLooks;
+        return settled();
+      },
+      limit);
+}
+
+// ---- Changes ----
+
+void FleetModel::stepped(const policy::Step& step) {
+  const policy::Change& change = step.change;
+  switch (change.state) {
+    case policy::ChangeState::kCommitted:
+      committed_at_ = now();
+      return;
+    case policy::ChangeState::kDone:
+      finished_at_ = now();
+      ++finished_;
+      open_version_ = 0;
+      return;
+    case policy::ChangeState::kAborted:
+      ++aborted_;
+      check_->aborted(change.version);
+      open_version_ = 0;
+      return;
+    default:
+      return;
+  }
+}
+
+void FleetModel::propose(bool urgent) {
+  driver_->propose(
+      urgent,
+      [this](std::uint64_t version) {
+        if (open_version_ != 0) {
+          check_->aborted(open_version_);  // superseded
+          ++aborted_;
+        }
+        open_version_ = version;
+        ++begun_;
+      },
+      [this] { ++refused_; });
+}
+
+ChangeFigures FleetModel::change(Micros limit) {
+  ChangeFigures out;
+  const Micros from = now();
+  const Traffic before = store_->traffic();
+  const std::uint64_t finished = finished_;
+  propose(false);
+  out.done = run_until([this, finished] { return finished_ > finished; }, limit);
+  out.to_commit = committed_at_ - from;
+  out.to_done = finished_at_ - from;
+  out.store = store_->traffic() - before;
+  return out;
+}
+
+// ---- Faults ----
+
+void FleetModel::check_watches(int region) {
+  for (const auto& router : routers_) {
+    if (router->region() == region) {
+      router->check_watch();
+    }
+  }
+  for (const auto& aggregator : aggregators_) {
+    if (aggregator->region() == region) {
+      aggregator->check_watch();
+    }
+  }
+}
+
+void FleetModel::cut_region(int region, bool cut) {
+  if (cut) {
+    simulation_->cut_regions.insert(region);
+  } else {
+    simulation_->cut_regions.erase(region);
+  }
+  check_watches(region);
+}
+
+void FleetModel::cut_above(HollowAggregator& aggregator, bool cut) {
+  aggregator.cut_above = cut;
+  check_watches(aggregator.region());
+}
+
+void FleetModel::cut_below(HollowAggregator& aggregator, bool cut) {
+  aggregator.cut_below = cut;
+  check_watches(aggregator.region());
+}
+
+void FleetModel::kill(HollowAggregator& aggregator) {
+  aggregator.kill();
+  check_watches(aggregator.region());
+}
+
+void FleetModel::pause(HollowAggregator& aggregator) {
+  aggregator.pause();
+  check_watches(aggregator.region());
+}
+
+void FleetModel::wake(HollowAggregator& aggregator) {
+  aggregator.wake();
+  check_watches(aggregator.region());
+}
+
+void FleetModel::begin(HollowAggregator& aggregator) {
+  aggregator.begin();
+  check_watches(aggregator.region());
+}
+
+std::string FleetModel::describe() {
+  std::string out = "version in force " + std::to_string(store_->version_in_force());
+  const policy::Seen seen = store_->seen();
+  if (seen.change) {
+    out += "\n  " + policy::write_change(*seen.change);
+  }
+  for (const std::string& one : policy::awaited(seen)) {
+    out += "\n  " + one;
+  }
+  int described = 0;
+  for (const auto& router : routers_) {
+    const policy::Ruling ruling = router->ruling();
+    const bool well =
+        ruling.kind == policy::Ruling::Kind::kVersion && ruling.version == store_->version_in_force();
+    if (!well && described++ < kMostDescribed) {
+      out += "\n  " + router->describe();
+    }
+  }
+  for (const auto& aggregator : aggregators_) {
+    if (!aggregator->permitted() && described++ < 2 * kMostDescribed) {
+      out += "\n  " + aggregator->describe();
+    }
+  }
+  return out;
+}
+
+}  // namespace trailcourse::scale
--- /dev/null
+++ b/benchmarks/scale/scale_bench.cpp
@@ -0,0 +1,357 @@
+// The control of policy in fleets of any size, in virtual time on the real state machines: what the store,
+// the aggregators and the routers pay at rest and for a change, how long a change takes, and whether the rule
+// holds under drawn faults. Prints a table; times are virtual but for the progress.
+//
+//     scale_bench --rest --changes --write docs/capacity/slopes.json
+//     scale_bench --flat --rest --changes --sizes 30,100,200,300,1000,3000
+//     scale_bench --faults 20 --sizes 1000
+#include <unistd.h>
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <cstdlib>
+#include <cxxopts.hpp>
+#include <exception>
+#include <iostream>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "scale/fleet_model_runs.h"
+#include "scale/slopes.h"
+
+namespace {
+
+using namespace trailcourse::scale;
+using nlohmann::json;
+using trailcourse::Micros;
+
+constexpr Micros kStartSpread{1'000'000};
+constexpr Micros kSettle{60'000'000};
+constexpr Micros kSteady{3'000'000};  // after the start, before anything is measured
+constexpr Micros kRest{10'000'000};
+
+struct Options {
+  std::vector<int> sizes;
+  bool flat = false;
+  bool near = false;
+  bool late_watch = false;
+  std::uint64_t seed = 1;
+  int seeds = 3;
+  int changes = 3;
+  int aggregators = 2;
+  bool rest = false;
+  bool change = false;
+  bool queue = false;
+  int faults = 0;
+  double fault_seconds = 60.0;
+  double cut_seconds = 0.0;
+  std::string write;
+  bool as_json = false;
+  std::string command;
+};
+
+class Progress {
+ public:
+  void say(const std::string& what) const {
+    if (shown_) {
+      std::fprintf(stderr, "\r\033[K%s", what.c_str());
+    }
+  }
+  ~Progress() { say(""); }
+
+ private:
+  bool shown_ = isatty(STDERR_FILENO) != 0;
+};
+
+// All that is measured, by what it is a slope of.
+class Table {
+ public:
+  explicit Table(const Options& options) : options_(options) {}
+
+  void row(json row) {
+    if (!options_.as_json) {
+      std::string line;
+      for (const auto& [key, value] : row.items()) {
+        line += (line.empty() ? "" : "  ") + key + "=" +
+                (value.is_string() ? value.get<std::string>() : value.dump());
+      }
+      std::cout << line << std::endl;
+    }
+    rows_.push_back(std::move(row));
+  }
+  void point(const std::string& name, const std::string& what, const std::string& unit,
+             const std::string& per, double x, double y) {
+    Slope& slope = slopes_[name];
+    slope.name = name;
+    slope.what = what;
+    slope.unit = unit;
+    slope.per = per;
+    slope.points.emplace_back(x, y);
+  }
+  void finish() {
+    if (options_.as_json) {
+      std::cout << rows_.dump(1) << std::endl;
+    }
+    std::vector<Slope> fresh;
+    for (auto& [name, slope] : slopes_) {
+      slope.setting = "hollow, virtual time";
+      slope.command = options_.command;
+      fresh.push_back(measured_here(slope));
+    }
+    if (!options_.write.empty() && !fresh.empty()) {
+      save_slopes(options_.write, fresh);
+    }
+  }
+
+ private:
+  const Options& options_;
+  json rows_ = json::array();
+  std::map<std::string, Slope> slopes_;
+};
+
+FleetShape shape_for(const Options& options, int size, std::uint64_t seed) {
+  FleetShape out = shape_of(size, options.flat, seed);
+  out.aggregators = options.aggregators;
+  if (options.near) {
+    out.network = loopback();
+  }
+  out.network.watch_follows_calls = !options.late_watch;
+  return out;
+}
+
+// Throws where it does not settle.
+void start(FleetModel& model) {
+  model.start(kStartSpread);
+  model.run_for(kStartSpread);
+  if (!model.settle(kSettle)) {
+    throw std::runtime_error("the fleet does not settle: " + model.check().broken() + model.describe());
+  }
+  model.run_for(kSteady);
+}
+
+double rounded(double value) { return std::round(value * 10.0) / 10.0; }
+
+class Bench {
+ public:
+  explicit Bench(const Options& options) : options_(options), table_(options) {}
+
+  bool run() {
+    for (const int size : options_.sizes) {
+      if (options_.rest) {
+        rest(size);
+      }
+      if (options_.change) {
+        changes(size);
+      }
+      if (options_.queue) {
+        queue(size, 4.5);
+        queue(size, 1.5);
+      }
+      for (int i = 0; i < options_.faults; ++i) {
+        faults(size, options_.seed + static_cast<std::uint64_t>(i));
+      }
+    }
+    table_.finish();
+    return sound_;
+  }
+
+ private:
+  std::string way() const { return options_.flat ? "flat" : "regions"; }
+  // What the store's cost grows with.
+  double store_x(const FleetShape& shape) const { return options_.flat ? shape.routers : shape.regions; }
+  std::string store_per() const { return options_.flat ? "routers" : "regions"; }
+
+  void rest(int size) {
+    FleetModel model(shape_for(options_, size, options_.seed));
+    progress_.say("at rest, " + std::to_string(size) + " routers");
+    start(model);
+    const RestFigures figures = measure_rest(model, kRest);
+    table_.row({{"routers", size},
+                {"way", way()},
+                {"regions", model.shape().regions},
+                {"what", "at rest, a second"},
+                {"store_calls", rounded(figures.store_calls)},
+                {"store_bytes", rounded(figures.store_bytes)},
+                {"aggregator_calls", rounded(figures.aggregator_calls)},
+                {"aggregator_bytes", rounded(figures.aggregator_bytes)},
+                {"router_bytes", rounded(figures.router_bytes)}});
+    const double x = store_x(model.shape());
+    table_.point("store.calls.rest." + way() + ".hollow",
+                 "calls at the store at rest, permissions of policy alone", "calls a second", store_per(), x,
+                 figures.store_calls);
+    table_.point("store.bytes.rest." + way() + ".hollow",
+                 "bytes at the store at rest, both ways, without TCP and IP", "bytes a second", store_per(),
+                 x, figures.store_bytes);
+    table_.point("router.bytes.rest." + way() + ".hollow",
+                 "bytes at a router at rest for its permission, both ways", "bytes a second", "routers", size,
+                 figures.router_bytes);
+    if (!options_.flat) {
+      const double below = size / static_cast<double>(model.aggregators().size());
+      table_.point("aggregator.calls.rest.hollow", "calls at an aggregator at rest", "calls a second",
+                   "routers of one aggregator", below, figures.aggregator_calls);
+      table_.point("aggregator.bytes.rest.hollow",
+                   "bytes at an aggregator at rest, both ways, without TCP and IP", "bytes a second",
+                   "routers of one aggregator", below, figures.aggregator_bytes);
+    }
+    check(model.check().broken());
+  }
+
+  void changes(int size) {
+    for (const Condition condition : kConditions) {
+      ChangeSeries series;
+      FleetShape shape;
+      for (int i = 0; i < options_.seeds; ++i) {
+        shape = shape_for(options_, size, options_.seed + static_cast<std::uint64_t>(i));
+        if (!applies(condition, shape)) {
+          break;
+        }
+        progress_.say(std::to_string(size) + " routers, " + to_string(condition) + ", seed " +
+                      std::to_string(shape.seed));
+        FleetModel model(shape);
+        shape = model.shape();
+        start(model);
+        SeriesOptions rules;
+        rules.changes = options_.changes;
+        measure_changes(model, condition, rules, series);
+      }
+      if (!series.ms.empty() || series.unfinished > 0) {
+        tell(shape, condition, series);
+      }
+      check(series.broken);
+    }
+  }
+
+  void tell(const FleetShape& shape, Condition condition, const ChangeSeries& series) {
+    table_.row({{"routers", shape.routers},
+                {"way", way()},
+                {"regions", shape.regions},
+                {"what", std::string("a change, ") + to_string(condition)},
+                {"changes", series.ms.size()},
+                {"unfinished", series.unfinished},
+                {"p50_ms", rounded(series.ms.quantile(0.5))},
+                {"p99_ms", rounded(series.ms.quantile(0.99))},
+                {"worst_ms", rounded(series.ms.worst())},
+                {"store_calls", rounded(series.store_calls.mean())},
+                {"store_bytes", rounded(series.store_bytes.mean())},
+                {"store_longest_wait_ms", rounded(series.store_wait_ms.worst())}});
+    if (series.ms.empty()) {
+      return;
+    }
+    std::string words = to_string(condition);
+    std::replace(words.begin(), words.end(), ' ', '-');
+    const std::string name = way() + "." + words + ".hollow";
+    const std::string what = std::string("a change of policy from its proposal until all decide under it, ") +
+                             to_string(condition);
+    table_.point("change.ms.p50." + name, what + ", median", "ms", "routers", shape.routers,
+                 series.ms.quantile(0.5));
+    table_.point("change.ms.worst." + name, what + ", worst", "ms", "routers", shape.routers,
+                 series.ms.worst());
+    if (condition == Condition::kAllUp) {
+      table_.point("store.calls.change." + way() + ".hollow",
+                   "calls at the store during one change, renewals among them", "calls", store_per(),
+                   store_x(shape), series.store_calls.mean());
+      table_.point("store.bytes.change." + way() + ".hollow",
+                   "bytes at the store during one change, both ways", "bytes", store_per(), store_x(shape),
+                   series.store_bytes.mean());
+    }
+  }
+
+  void queue(int size, double mean_seconds) {
+    FleetModel model(shape_for(options_, size, options_.seed));
+    progress_.say(std::to_string(size) + " routers, changes in a row");
+    start(model);
+    const QueueFigures figures =
+        measure_queue(model, Micros(static_cast<Micros::rep>(mean_seconds * 1e6)), Micros(300'000'000));
+    table_.row(
+        {{"routers", size},
+         {"way", way()},
+         {"what", "changes that come every " + std::to_string(mean_seconds).substr(0, 3) + " s on average"},
+         {"changes", figures.ms.size()},
+         {"p50_ms", rounded(figures.ms.quantile(0.5))},
+         {"p99_ms", rounded(figures.ms.quantile(0.99))},
+         {"worst_ms", rounded(figures.ms.worst())},
+         {"longest_queue", figures.longest_queue},
+         {"note", figures.broken}});
+    check(model.check().broken());
+  }
+
+  void faults(int size, std::uint64_t seed) {
+    progress_.say(std::to_string(size) + " routers, drawn faults, seed " + std::to_string(seed));
+    FleetModel model(shape_for(options_, size, seed));
+    start(model);
+    FaultOptions rules;
+    rules.time = Micros(static_cast<Micros::rep>(options_.fault_seconds * 1e6));
+    rules.region_cut = Micros(static_cast<Micros::rep>(options_.cut_seconds * 1e6));
+    const FaultFigures figures = run_faults(model, rules);
+    table_.row({{"routers", size},
+                {"what", "drawn faults"},
+                {"seed", seed},
+                {"faults", figures.faults},
+                {"begun", figures.begun},
+                {"done", figures.done},
+                {"aborted", figures.aborted},
+                {"rulings", figures.rulings},
+                {"broken", figures.broken}});
+    check(figures.broken);
+  }
+
+  void check(const std::string& broken) {
+    if (!broken.empty()) {
+      sound_ = false;
+      std::cerr << "BROKEN: " << broken << std::endl;
+    }
+  }
+
+  const Options& options_;
+  Table table_;
+  Progress progress_;
+  bool sound_ = true;
+};
+
+Options read_options(int argc, char** argv) {
+  cxxopts::Options rules("scale_bench", "The control of policy in fleets of any size, in virtual time.");
+  Options out;
+  rules.add_options()("sizes", "routers",
+                      cxxopts::value(out.sizes)->default_value("30,100,200,300,1000,3000,10000,19000,38000"))(
+      "flat", "every router at the store", cxxopts::value(out.flat))(
+      "near", "the delays of one machine's loopback, not of regions all over the world",
+      cxxopts::value(out.near))("aggregators", "of each region",
+                                cxxopts::value(out.aggregators)->default_value("2"))(
+      "seed", "the first one", cxxopts::value(out.seed)->default_value("1"))(
+      "seeds", "of each condition of a change", cxxopts::value(out.seeds)->default_value("3"))(
+      "per-seed", "changes of each seed", cxxopts::value(out.changes)->default_value("3"))(
+      "rest", "measure a fleet at rest", cxxopts::value(out.rest))(
+      "changes", "measure changes, in each condition", cxxopts::value(out.change))(
+      "queue", "measure changes that come at drawn times", cxxopts::value(out.queue))(
+      "faults", "so many seeds of drawn faults", cxxopts::value(out.faults)->default_value("0"))(
+      "fault-seconds", "virtual time of each", cxxopts::value(out.fault_seconds)->default_value("60"))(
+      "cut-seconds", "for which one region is cut off meanwhile",
+      cxxopts::value(out.cut_seconds)->default_value("0"))(
+      "write", "the file of slopes", cxxopts::value(out.write))("json", "rows as JSON",
+                                                                cxxopts::value(out.as_json))("help", "this");
+  const auto parsed = rules.parse(argc, argv);
+  if (parsed.count("help") > 0) {
+    std::cout << rules.help();
+    std::exit(0);
+  }
+  out.command = "scale_bench";
+  for (int i = 1; i < argc; ++i) {
+    out.command += std::string(" ") + argv[i];
+  }
+  return out;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  try {
+    const Options options = read_options(argc, argv);
+    return Bench(options).run() ? 0 : 1;
+  } catch (const std::exception& error) {
+    std::cerr << "scale_bench: " << error.what() << std::endl;
+    return 2;
+  }
+}
