Costs of single roles, measured on the project's code at several sizes

Cause: no figure of what a router, cache, board, store or aggregator costs was measured at more than one size, so nothing could be worked out for a larger fleet.

--- /dev/null
+++ b/benchmarks/scale/board_costs.cpp
@@ -0,0 +1,349 @@
+// What a board and a relay pay: for each call that they hold, each page that they tell, and each event kept.
+#include <array>
+#include <filesystem>
+#include <fstream>
+#include <memory>
+#include <string>
+
+#include "board/board_core.h"
+#include "board/page_log.h"
+#include "board/page_server.h"
+#include "fleet/ports.h"
+#include "http_peers.h"
+#include "program/board_server.h"
+#include "role_costs.h"
+#include "sample_fleet.h"
+#include "transport/scheduler.h"
+
+namespace trailcourse::scale {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr std::array<int, 5> kCallRates{100, 300, 1'000, 3'000, 9'500};
+constexpr std::array<int, 5> kHeld{100, 300, 1'000, 3'000, 19'000};
+constexpr std::array<int, 4> kAskers{50, 100, 300, 1'000};
+constexpr std::array<int, 4> kEvents{100, 500, 2'000, 4'000};
+constexpr std::array<int, 4> kFileEvents{100, 300, 1'000, 3'000};
+constexpr std::array<int, 4> kCaches{40, 500, 2'100, 8'400};
+
+board::CoreRules open_rules() {
+  board::CoreRules rules;
+  rules.most_waiting = 100'000;
+  rules.most_linger_ms = 60'000;
+  return rules;
+}
+
+// ---- The core alone ----
+
+// Calls that are held and go, at a steady rate, after a first second.
+void measure_core_calls(const CostContext& context, const CostSink& sink) {
+  CostSeries cpu{"board.cpu.core.call",
+                 "a call judged and held, by the core alone",
+                 "us",
+                 "calls a second",
+                 "in process",
+                 {}};
+  for (const int rate : kCallRates) {
+    board::BoardCore core(open_rules(), context.seed);
+    std::int64_t calls = 0;
+    const auto call = [&] {
+      ++calls;
+      const auto number = static_cast<board::CallNumber>(calls);
+      core.call(calls * 1'000 / rate, number, 7, 2'000, 7);
+      core.gone(number);
+    };
+    for (int i = 0; i < rate; ++i) {
+      call();
+    }
+    cpu.points.emplace_back(rate, cpu_us_per_call(std::min(rate, 2'000), call, 3));
+  }
+  sink(cpu);
+}
+
+void measure_core_release(const CostContext& context, const CostSink& sink) {
+  CostSeries cpu{"board.cpu.core.release",
+                 "news told to all held calls, by the core alone",
+                 "us",
+                 "calls held",
+                 "in process",
+                 {}};
+  for (const int held : kHeld) {
+    double least = 0.0;
+    for (int round = 0; round < 5; ++round) {
+      board::BoardCore core(open_rules(), context.seed);
+      for (int i = 0; i < held; ++i) {
+        core.call(i, static_cast<board::CallNumber>(i + 1), 7, 60'000, 7);
+      }
+      const double before = thread_cpu_us();
+      core.published(held);
+      for (int ms = 0; ms <= 100; ++ms) {
+        keep_result(core.due(held + ms));
+      }
+      const double took = thread_cpu_us() - before;
+      least = round == 0 ? took : std::min(least, took);
+    }
+    cpu.points.emplace_back(held, least);
+  }
+  sink(cpu);
+}
+
+// ---- Events that are kept ----
+
+void measure_log(const CostSink& sink) {
+  CostSeries append{"relay.cpu.append",
+                    "one purge appended to a log, and its page made",
+                    "us",
+                    "events kept",
+                    "in process",
+                    {}};
+  CostSeries fold{
+      "relay.cpu.fold", "a log folded, half of its purges being over", "us", "events kept", "in process", {}};
+  CostSeries memory{"relay.memory.event", "a log of purges", "bytes", "events kept", "in process", {}};
+  const std::int64_t now = unix_ms_now();
+  for (const int events : kEvents) {
+    const auto filled = [&] {
+      auto log = std::make_unique<board::PageLog>("0123456789abcdef");
+      log->replace(list_page(40, 4));
+      log->append(purge_page(1, events / 2, now - 60'000));
+      log->append(purge_page(log->last(), events - events / 2, now));
+      return log;
+    };
+    memory.points.emplace_back(events, bytes_held_by(filled));
+    const auto log = filled();
+    append.points.emplace_back(events, cpu_us_per_call(100, [&] {
+                                 const std::uint64_t before = log->last();
+                                 log->append(purge_page(before, 1, now));
+                                 keep_result(log->later_than(before));
+                               }));
+    double least = 0.0;
+    for (int round = 0; round < 3; ++round) {
+      const auto folded = filled();
+      const double before = thread_cpu_us();
+      folded->fold(1, now - 10'000);
+      const double took = thread_cpu_us() - before;
+      least = round == 0 ? took : std::min(least, took);
+    }
+    fold.points.emplace_back(events, least);
+  }
+  for (const CostSeries& series : {append, fold, memory}) {
+    sink(series);
+  }
+}
+
+void measure_list_rendering(const CostSink& sink) {
+  CostSeries cpu{
+      "board.cpu.render.list", "a page with one whole list made", "us", "caches", "in process", {}};
+  CostSeries bytes{"board.bytes.list.change",
+                   "a page with a change of so many caches",
+                   "bytes",
+                   "caches that change",
+                   "in process",
+                   {}};
+  for (const int caches : kCaches) {
+    const json page = list_page(caches, 203);
+    board::PageLog log;
+    cpu.points.emplace_back(caches, cpu_us_per_call(5, [&] {
+                              log.replace(page);
+                              keep_result(log.later_than(0));
+                            }));
+  }
+  for (const int caches : {1, 10, 40, 100}) {
+    json change = list_page(caches, 203);
+    json& pool = change["notices"][0]["pool"];
+    pool["snapshot"] = false;
+    pool["endpoints"].erase(0);  // the origin
+    board::PageLog log("0123456789abcdef");
+    log.replace(change);
+    bytes.points.emplace_back(caches, log.later_than(0)->size());
+  }
+  sink(cpu);
+  sink(bytes);
+}
+
+// The board's file with so many purges, read again because one was added.
+void measure_reread(const CostContext& context, const CostSink& sink) {
+  CostSeries cpu{"board.cpu.reread",
+                 "a board reads its file again: what each purge costs it",
+                 "us",
+                 "purges in the file",
+                 "in process",
+                 {}};
+  CostSeries add{"board.cpu.notice",
+                 "one purge added to that file, by `trailcourse notice`",
+                 "us",
+                 "purges in the file",
+                 "in process",
+                 {}};
+  CostSeries bytes{"board.bytes.file", "that file", "bytes", "purges in the file", "in process", {}};
+  const std::string file = context.folder + "/board-page.json";
+  for (const int events : kFileEvents) {
+    json page = list_page(40, 4);
+    const json purges = purge_page(1, events, unix_ms_now());
+    page["rev"] = purges["rev"];
+    for (const json& event : purges["notices"]) {
+      page["notices"].push_back(event);
+    }
+    std::ofstream(file, std::ios::binary) << page.dump(1) << '\n';
+    bytes.points.emplace_back(events, static_cast<double>(std::filesystem::file_size(file)));
+    transport::Scheduler scheduler;
+    board::BoardOptions options;
+    options.file = file;
+    program::BoardServer server(scheduler, options, context.seed);
+    double adding = 0.0;
+    double reading = 0.0;
+    constexpr int kRounds = 10;
+    for (int round = 0; round < kRounds; ++round) {
+      json event = purge_event(0, static_cast<std::uint64_t>(round), unix_ms_now());
+      const double begun = thread_cpu_us();
+      program::add_notice(file, std::move(event));
+      const double added = thread_cpu_us();
+      server.reread();
+      adding += added - begun;
+      reading += thread_cpu_us() - added;
+    }
+    add.points.emplace_back(events, adding / kRounds);
+    cpu.points.emplace_back(events, reading / kRounds);
+  }
+  for (const CostSeries& series : {cpu, add, bytes}) {
+    sink(series);
+  }
+}
+
+// ---- With sockets ----
+
+// A server of pages in this thread.
+class ServedLog {
+ public:
+  explicit ServedLog(std::uint64_t seed)
+      : log_("0123456789abcdef"),
+        server_(scheduler_, log_, open_rules(), bounds(), board::PageServer::Answering(), seed) {
+    log_.replace(list_page(40, 4));
+    address_ = ports_.take();
+    server_.listen(address_);
+  }
+
+  const transport::Address& address() const { return address_; }
+  void run_until_held(std::size_t calls) {
+    while (server_.core().waiting() < calls) {
+      scheduler_.turn(milliseconds(5));
+    }
+  }
+  void run_for(milliseconds time) {
+    const auto end = transport::Clock::now() + time;
+    while (transport::Clock::now() < end) {
+      scheduler_.turn(milliseconds(5));
+    }
+  }
+  // A purge told to all that wait, until all wait again.
+  void tell_purge(std::size_t askers) {
+    const std::uint64_t released = counts().released;
+    log_.append(purge_page(log_.last(), 1, unix_ms_now()));
+    server_.published();
+    while (counts().released < released + askers) {
+      scheduler_.turn(milliseconds(5));
+    }
+    run_until_held(askers);
+  }
+  const board::CoreCounts& counts() const { return server_.core().counts(); }
+
+ private:
+  static board::PageServer::Bounds bounds() {
+    board::PageServer::Bounds out;
+    out.connections = 10'000;
+    return out;
+  }
+
+  transport::Scheduler scheduler_;
+  fleet::PortBook ports_;
+  board::PageLog log_;
+  board::PageServer server_;
+  transport::Address address_;
+};
+
+void measure_told_pages(const CostContext& context, const CostSink& sink) {
+  CostSeries memory{"board.memory.asker",
+                    "connections with a call held, at the server",
+                    "bytes",
+                    "askers",
+                    "hollow, loopback sockets",
+                    {}};
+  CostSeries cpu{"board.cpu.told",
+                 "one purge told to all askers, their next calls held",
+                 "us",
+                 "askers",
+                 "hollow, loopback sockets",
+                 {}};
+  CostSeries bytes{"board.bytes.told",
+                   "that purge to all askers, their next calls with it, HTTP headers counted",
+                   "bytes",
+                   "askers",
+                   "hollow, loopback sockets",
+                   {}};
+  for (const int askers : kAskers) {
+    ServedLog served(context.seed);
+    const double before = allocated_bytes();
+    PollingPeers peers(served.address(), askers, 60'000);
+    const auto all = static_cast<std::size_t>(askers);
+    served.run_until_held(all);
+    memory.points.emplace_back(askers, allocated_bytes() - before);
+    constexpr int kRounds = 10;
+    const double cpu_before = thread_cpu_us();
+    const std::uint64_t bytes_before = peers.counts().bytes_in + peers.counts().bytes_out;
+    for (int round = 0; round < kRounds; ++round) {
+      served.tell_purge(all);
+    }
+    cpu.points.emplace_back(askers, (thread_cpu_us() - cpu_before) / kRounds);
+    const std::uint64_t passed = peers.counts().bytes_in + peers.counts().bytes_out - bytes_before;
+    bytes.points.emplace_back(askers, static_cast<double>(passed) / kRounds);
+  }
+  for (const CostSeries& series : {memory, cpu, bytes}) {
+    sink(series);
+  }
+}
+
+// Calls held for 100 ms and answered without news, as a relay's askers make them at rest.
+void measure_held_calls(const CostContext& context, const CostSink& sink) {
+  CostSeries cpu{"relay.cpu.held.call",
+                 "a call held for 100 ms and answered without news",
+                 "us",
+                 "askers",
+                 "hollow, loopback sockets",
+                 {}};
+  CostSeries bytes{"relay.bytes.held.call",
+                   "that call and its answer, HTTP headers counted",
+                   "bytes",
+                   "askers",
+                   "hollow, loopback sockets",
+                   {}};
+  for (const int askers : kAskers) {
+    ServedLog served(context.seed);
+    PollingPeers peers(served.address(), askers, 100);
+    served.run_for(milliseconds(500));
+    const double cpu_before = thread_cpu_us();
+    const std::uint64_t calls_before = served.counts().calls;
+    const std::uint64_t bytes_before = peers.counts().bytes_in + peers.counts().bytes_out;
+    served.run_for(milliseconds(1'500));
+    const auto calls = static_cast<double>(served.counts().calls - calls_before);
+    cpu.points.emplace_back(askers, (thread_cpu_us() - cpu_before) / calls);
+    const std::uint64_t passed = peers.counts().bytes_in + peers.counts().bytes_out - bytes_before;
+    bytes.points.emplace_back(askers, static_cast<double>(passed) / calls);
+  }
+  sink(cpu);
+  sink(bytes);
+}
+
+}  // namespace
+
+void measure_board(const CostContext& context, const CostSink& sink) {
+  measure_core_calls(context, sink);
+  measure_core_release(context, sink);
+  measure_log(sink);
+  measure_list_rendering(sink);
+  measure_reread(context, sink);
+  measure_told_pages(context, sink);
+  measure_held_calls(context, sink);
+}
+
+}  // namespace trailcourse::scale
--- /dev/null
+++ b/benchmarks/scale/cache_costs.cpp
@@ -0,0 +1,278 @@
+// What a cache node pays for a request, a purge, and each object that it holds on disk.
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <array>
+#include <chrono>
+#include <condition_variable>
+#include <cstdio>
+#include <deque>
+#include <filesystem>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "cache_node/node_core.h"
+#include "role_costs.h"
+#include "sample_fleet.h"
+#include "store/purge_ledger.h"
+#include "store/store.h"
+
+namespace trailcourse::scale {
+namespace {
+
+using store::Copy;
+using store::Name;
+
+constexpr std::array<int, 4> kPurges{1'000, 10'000, 30'000, 100'000};
+constexpr std::array<int, 4> kObjects{50'000, 100'000, 200'000, 400'000};
+constexpr std::int64_t kUnixMs = 1'764'000'000'000;
+
+Name numbered(std::uint64_t number) {
+  char item[17];
+  std::snprintf(item, sizeof item, "%016llx", static_cast<unsigned long long>(number));
+  return Name::of("media", item, "0");
+}
+
+// ---- Purges ----
+
+store::PurgeRecord purge_of(std::uint64_t number) {
+  return {store::PurgeRecord::Kind::kObject, number, kUnixMs + static_cast<std::int64_t>(number)};
+}
+
+void measure_ledger(const CostSink& sink) {
+  CostSeries memory{"cache.memory.purge",
+                    "a cache's purges, held until more than 100,000 are",
+                    "bytes",
+                    "purges",
+                    "in process",
+                    {}};
+  CostSeries cpu{
+      "cache.cpu.purge", "a purge taken in by a ledger that is full", "us", "purges held", "in process", {}};
+  for (const int purges : kPurges) {
+    const auto most = static_cast<std::size_t>(purges);
+    std::uint64_t next = 0;
+    memory.points.emplace_back(purges, bytes_held_by([&] {
+                                 auto ledger = std::make_unique<store::PurgeLedger>(most);
+                                 while (ledger->objects() < most) {
+                                   ledger->add(purge_of(++next));
+                                 }
+                                 return ledger;
+                               }));
+    store::PurgeLedger ledger(most);
+    while (ledger.objects() < most) {
+      ledger.add(purge_of(++next));
+    }
+    cpu.points.emplace_back(purges, cpu_us_per_call(20'000, [&] {
+                              ledger.add(purge_of(++next));
+                              keep_result(ledger.take_folded());
+                            }));
+  }
+  sink(memory);
+  sink(cpu);
+}
+
+// ---- Requests ----
+
+protocol::ServeFields fields_of(std::uint64_t object) {
+  char item[17];
+  std::snprintf(item, sizeof item, "%016llx", static_cast<unsigned long long>(object));
+  protocol::ServeFields fields;
+  fields.request_class = "media";
+  fields.item = item;
+  fields.chunk = "0";
+  fields.limit_ms = 2'000;
+  fields.admit = 2;
+  return fields;
+}
+
+// A request that is a hit: command read, decided, copy judged against the purges, answer's head written.
+void measure_hits(const CostSink& sink) {
+  CostSeries cpu{"cache.cpu.request",
+                 "a hit in memory: command read, decided, answer's head written; no sockets",
+                 "us",
+                 "purges held",
+                 "in process",
+                 {}};
+  for (const int purges : kPurges) {
+    store::PurgeLedger ledger;
+    for (int i = 0; i < purges; ++i) {
+      ledger.add(purge_of(static_cast<std::uint64_t>(i)));
+    }
+    cache_node::NodeRules rules;
+    rules.classes["media"] = {};
+    cache_node::NodeCore core(
+        rules, [&](const Name& name, int group) { return ledger.forbidden_until(name.object, group); },
+        [](const std::string&) { return true; });
+    store::ReadResult found;
+    found.status = store::ReadStatus::kWhole;
+    found.copy = Copy{"tag", kUnixMs + 1'000'000, 3, std::make_shared<const std::string>(20'000, 'x')};
+    cache_node::Moment now{1'000, kUnixMs + 2'000'000, 0};
+    std::uint64_t number = 0;
+    std::vector<cache_node::Action> actions;
+    cpu.points.emplace_back(purges, cpu_us_per_call(20'000, [&] {
+                              ++number;
+                              const std::string wire = protocol::write_serve_fields(fields_of(number * 7919));
+                              auto read = protocol::read_serve_fields(wire);
+                              actions.clear();
+                              core.arrive(now, number, std::move(std::get<protocol::ServeFields>(read)), "",
+                                          actions);
+                              core.looked_up(now, number, found, actions);
+                              for (const cache_node::Action& action : actions) {
+                                if (const auto* answer = std::get_if<cache_node::Answer>(&action)) {
+                                  keep_result(protocol::write_answer("1", answer->word, answer->fields, ""));
+                                }
+                              }
+                            }));
+  }
+  sink(cpu);
+}
+
+// ---- Objects on disk ----
+
+// The thread that decides, as a queue: what the pool posts is run by whoever waits.
+class JobQueue {
+ public:
+  void post(std::function<void()> job) {
+    const std::lock_guard lock(mutex_);
+    jobs_.push_back(std::move(job));
+    more_.notify_one();
+  }
+  void run_until(const std::function<bool()>& done) {
+    while (!done()) {
+      next()();
+    }
+  }
+
+ private:
+  std::function<void()> next() {
+    std::unique_lock lock(mutex_);
+    more_.wait(lock, [this] { return !jobs_.empty(); });
+    std::function<void()> job = std::move(jobs_.front());
+    jobs_.pop_front();
+    return job;
+  }
+
+  std::mutex mutex_;
+  std::condition_variable more_;
+  std::deque<std::function<void()>> jobs_;
+};
+
+store::Options disk_options(int objects) {
+  store::Options options;
+  options.folder = "bench";
+  options.disk_mb = 4'096;
+  options.memory_mb = 0;
+  options.segment_mb = 64;
+  options.write_kb_per_s = 0;
+  options.write_queue_mb = 64;
+  options.expected_objects = objects;
+  options.compress = false;
+  return options;
+}
+
+// A store with its pool and the queue that it is told by.
+class DiskStore {
+ public:
+  DiskStore(const std::string& folder, int objects)
+      : options_(disk_options(objects)),
+        pool_(static_cast<std::size_t>(options_.read_threads),
+              [this](std::function<void()> job) { queue_.post(std::move(job)); }),
+        store_(
+            options_, pool_,
+            store::Store::Backing{[folder] { return store::open_folder(folder); },
+                                  [folder] { return store::open_sqlite_index(folder); }},
+            [] {
+              return store::Store::Now{static_cast<std::int64_t>(wall_us() / 1e3), kUnixMs};
+            },
+            [](bool, const std::string&) {}, 1) {}
+
+  void open() {
+    bool opened = false;
+    store_.open([&opened] { opened = true; });
+    queue_.run_until([&opened] { return opened; });
+  }
+  void flush() {
+    bool done = false;
+    store_.flush([&done] { done = true; });
+    queue_.run_until([&done] { return done; });
+  }
+  void fill(int objects) {
+    constexpr int kAtOnce = 20'000;
+    const auto value = std::make_shared<const std::string>(std::string(32, 'x'));
+    for (int i = 0; i < objects; ++i) {
+      const Name name = numbered(static_cast<std::uint64_t>(i));
+      store_.find(name, 2);
+      store_.keep(name, Copy{"t", 1, 3, value}, 2);
+      if (i % kAtOnce == kAtOnce - 1) {
+        flush();
+      }
+    }
+    flush();
+  }
+  store::Stats stats() const { return store_.stats(); }
+
+ private:
+  store::Options options_;
+  JobQueue queue_;
+  store::IoPool pool_;
+  store::Store store_;
+};
+
+// Written by another process: what this one had freed would be used again, and not be counted.
+void fill_folder(const std::string& folder, int objects) {
+  std::filesystem::remove_all(folder);
+  const pid_t child = ::fork();
+  if (child == 0) {
+    DiskStore disk(folder, objects);
+    disk.open();
+    disk.fill(objects);
+    ::_exit(0);
+  }
+  ::waitpid(child, nullptr, 0);
+}
+
+void measure_index(const CostContext& context, const CostSink& sink) {
+  CostSeries memory{"cache.memory.object",
+                    "a store after recovery, beside payload: table, lists, sketch",
+                    "bytes",
+                    "objects on disk",
+                    "in process",
+                    {}};
+  CostSeries time{"cache.time.recovery",
+                  "from the start of recovery to its end",
+                  "ms",
+                  "objects on disk",
+                  "in process",
+                  {}};
+  const std::string folder = context.folder + "/store";
+  for (const int objects : kObjects) {
+    fill_folder(folder, objects);
+    const double before = allocated_bytes();
+    DiskStore disk(folder, objects);
+    const double begun = wall_us();
+    disk.open();
+    const double took_ms = (wall_us() - begun) / 1e3;
+    const auto recovered = static_cast<double>(disk.stats().recovered);
+    memory.points.emplace_back(recovered, allocated_bytes() - before);
+    time.points.emplace_back(recovered, took_ms);
+  }
+  std::filesystem::remove_all(folder);
+  for (const CostSeries& series : {memory, time}) {
+    sink(series);
+  }
+}
+
+}  // namespace
+
+void measure_cache(const CostContext& context, const CostSink& sink) {
+  measure_ledger(sink);
+  measure_hits(sink);
+  measure_index(context, sink);
+}
+
+}  // namespace trailcourse::scale
--- /dev/null
+++ b/benchmarks/scale/control_costs.cpp
@@ -0,0 +1,229 @@
+// What it costs to drive a change of policy, to know who is in the fleet, and to be a candidate for its work.
+#include <array>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "coordination/etcd_json.h"
+#include "coordination/ledger.h"
+#include "membership/view.h"
+#include "ownership/desk.h"
+#include "policy/change.h"
+#include "policy/options.h"
+#include "role_costs.h"
+
+namespace trailcourse::scale {
+namespace {
+
+constexpr std::array<int, 7> kPermits{30, 100, 203, 1'000, 3'000, 10'000, 19'000};
+constexpr std::array<int, 5> kMembers{100, 300, 1'000, 3'000, 19'000};
+constexpr const char* kPrefix = "trailcourse/";
+
+std::string router_name(int index) { return "router-" + std::to_string(10'000 + index); }
+std::string zone_name(int index) { return "zone" + std::to_string(index % 203); }
+
+// ---- The driver of a change ----
+
+policy::Change open_change() {
+  policy::Change out;
+  out.id = 812;
+  out.version = 813;
+  out.before = 812;
+  return out;
+}
+
+// A store in which all of so many routers are ready for a change.
+coordination::Ledger ledger_with_permits(int permits) {
+  coordination::Ledger ledger{coordination::Limits()};
+  const policy::Change change = open_change();
+  coordination::Transaction write;
+  write.then = {coordination::Put{std::string(kPrefix) + policy::kChangeKey, policy::write_change(change), 0},
+                coordination::Put{std::string(kPrefix) + policy::kCurrentKey, "812", 0}};
+  ledger.commit(write);
+  for (int i = 0; i < permits; ++i) {
+    policy::Permit permit;
+    permit.incarnation = "0123456789abcdef";
+    permit.zone = zone_name(i);
+    permit.version = change.before;
+    permit.ready = policy::step_of(change);
+    permit.number = 2;
+    const auto lease = static_cast<coordination::LeaseId>((123'456ULL << 20U) + static_cast<unsigned>(i));
+    const std::string key = kPrefix + policy::permit_key(router_name(i), lease);
+    ledger.commit({{}, {coordination::Put{key, policy::write_permit(permit), 0}}, {}});
+  }
+  return ledger;
+}
+
+void measure_reads(const CostSink& sink) {
+  namespace etcd = coordination::etcd;
+  CostSeries bytes{"driver.bytes.look",
+                   "all that the driver of a change goes by, read once",
+                   "bytes",
+                   "permits",
+                   "in process",
+                   {}};
+  CostSeries store{
+      "store.cpu.look", "that read served: found, and written as JSON", "us", "permits", "in process", {}};
+  CostSeries driver{
+      "driver.cpu.look", "that read taken in, and the next step found", "us", "permits", "in process", {}};
+  const etcd::Header header{0xabcd'ef01'2345, 123'456'789};
+  for (const int permits : kPermits) {
+    coordination::Ledger ledger = ledger_with_permits(permits);
+    const coordination::Transaction look = policy::look(kPrefix);
+    std::string answer;
+    const int calls = std::max(1, 3'000 / permits);
+    store.points.emplace_back(permits, cpu_us_per_call(calls, [&] {
+                                answer = etcd::write_outcome(header, look, ledger.commit(look)).dump();
+                              }));
+    bytes.points.emplace_back(permits, answer.size());
+    policy::Driver decides(policy::driver_rules(policy::PolicyOptions()));
+    driver.points.emplace_back(permits, cpu_us_per_call(calls, [&] {
+                                 etcd::Header told;
+                                 const auto outcome =
+                                     etcd::read_outcome(etcd::parse_object(answer), look, told);
+                                 keep_result(decides.next(Micros(1), policy::read_seen(kPrefix, outcome)));
+                               }));
+  }
+  for (const CostSeries& series : {bytes, store, driver}) {
+    sink(series);
+  }
+}
+
+// ---- Who is in the fleet ----
+
+membership::Member member_of(int index) {
+  membership::Member out;
+  out.name = router_name(index);
+  out.incarnation = "0123456789abcdef";
+  out.zone = zone_name(index);
+  out.address = "10.20.30.40:4100";
+  out.started_ms = 1'764'000'000'000;
+  out.version = "0.2.0";
+  return out;
+}
+
+void take(membership::View& view, const membership::Member& member, bool there, std::uint64_t revision) {
+  view.take(Micros(static_cast<std::int64_t>(revision)),
+            membership::member_key(member.name, member.incarnation),
+            there ? membership::write_member(member) : "", revision, revision);
+}
+
+void measure_view(const CostSink& sink) {
+  CostSeries memory{
+      "membership.memory.view", "one router's view of the members", "bytes", "members", "in process", {}};
+  CostSeries change{
+      "membership.cpu.change", "a member that goes or comes taken in", "us", "members", "in process", {}};
+  CostSeries eligible{"membership.cpu.eligible",
+                      "the members that may be given work, asked for after a change",
+                      "us",
+                      "members",
+                      "in process",
+                      {}};
+  for (const int members : kMembers) {
+    const auto filled = [&] {
+      auto view = std::make_unique<membership::View>(membership::ViewRules());
+      for (int i = 0; i < members; ++i) {
+        take(*view, member_of(i), true, static_cast<std::uint64_t>(i + 1));
+      }
+      return view;
+    };
+    memory.points.emplace_back(members, bytes_held_by(filled));
+    const auto view = filled();
+    std::uint64_t revision = 100'000;
+    change.points.emplace_back(members, cpu_us_per_call(500, [&] {
+                                 ++revision;
+                                 const int which =
+                                     static_cast<int>(revision / 2 % static_cast<unsigned>(members));
+                                 take(*view, member_of(which), revision % 2 == 1, revision);
+                               }));
+    eligible.points.emplace_back(members, cpu_us_per_call(std::max(1, 20'000 / members), [&] {
+                                   keep_result(view->eligible(Micros(200'000), ""));
+                                 }));
+  }
+  for (const CostSeries& series : {memory, change, eligible}) {
+    sink(series);
+  }
+}
+
+// ---- Candidates for the fleet's work ----
+
+std::map<std::string, std::string> members_by_zone(int members) {
+  std::map<std::string, std::string> out;
+  for (int i = 0; i < members; ++i) {
+    out[router_name(i)] = zone_name(i);
+  }
+  return out;
+}
+
+std::unique_ptr<ownership::Desk> candidate(int members) {
+  auto desk = std::make_unique<ownership::Desk>(router_name(0), "0123456789abcdef", zone_name(0),
+                                                std::set<std::string>{"fill"}, ownership::DeskRules());
+  desk->heard(Micros(1), true);
+  ownership::Work work;
+  work.name = "w";
+  work.kind = "fill";
+  work.shards = 4;
+  desk->work(Micros(1), "w", work);
+  ownership::Owner owner{router_name(1), "0123456789abcdef", 7};
+  for (std::uint64_t shard = 0; shard < work.shards; ++shard) {
+    desk->owner(Micros(1), {"w", shard}, owner, 7);
+  }
+  desk->members(Micros(1), members_by_zone(members));
+  return desk;
+}
+
+void measure_candidates(const CostSink& sink) {
+  CostSeries memory{"ownership.memory.candidate",
+                    "one router's lease manager, for work of four shards",
+                    "bytes",
+                    "members",
+                    "in process",
+                    {}};
+  CostSeries change{"ownership.cpu.members",
+                    "new members told to it, and what is due then",
+                    "us",
+                    "members",
+                    "in process",
+                    {}};
+  CostSeries owner{"ownership.cpu.owner.gone",
+                   "an owner gone: whose turn it is, and what is due then",
+                   "us",
+                   "members",
+                   "in process",
+                   {}};
+  for (const int members : kMembers) {
+    memory.points.emplace_back(members, bytes_held_by([&] { return candidate(members); }));
+    const auto desk = candidate(members);
+    const auto list = members_by_zone(members);
+    Micros now(1'000'000);
+    const int calls = std::max(1, 5'000 / members);
+    change.points.emplace_back(members, cpu_us_per_call(calls, [&] {
+                                 now += Micros(1'000);
+                                 desk->members(now, list);
+                                 keep_result(desk->due(now));
+                               }));
+    std::uint64_t revision = 8;
+    owner.points.emplace_back(
+        members, cpu_us_per_call(calls, [&] {
+          now += Micros(1'000);
+          desk->owner(now, {"w", 0}, std::nullopt, ++revision);
+          keep_result(desk->next(now));
+          desk->owner(now, {"w", 0}, ownership::Owner{router_name(1), "0123456789abcdef", 7}, ++revision);
+        }));
+  }
+  for (const CostSeries& series : {memory, change, owner}) {
+    sink(series);
+  }
+}
+
+}  // namespace
+
+void measure_driver(const CostContext&, const CostSink& sink) { measure_reads(sink); }
+
+void measure_membership(const CostContext&, const CostSink& sink) {
+  measure_view(sink);
+  measure_candidates(sink);
+}
+
+}  // namespace trailcourse::scale
--- /dev/null
+++ b/benchmarks/scale/purge_costs.cpp
@@ -0,0 +1,205 @@
+// What purges cost a router: bytes, processor time, memory, and from when on too many bind at once.
+#include <trailcourse/decider.h>
+
+#include <array>
+#include <memory>
+#include <variant>
+
+#include "board/page_log.h"
+#include "decision/purge_times.h"
+#include "protocol/notice_board.h"
+#include "role_costs.h"
+#include "sample_fleet.h"
+
+namespace trailcourse::scale {
+namespace {
+
+constexpr std::array<int, 4> kPageSizes{1, 10, 100, 1'000};
+constexpr std::array<int, 5> kBinding{500, 1'000, 3'000, 6'000, 9'900};
+constexpr std::array<int, 6> kRates{30, 60, 90, 180, 360, 720};
+constexpr std::size_t kCapacity = 20'000;  // as in the decision module
+constexpr Micros kSecond{1'000'000};
+
+Purged purge_of(ObjectId object) {
+  Purged out;
+  out.object = object;
+  return out;
+}
+
+void measure_pages(const CostSink& sink) {
+  CostSeries bytes{
+      "router.bytes.purge", "a page that tells so many purges", "bytes", "purges", "in process", {}};
+  CostSeries cpu{"router.cpu.purge.parse", "that page parsed", "us", "purges", "in process", {}};
+  const protocol::Profile profile = protocol::read_profile(router_settings(1, 1));
+  for (const int purges : kPageSizes) {
+    // The board's name and numbers of the length that they have after a few weeks.
+    board::PageLog log("0123456789abcdef");
+    log.replace(purge_page(200'000'000, purges, unix_ms_now()));
+    const std::string text = *log.later_than(0);
+    bytes.points.emplace_back(purges, text.size());
+    cpu.points.emplace_back(purges, cpu_us_per_call(20 + 2'000 / purges, [&] {
+                              keep_result(protocol::parse_notices(text, profile));
+                            }));
+  }
+  sink(bytes);
+  sink(cpu);
+}
+
+void measure_module(const CostContext& context, const CostSink& sink) {
+  CostSeries cpu{"router.cpu.purge",
+                 "a purge taken in by the module while so many bind",
+                 "us",
+                 "purges that bind",
+                 "in process",
+                 {}};
+  CostSeries memory{"router.memory.purge",
+                    "the module while so many purges bind",
+                    "bytes",
+                    "purges that bind",
+                    "in process",
+                    {}};
+  const protocol::Profile profile = protocol::read_profile(router_settings(1, 1));
+  const Micros binding = profile.settings.purge_done + kSecond;
+  for (const int binds : kBinding) {
+    const Micros step = binding / binds;
+    ObjectId next = 0;
+    Micros now = kSecond;
+    std::vector<Action> actions;
+    const auto purge = [&](Decider& decider) {
+      now += step;
+      decider.handle(now, purge_of(++next), actions);
+    };
+    memory.points.emplace_back(binds, bytes_held_by([&] {
+                                 auto decider = std::make_unique<Decider>(profile.settings, context.seed);
+                                 for (int i = 0; i < binds; ++i) {
+                                   purge(*decider);
+                                 }
+                                 return decider;
+                               }));
+    Decider decider(profile.settings, context.seed);
+    for (std::size_t i = 0; i < kCapacity; ++i) {
+      purge(decider);
+    }
+    // Over twice the capacity, so that forgetting what binds no longer is part of the mean.
+    cpu.points.emplace_back(binds, cpu_us_per_call(static_cast<int>(2 * kCapacity), [&] { purge(decider); }));
+  }
+  sink(cpu);
+  sink(memory);
+}
+
+// Whether so many purges a second, each binding for so long, ever fold into one for all objects.
+bool folds(int rate, Micros binding) {
+  PurgeTimes times(kCapacity, binding);
+  const Micros step = kSecond / rate;
+  Micros now = kSecond;
+  constexpr std::uint64_t kNeverPurged = 0;
+  const auto events = static_cast<std::uint64_t>(4 * kCapacity);
+  for (std::uint64_t event = 1; event <= events; ++event) {
+    now += step;
+    times.add(event, now, now);
+    if (times.last(kNeverPurged, now) >= Micros(0)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+// The longest binding time that never folds at a rate, to a hundredth of a second.
+double longest_binding_s(int rate) {
+  double sound = 0.0;
+  double folding = 4.0 * kCapacity / rate;
+  while (folding - sound > 0.01) {
+    const double middle = (sound + folding) / 2.0;
+    (folds(rate, Micros(static_cast<std::int64_t>(middle * 1e6))) ? folding : sound) = middle;
+  }
+  return sound;
+}
+
+void measure_fold(const CostSink& sink) {
+  CostSeries bind{"router.purges.before.fold",
+                  "purges that bind at once before they fold into one for all objects",
+                  "purges",
+                  "purges a second",
+                  "in process",
+                  {}};
+  CostSeries binding{"router.purges.binding.before.fold",
+                     "reciprocal of the longest binding time that never folds",
+                     "1/s",
+                     "purges a second",
+                     "in process",
+                     {}};
+  for (const int rate : kRates) {
+    const double longest = longest_binding_s(rate);
+    bind.points.emplace_back(rate, longest * rate);
+    binding.points.emplace_back(rate, 1.0 / longest);
+  }
+  sink(bind);
+  sink(binding);
+}
+
+// The share of requests for objects that no purge named which are sent with an age limit all the same: each
+// copy older than the fold is fetched anew.
+double limited_share(const protocol::Profile& profile, std::uint64_t seed, int purges) {
+  Decider decider(profile.settings, seed);
+  std::vector<Action> actions;
+  ListReceived list;
+  NodeEntry cache;
+  cache.address = "cache";
+  cache.zone = profile.settings.zone;
+  list.entries.push_back(cache);
+  Micros now = kSecond;
+  decider.handle(now, list, actions);
+  for (int i = 0; i < purges; ++i) {
+    decider.handle(++now, purge_of(static_cast<ObjectId>(1'000'000 + i)), actions);
+  }
+  constexpr int kRequests = 200;
+  int sent = 0;
+  int limited = 0;
+  for (int i = 1; i <= kRequests; ++i) {
+    now += Micros(10'000);
+    RequestArrived arrived;
+    arrived.id = static_cast<RequestId>(i);
+    arrived.object = static_cast<ObjectId>(i);
+    arrived.due = now + 2 * kSecond;
+    actions.clear();
+    decider.handle(now, arrived, actions);
+    for (const Action& action : actions) {
+      if (const Send* send = std::get_if<Send>(&action)) {
+        ++sent;
+        limited += send->age > Micros(0) ? 1 : 0;
+      }
+    }
+    AttemptEnded ended;
+    ended.id = arrived.id;
+    ended.latency = Micros(5'000);
+    ended.finished = true;
+    decider.handle(now, ended, actions);
+  }
+  return sent > 0 ? static_cast<double>(limited) / sent : 0.0;
+}
+
+void measure_folded_requests(const CostContext& context, const CostSink& sink) {
+  CostSeries share{
+      "router.purges.limited.after.fold",
+      "share of requests for objects never purged that bear an age limit once purges have folded",
+      "share",
+      "purges at once",
+      "in process",
+      {}};
+  const protocol::Profile profile = protocol::read_profile(router_settings(1, 1));
+  for (const int purges : {20'001, 25'000, 30'000}) {
+    share.points.emplace_back(purges, limited_share(profile, context.seed, purges));
+  }
+  sink(share);
+}
+
+}  // namespace
+
+void measure_purges(const CostContext& context, const CostSink& sink) {
+  measure_pages(sink);
+  measure_module(context, sink);
+  measure_fold(sink);
+  measure_folded_requests(context, sink);
+}
+
+}  // namespace trailcourse::scale
--- /dev/null
+++ b/benchmarks/scale/router_costs.cpp
@@ -0,0 +1,252 @@
+// What a router pays for its list of caches and for each decision.
+#include <trailcourse/decider.h>
+
+#include <array>
+#include <memory>
+#include <random>
+#include <variant>
+
+#include "board/page_log.h"
+#include "protocol/notice_board.h"
+#include "role_costs.h"
+#include "routing/directory.h"
+#include "routing/notice_taker.h"
+#include "routing/router.h"
+#include "sample_fleet.h"
+
+namespace trailcourse::scale {
+namespace {
+
+constexpr std::array<int, 5> kListSizes{40, 500, 2'100, 4'200, 8'400};
+constexpr std::array<int, 6> kZoneSizes{5, 10, 40, 100, 400, 1'600};
+constexpr int kRouters = 19'000;
+constexpr int kZones = 203;
+
+// The part of a router that takes the board's pages in, with its decision module.
+class PageReader {
+ public:
+  PageReader(const protocol::Profile& profile, std::uint64_t seed)
+      : profile_(profile),
+        decider_(profile.settings, seed),
+        router_(
+            scheduler_, routing::ModuleClock(), profile.settings,
+            [this](Micros now, const Event& event, std::vector<Action>& out) {
+              decider_.handle(now, event, out);
+            },
+            routing::Router::Bounds()),
+        taker_(router_, directory_, [](const std::string&) {}) {}
+
+  void take(const std::string& text) { taker_.take(protocol::parse_notices(text, profile_)); }
+
+ private:
+  const protocol::Profile& profile_;
+  transport::Scheduler scheduler_;
+  Decider decider_;
+  routing::Directory directory_;
+  routing::Router router_;
+  routing::NoticeTaker taker_;
+};
+
+std::string page_text(const nlohmann::json& page) {
+  board::PageLog log;
+  log.replace(page);
+  return *log.later_than(0);
+}
+
+ListReceived whole_list(int caches, const std::string& zone) {
+  ListReceived list;
+  for (int i = 0; i < caches; ++i) {
+    NodeEntry entry;
+    entry.address = "cache" + std::to_string(i);
+    entry.zone = zone;
+    entry.weight = 8.0;
+    list.entries.push_back(std::move(entry));
+  }
+  NodeEntry origin;
+  origin.address = "origin";
+  origin.role = Role::kOrigin;
+  list.entries.push_back(origin);
+  return list;
+}
+
+void measure_lists(const CostContext& context, const CostSink& sink) {
+  CostSeries bytes{"router.bytes.list",
+                   "one whole list of caches on a page of the board",
+                   "bytes",
+                   "caches",
+                   "in process",
+                   {}};
+  CostSeries cpu{"router.cpu.list",
+                 "a whole list taken in at a start: page parsed, directory, module",
+                 "us",
+                 "caches",
+                 "in process",
+                 {}};
+  CostSeries memory{"router.memory.list",
+                    "directory, taker and module once a list is taken in",
+                    "bytes",
+                    "caches",
+                    "in process",
+                    {}};
+  CostSeries module{"router.memory.module.list",
+                    "the decision module alone with its list",
+                    "bytes",
+                    "caches",
+                    "in process",
+                    {}};
+  const protocol::Profile profile = protocol::read_profile(router_settings(kRouters, kZones));
+  for (const int caches : kListSizes) {
+    const std::string text = page_text(list_page(caches, kZones));
+    bytes.points.emplace_back(caches, text.size());
+    double least = 0.0;
+    for (int round = 0; round < 5; ++round) {
+      PageReader reader(profile, context.seed);
+      const double before = thread_cpu_us();
+      reader.take(text);
+      const double took = thread_cpu_us() - before;
+      least = round == 0 ? took : std::min(least, took);
+    }
+    cpu.points.emplace_back(caches, least);
+    memory.points.emplace_back(caches, bytes_held_by([&] {
+                                 auto reader = std::make_unique<PageReader>(profile, context.seed);
+                                 reader->take(text);
+                                 return reader;
+                               }));
+    module.points.emplace_back(caches, bytes_held_by([&] {
+                                 auto decider = std::make_unique<Decider>(profile.settings, context.seed);
+                                 std::vector<Action> actions;
+                                 decider->handle(Micros(1), whole_list(caches, kSampleZone), actions);
+                                 return decider;
+                               }));
+  }
+  for (const CostSeries& series : {bytes, cpu, memory, module}) {
+    sink(series);
+  }
+}
+
+// A page that tells a change of one cache.
+nlohmann::json change_page(std::uint64_t number, const nlohmann::json& entry) {
+  const nlohmann::json pool{
+      {"index", number}, {"snapshot", false}, {"endpoints", nlohmann::json::array({entry})}};
+  const nlohmann::json event{{"rev", number}, {"pool", pool}};
+  return {{"rev", number}, {"notices", nlohmann::json::array({event})}};
+}
+
+// A change of one cache in a list of so many, as on the page that tells it.
+void measure_list_change(const CostContext& context, const CostSink& sink) {
+  CostSeries cpu{"router.cpu.list.change",
+                 "one cache of the list changes: page parsed, directory, module",
+                 "us",
+                 "caches",
+                 "in process",
+                 {}};
+  const protocol::Profile profile = protocol::read_profile(router_settings(kRouters, kZones));
+  for (const int caches : kListSizes) {
+    const nlohmann::json page = list_page(caches, kZones);
+    PageReader reader(profile, context.seed);
+    reader.take(page_text(page));
+    nlohmann::json entry = page["notices"][0]["pool"]["endpoints"][1];
+    std::uint64_t number = 1;
+    cpu.points.emplace_back(caches, cpu_us_per_call(200, [&] {
+                              ++number;
+                              entry["status"] = number % 2 == 0 ? "draining" : "up";
+                              reader.take(page_text(change_page(number, entry)));
+                            }));
+  }
+  sink(cpu);
+}
+
+// Requests decided and answered, one after the other.
+class RequestLoop {
+ public:
+  RequestLoop(const protocol::Profile& profile, std::uint64_t seed, const ListReceived& list)
+      : decider_(profile.settings, seed), random_(seed) {
+    tell(list);
+  }
+
+  void one_request() {
+    now_ += Micros(1'000);
+    RequestArrived arrived;
+    arrived.id = ++last_;
+    arrived.object = random_() % kObjects;
+    arrived.due = now_ + Micros(2'000'000);
+    arrived.size_kb = 100.0;
+    tell(arrived);
+    answer_attempts();
+    // Timers of requests that are over change nothing and are not fired.
+  }
+
+  std::size_t sent() const { return sent_; }
+
+ private:
+  static constexpr std::uint64_t kObjects = 10'000;
+
+  void tell(const Event& event) {
+    actions_.clear();
+    decider_.handle(now_, event, actions_);
+  }
+  void answer_attempts() {
+    std::vector<Action> ordered;
+    ordered.swap(actions_);
+    int attempt = 0;
+    for (const Action& action : ordered) {
+      if (std::holds_alternative<Send>(action)) {
+        ++sent_;
+        AttemptEnded ended;
+        ended.id = last_;
+        ended.attempt = attempt++;
+        ended.latency = Micros(5'000);
+        ended.finished = true;
+        ended.note = Note::kHit;
+        tell(ended);
+      }
+    }
+  }
+
+  Decider decider_;
+  std::mt19937_64 random_;
+  Micros now_{1'000'000};
+  RequestId last_ = 0;
+  std::size_t sent_ = 0;
+  std::vector<Action> actions_;
+};
+
+void measure_decisions(const CostContext& context, const CostSink& sink) {
+  CostSeries zone{"router.cpu.decision",
+                  "one request from its arrival to its one answer, in the module",
+                  "us",
+                  "caches of the router's zone",
+                  "in process",
+                  {}};
+  CostSeries others{"router.cpu.decision.others",
+                    "the same, ten caches in the zone and all others elsewhere",
+                    "us",
+                    "caches",
+                    "in process",
+                    {}};
+  const protocol::Profile profile = protocol::read_profile(router_settings(kRouters, kZones));
+  for (const int caches : kZoneSizes) {
+    RequestLoop loop(profile, context.seed, whole_list(caches, kSampleZone));
+    zone.points.emplace_back(caches, cpu_us_per_call(2'000, [&] { loop.one_request(); }));
+  }
+  for (const int caches : kListSizes) {
+    ListReceived list = whole_list(caches, kSampleZone);
+    for (std::size_t i = 10; i + 1 < list.entries.size(); ++i) {
+      list.entries[i].zone = "zone1";
+    }
+    RequestLoop loop(profile, context.seed, list);
+    others.points.emplace_back(caches, cpu_us_per_call(2'000, [&] { loop.one_request(); }));
+  }
+  sink(zone);
+  sink(others);
+}
+
+}  // namespace
+
+void measure_router(const CostContext& context, const CostSink& sink) {
+  measure_lists(context, sink);
+  measure_list_change(context, sink);
+  measure_decisions(context, sink);
+}
+
+}  // namespace trailcourse::scale
--- /dev/null
+++ b/benchmarks/scale/sample_fleet.cpp
@@ -0,0 +1,65 @@
+#include "sample_fleet.h"
+
+#include <chrono>
+#include <cstdio>
+#include <vector>
+
+#include "fleet/layout.h"
+
+namespace trailcourse::scale {
+
+using nlohmann::json;
+
+namespace {
+
+fleet::Shape shape_of(int routers, int caches, int zones, std::int64_t since_ms) {
+  fleet::Shape shape;
+  shape.routers = routers;
+  shape.caches = caches;
+  shape.parents = 0;
+  shape.since_ms = since_ms;
+  shape.zones.clear();
+  for (int i = 0; i < zones; ++i) {
+    shape.zones.push_back("zone" + std::to_string(i));
+  }
+  return shape;
+}
+
+}  // namespace
+
+json list_page(int caches, int zones, std::int64_t since_ms) {
+  fleet::PortBook ports;
+  const fleet::Layout layout(shape_of(1, caches, zones, since_ms), "", ports);
+  return json::parse(layout.first_page().dump());  // with the types of numbers that a reader finds
+}
+
+json router_settings(int routers, int zones) {
+  fleet::PortBook ports;
+  json out = fleet::Layout(shape_of(1, 1, zones, 0), "", ports).settings(kSampleZone, 0);
+  out["Balancers"] = routers;
+  return out;
+}
+
+json purge_event(std::uint64_t number, std::uint64_t object, std::int64_t at_ms) {
+  char name[17];
+  std::snprintf(name, sizeof name, "%016llx", static_cast<unsigned long long>(object));
+  return {{"rev", number}, {"flush", {{"asset", name}, {"ms", at_ms}}}};
+}
+
+json purge_page(std::uint64_t after, int purges, std::int64_t at_ms) {
+  json events = json::array();
+  std::uint64_t number = after;
+  for (int i = 0; i < purges; ++i) {
+    ++number;
+    events.push_back(purge_event(number, 0x7f3a'0000'0000'0000U + number, at_ms));
+  }
+  return {{"rev", number}, {"notices", events}};
+}
+
+std::int64_t unix_ms_now() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+}  // namespace trailcourse::scale
