Capacity page worked out from targets, measured slopes and a model of each role

Cause: figures for the fleet ahead would be typed into a page and grow old there; nobody could change a target or a slope and see what no longer fits.

A formula whose slope was not measured gives "no slope" and stands in the list of what is not known; one beyond the measured sizes says by how much. The settings that targets repeat are held to the program's defaults by a test.

--- /dev/null
+++ b/tests/capacity_test.cpp
@@ -0,0 +1,372 @@
+// The capacity page: formulas over targets and slopes, figures put between markers, the check that fails
+// where the page does not agree with its data; and the settings that its data repeats.
+#include <gtest/gtest.h>
+#include <sys/wait.h>
+
+#include <cmath>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <sstream>
+
+#include "board/board_core.h"
+#include "coordination/options.h"
+#include "duties/options.h"
+#include "policy/options.h"
+#include "program/configuration.h"
+#include "program/start_options.h"
+#include "scale/capacity_page.h"
+#include "scale/capacity_page_formula.h"
+#include "startup/rules.h"
+#include "store/options.h"
+
+namespace trailcourse::scale {
+namespace {
+
+namespace fs = std::filesystem;
+using nlohmann::json;
+
+Slope slope_of(const std::string& name, const Points& points) {
+  Slope out;
+  out.name = name;
+  out.what = "calls at the store";
+  out.unit = "calls";
+  out.per = "routers";
+  out.points = points;
+  out.fit = fit(points);
+  out.bound = points.back().first;
+  out.setting = "in process";
+  out.command = "role_costs";
+  out.date = "2026-12-02";
+  out.commit = "0000000";
+  out.machine = "8 cores";
+  return out;
+}
+
+FormulaNames sample_names() {
+  FormulaNames out;
+  out.figures["routers"].value = 1'000.0;
+  out.figures["zones"].value = 4.0;
+  out.slopes["store.calls"] = slope_of("store.calls", {{10, 25}, {20, 45}, {100, 205}});  // 5 + 2 x
+  out.slopes["store.told"] =
+      slope_of("store.told", {{10, 300}, {30, 2'700}, {60, 10'800}, {100, 30'000}});  // 3 x^2
+  return out;
+}
+
+TEST(CapacityFormulaTest, ArithmeticBindsAsUsual) {
+  const FormulaNames names = sample_names();
+  EXPECT_DOUBLE_EQ(evaluate("1 + 2 * 3 - 4 / 2", names).value, 5.0);
+  EXPECT_DOUBLE_EQ(evaluate("8 - 2 - 1", names).value, 5.0);
+  EXPECT_DOUBLE_EQ(evaluate("16 / 4 / 2", names).value, 2.0);
+  EXPECT_DOUBLE_EQ(evaluate("-(1 + 2) * 3", names).value, -9.0);
+  EXPECT_DOUBLE_EQ(evaluate("1e3 / zones+routers", names).value, 1'250.0);
+}
+
+TEST(CapacityFormulaTest, ANameThatIsNoneOrTextThatIsNoFormulaIsAnError) {
+  const FormulaNames names = sample_names();
+  for (const char* text : {"",
+                           "1 +",
+                           "(1",
+                           "1 2",
+                           "router",
+                           "routers zones",
+                           "1 / 0",
+                           "1 / (zones - 4)",
+                           "abs(1)",
+                           "fit(store.calls)",
+                           "fit(, 1)",
+                           "fit(\"store.calls, 1)",
+                           "slope(store.told)",
+                           "fit(1, 2)",
+                           "fit(store.calls; 2)",
+                           "2 ^ 3",
+                           "min()",
+                           ".5",
+                           "Routers",
+                           "ceil(1, 2)"}) {
+    EXPECT_THROW(evaluate(text, names), FormulaError) << text;
+  }
+}
+
+TEST(CapacityFormulaTest, TextThatIsDrawnIsAValueOrAnErrorAndNothingElse) {
+  const FormulaNames names = sample_names();
+  const std::string letters = "routers store.calls fit( ) , + - * / 1 2e \" zones";
+  for (std::uint64_t seed = 1; seed <= 3'000; ++seed) {
+    std::mt19937_64 random(seed);
+    std::string text;
+    for (std::size_t length = random() % 24; text.size() < length;) {
+      text += letters[random() % letters.size()];
+    }
+    try {
+      evaluate(text, names);
+    } catch (const FormulaError&) {
+    }
+  }
+}
+
+TEST(CapacityFormulaTest, ASlopeIsAppliedAsItWasFitted) {
+  const FormulaNames names = sample_names();
+  EXPECT_NEAR(evaluate("fit(store.calls, 50)", names).value, 105.0, 1e-6);
+  EXPECT_NEAR(evaluate("fit(\"store.told\", routers)", names).value, 3e6, 1.0);
+  EXPECT_NEAR(evaluate("max(fit(store.calls, 1), 3, zones)", names).value, 7.0, 1e-6);
+  EXPECT_DOUBLE_EQ(evaluate("min(ceil(7 / 2), 9)", names).value, 4.0);
+}
+
+TEST(CapacityFormulaTest, AFigureBeyondWhatWasMeasuredKnowsByHowMuch) {
+  const FormulaNames names = sample_names();
+  EXPECT_DOUBLE_EQ(evaluate("fit(store.calls, 50)", names).beyond, 1.0);
+  EXPECT_DOUBLE_EQ(evaluate("fit(store.calls, routers) + fit(store.calls, 1)", names).beyond, 10.0);
+}
+
+TEST(CapacityFormulaTest, WithoutASlopeThereIsNoFigure) {
+  FormulaNames names = sample_names();
+  const Figure figure =
+      evaluate("zones + fit(store.calls, 1) / fit(board.calls, 2) * fit(relay.calls, 1)", names);
+  EXPECT_FALSE(figure.known());
+  EXPECT_EQ(figure.missing, (std::set<std::string>{"board.calls", "relay.calls"}));
+  names.figures["told"] = figure;
+  EXPECT_EQ(evaluate("1 / told", names).missing.size(), 2U) << "what is worked out from it has none either";
+}
+
+TEST(CapacityPageTest, NumbersAreShownWithThreeDigits) {
+  EXPECT_EQ(show_number(19'000, ""), "19,000");
+  EXPECT_EQ(show_number(7'142.86, "requests/s"), "7,140 requests/s");
+  EXPECT_EQ(show_number(3.42e6, "deliveries/s"), "3.42 million deliveries/s");
+  EXPECT_EQ(show_number(35e9, ""), "35 billion");
+  EXPECT_EQ(show_number(217.1e6, "B/s"), "217 MB/s");
+  EXPECT_EQ(show_number(999.6e6, "B/s"), "1 GB/s");
+  EXPECT_EQ(show_number(33e12, "bit/s"), "33 Tbit/s");
+  EXPECT_EQ(show_number(0.018, "core"), "1.8% of a core");
+  EXPECT_EQ(show_number(4.547, "s"), "4.55 s");
+  EXPECT_EQ(show_number(0.0005, "s"), "0.5 ms");
+  EXPECT_EQ(show_number(0.0, "calls/s"), "0 calls/s");
+  EXPECT_EQ(show_number(999.9, ""), "1,000");
+}
+
+// A repository of a page and its data in a folder of its own.
+class CapacityFilesTest : public testing::Test {
+ protected:
+  void SetUp() override {
+    const testing::TestInfo* test = testing::UnitTest::GetInstance()->current_test_info();
+    root_ = fs::path(testing::TempDir()) / (std::string("capacity_") + test->name());
+    fs::remove_all(root_);
+    fs::create_directories(root_ / "docs/capacity");
+    write("docs/capacity/target.json", target().dump());
+    write("docs/capacity/model.json", model().dump());
+    save_slopes((root_ / "docs/capacity/slopes.json").string(),
+                {slope_of("store.calls", {{10, 27}, {100, 207}})});
+    write("docs/CAPACITY.md",
+          "# Page\nWords with <!--= routers * 2 | calls/s -->stale<!--.--> in them.\n<!-- table: plan "
+          "-->\nstale\n"
+          "<!-- end -->\n<!-- table: unknown -->\n<!-- end -->\n<!-- table: role store -->\n<!-- end "
+          "-->\nLast.\n");
+  }
+  void TearDown() override { fs::remove_all(root_); }
+
+  static json target() {
+    return json::parse(R"({"groups": [{"name": "size", "what": "theirs", "targets": [
+      {"name": "routers", "value": 1000, "unit": "", "what": "routers"},
+      {"name": "most_calls", "value": 500, "unit": "calls/s", "what": "that are borne"}]}]})");
+  }
+  static json model() {
+    return json::parse(R"json({"derived": [
+        {"name": "calls", "formula": "fit(store.calls, routers)", "unit": "calls/s", "what": "calls"}],
+      "situations": [{"name": "steady", "what": "nothing happens"}],
+      "roles": [{"name": "store", "title": "Store", "mechanism": "the registry", "rows": [
+        {"situation": "steady", "state": "{routers} permits", "messages in a second": "{calls | calls/s}",
+         "memory": "{fit(store.memory, routers) | B}"}]}],
+      "plan": [
+        {"role": "store", "situation": "steady", "what": "calls", "unit": "calls/s", "wanted": "most_calls",
+         "reached": "calls", "sense": "at most", "mechanism": "m", "exists": "yes", "file": "f"},
+        {"role": "store", "situation": "steady", "what": "calls that are borne", "unit": "calls/s",
+         "wanted": "calls", "reached": "most_calls / 10", "sense": "at least", "mechanism": "m",
+         "exists": "no", "file": ""},
+        {"role": "store", "situation": "steady", "what": "told", "unit": "", "wanted": "1", "reached": "",
+         "sense": "at least", "mechanism": "m", "exists": "no", "file": ""},
+        {"role": "store", "situation": "steady", "what": "memory", "unit": "B", "wanted": "1",
+         "reached": "fit(store.memory, routers)", "sense": "at most", "mechanism": "m", "exists": "yes",
+         "file": ""}],
+      "unknowable": ["what a second machine adds"]})json");
+  }
+
+  void write(const std::string& name, const std::string& text) {
+    std::ofstream(root_ / name, std::ios::trunc) << text;
+  }
+  std::string read(const std::string& name) {
+    std::ifstream file(root_ / name);
+    return {std::istreambuf_iterator<char>(file), {}};
+  }
+  // The program's exit status; what it says is kept.
+  int page(const std::string& flags) {
+    const std::string said = (root_ / "said").string();
+    const std::string command = std::string(TRAILCOURSE_CAPACITY_PAGE) + " " + flags + " --root '" +
+                                root_.string() + "' >" + said + " 2>&1";
+    const int status = std::system(command.c_str());
+    said_ = read("said");
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+  }
+
+  fs::path root_;
+  std::string said_;
+};
+
+constexpr int kAgrees = 0;
+constexpr int kUnusable = 1;
+constexpr int kDiffers = 2;
+
+TEST_F(CapacityFilesTest, WhatIsBetweenMarkersIsReplacedAndNothingElse) {
+  ASSERT_EQ(page("--write"), kAgrees) << said_;
+  const std::string text = read("docs/CAPACITY.md");
+  EXPECT_NE(text.find("# Page\nWords with <!--= routers * 2 | calls/s -->2,000 calls/s<!--.--> in them.\n"),
+            std::string::npos)
+      << text;
+  EXPECT_EQ(text.find("stale"), std::string::npos);
+  EXPECT_EQ(text.substr(text.size() - 6), "Last.\n");
+  EXPECT_NE(text.find("| 2,010 calls/s (extrapolated ×10) |"), std::string::npos) << text;
+  ASSERT_EQ(page("--write"), kAgrees);
+  EXPECT_EQ(read("docs/CAPACITY.md"), text) << "a second time changes nothing";
+}
+
+TEST_F(CapacityFilesTest, ThePlanIsSortedByWhatIsMissing) {
+  ASSERT_EQ(page("--write"), kAgrees) << said_;
+  const std::string text = read("docs/CAPACITY.md");
+  const std::size_t nothing = text.find("| nothing does it | store, steady | told |");
+  const std::size_t borne = text.find("| 40.1 | store, steady | calls that are borne |");
+  const std::size_t calls = text.find("| 4.01 | store, steady | calls |");
+  ASSERT_NE(nothing, std::string::npos) << text;
+  ASSERT_NE(calls, std::string::npos) << text;
+  EXPECT_LT(nothing, borne);
+  EXPECT_LT(borne, calls);
+}
+
+TEST_F(CapacityFilesTest, AFigureWithoutASlopeIsListedAsNotKnown) {
+  ASSERT_EQ(page("--write"), kAgrees) << said_;
+  const std::string text = read("docs/CAPACITY.md");
+  EXPECT_NE(text.find("- store, steady: memory. No slope: `store.memory`\n- what a second machine adds\n"),
+            std::string::npos)
+      << text;
+  EXPECT_NE(text.find("| no slope |\n"), std::string::npos) << text;
+}
+
+TEST_F(CapacityFilesTest, TheCheckFailsOnAChangedSlopeTargetOrPage) {
+  ASSERT_EQ(page("--check"), kDiffers) << "the page was never written";
+  EXPECT_NE(said_.find("CAPACITY.md:2:"), std::string::npos) << said_;
+  ASSERT_EQ(page("--write"), kAgrees);
+  ASSERT_EQ(page("--check"), kAgrees) << said_;
+  const std::string good = read("docs/CAPACITY.md");
+
+  save_slopes((root_ / "docs/capacity/slopes.json").string(),
+              {slope_of("store.calls", {{10, 27}, {100, 217}})});
+  EXPECT_EQ(page("--check"), kDiffers);
+  EXPECT_NE(said_.find("2,120 calls/s"), std::string::npos) << said_;
+  save_slopes((root_ / "docs/capacity/slopes.json").string(),
+              {slope_of("store.calls", {{10, 27}, {100, 207}})});
+  ASSERT_EQ(page("--check"), kAgrees) << said_;
+
+  json changed = target();
+  changed["groups"][0]["targets"][0]["value"] = 1'100;
+  write("docs/capacity/target.json", changed.dump());
+  EXPECT_EQ(page("--check"), kDiffers);
+  EXPECT_NE(said_.find("CAPACITY.md:2:"), std::string::npos) << said_;
+  write("docs/capacity/target.json", target().dump());
+  ASSERT_EQ(page("--check"), kAgrees) << said_;
+
+  for (std::size_t line = 0; line < good.size(); line = good.find('\n', line) + 1) {
+    std::string spoilt = good;
+    spoilt.insert(line, "x");
+    write("docs/CAPACITY.md", spoilt);
+    const bool inside = good[line] == '|' || good[line] == '-';
+    if (inside) {
+      EXPECT_EQ(page("--check"), kDiffers) << spoilt;
+    }
+  }
+}
+
+TEST_F(CapacityFilesTest, DataThatCannotBeUsedIsNamed) {
+  json broken = model();
+  broken["plan"][0]["wanted"] = "most_call";
+  write("docs/capacity/model.json", broken.dump());
+  EXPECT_EQ(page("--check"), kUnusable);
+  EXPECT_NE(said_.find("most_call"), std::string::npos) << said_;
+  broken = model();
+  broken["roles"][0]["rows"][0].erase("situation");
+  write("docs/capacity/model.json", broken.dump());
+  EXPECT_EQ(page("--check"), kUnusable);
+  EXPECT_NE(said_.find("situation"), std::string::npos) << said_;
+  broken = model();
+  broken["derived"][0]["name"] = "routers";
+  write("docs/capacity/model.json", broken.dump());
+  EXPECT_EQ(page("--check"), kUnusable);
+  EXPECT_NE(said_.find("twice"), std::string::npos) << said_;
+  write("docs/capacity/model.json", "{");
+  EXPECT_EQ(page("--check"), kUnusable);
+  EXPECT_EQ(page(""), kUnusable);
+}
+
+TEST_F(CapacityFilesTest, MarkersThatAreNotClosedAreRefused) {
+  for (const char* text :
+       {"<!-- table: plan -->\n", "<!-- table: plan\n", "<!-- table: plans -->\n<!-- end -->\n",
+        "<!--= routers -->x\n", "<!--= routers\n"}) {
+    write("docs/CAPACITY.md", text);
+    EXPECT_EQ(page("--write"), kUnusable) << text;
+    EXPECT_EQ(read("docs/CAPACITY.md"), text) << "left as it was";
+  }
+}
+
+// ---- The repository's own ----
+
+std::string source_dir() { return TRAILCOURSE_SOURCE_DIR; }
+
+TEST(CapacityDataTest, ThePageOfTheRepositoryAgreesWithItsData) {
+  const std::string command =
+      std::string(TRAILCOURSE_CAPACITY_PAGE) + " --check --root '" + source_dir() + "'";
+  EXPECT_EQ(std::system(command.c_str()), 0);
+}
+
+template <typename Options>
+void expect_default(const config::Record<Options>& record, const std::string& key, const Target& target) {
+  const double scale = key.size() > 3 && key.substr(key.size() - 3) == "_ms" ? 1e-3 : 1.0;
+  EXPECT_DOUBLE_EQ(record.value(Options{}, key).template get<double>() * scale, target.value) << target.key;
+}
+
+// Each setting that the page goes by is what the program does without an operator's file.
+TEST(CapacityDataTest, SettingsAreTheDefaultsOfTheProgram) {
+  std::size_t checked = 0;
+  for (const TargetGroup& group : load_capacity_data(source_dir() + "/docs/capacity").targets) {
+    for (const Target& target : group.targets) {
+      if (target.key.empty()) {
+        continue;
+      }
+      const std::size_t dot = target.key.find('.');
+      const std::string section = target.key.substr(0, dot);
+      const std::string key = target.key.substr(dot + 1);
+      ++checked;
+      if (section == "policy") {
+        expect_default(policy::policy_record(), key, target);
+      } else if (section == "ownership") {
+        expect_default(duties::ownership_record(), key, target);
+      } else if (section == "startup") {
+        expect_default(startup::start_record(), key, target);
+      } else if (section == "relay") {
+        expect_default(program::relay_record(), key, target);
+      } else if (section == "board") {
+        expect_default(board::board_record(), key, target);
+      } else if (section == "registry") {
+        expect_default(coordination::registry_record(), key, target);
+      } else if (section == "store") {
+        expect_default(store::options_record(), key, target);
+      } else if (section == "router") {
+        expect_default(program::tuning_record(), key, target);
+      } else {
+        ADD_FAILURE() << "no section " << section;
+      }
+    }
+  }
+  EXPECT_GT(checked, 20U);
+}
+
+}  // namespace
+}  // namespace trailcourse::scale
