--- a/benchmarks/scale/capacity_page.cpp
+++ b/benchmarks/scale/capacity_page.cpp
@@ -141,6 +141,29 @@
 
 std::string show_ratio(double ratio) { return std::isinf(ratio) ? "nothing does it" : show_plain(ratio); }
 
+// The fitted form as a formula of its size n.
+std::string show_form(const Slope& slope) {
+  const Fit& fit = slope.fit;
+  const std::string offset = show_plain(fit.offset);
+  const std::string factor = show_plain(fit.slope);
+  switch (fit.form) {
+    case Form::kConstant:
+      return offset + " " + slope.unit;
+    case Form::kLinear:
+      return offset + " + " + factor + "·n " + slope.unit;
+    case Form::kLinearithmic:
+      return offset + " + " + factor + "·n·ln n " + slope.unit;
+    case Form::kQuadratic:
+      return offset + " + " + factor + "·n² " + slope.unit;
+  }
+  return "";
+}
+
+std::string show_sizes(const Slope& slope) {
+  const std::string count = std::to_string(slope.points.size()) + " sizes, ";
+  return count + show_with_words(slope.points.front().first) + " to " + show_with_words(slope.bound);
+}
+
 std::vector<std::string> lines_of(const std::string& text) {
   std::vector<std::string> out;
   std::istringstream stream(text);
@@ -387,16 +410,12 @@
 }
 
 std::string CapacityPage::slopes() const {
-  std::string out =
-      head({"slope", "what", "fitted form", "of", "R squared", "up to", "setting", "when, commit"});
+  std::string out = head({"slope", "what", "fitted form", "of", "R squared", "measured at", "setting",
+                          "command", "when, commit"});
   for (const auto& [name, slope] : data_.slopes) {
-    const bool constant = slope.fit.form == Form::kConstant;
-    const std::string line =
-        show_plain(slope.fit.offset) +
-        (constant ? "" : " + " + show_plain(slope.fit.slope) + " × " + to_string(slope.fit.form));
-    out += row({"`" + name + "`", slope.what, line + " " + slope.unit, slope.per,
-                show_plain(slope.fit.r_squared), show_with_words(slope.bound), slope.setting,
-                slope.date + ", " + slope.commit});
+    out +=
+        row({"`" + name + "`", slope.what, show_form(slope), slope.per, show_plain(slope.fit.r_squared),
+             show_sizes(slope), slope.setting, "`" + slope.command + "`", slope.date + ", " + slope.commit});
   }
   return out;
 }
