--- a/tests/capacity_test.cpp
+++ b/tests/capacity_test.cpp
@@ -12,6 +12,7 @@
 #include <random>
 #include <sstream>
 
+#include "aggregation/options.h"
 #include "board/board_core.h"
 #include "coordination/options.h"
 #include "duties/options.h"
@@ -352,6 +353,8 @@
         expect_default(startup::start_record(), key, target);
       } else if (section == "relay") {
         expect_default(program::relay_record(), key, target);
+      } else if (section == "aggregator") {
+        expect_default(aggregation::aggregator_record(), key, target);
       } else if (section == "board") {
         expect_default(board::board_record(), key, target);
       } else if (section == "registry") {
