The drawn world of a change of policy stands on the shared harness

Cause: its events, clocks, calls and pauses stood there a second time.

Change: tests/policy_test.cpp uses tests/virtual_world.h; invariants, faults, defects and numbers of seeds are as before. Draws fall differently.

--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -3,7 +3,7 @@
 // request may be decided under the old version once one was decided under the new.
 #include <gtest/gtest.h>
 
-#include <cstdlib>
+#include <deque>
 #include <functional>
 #include <random>
 
@@ -11,12 +11,15 @@
 #include "policy/change.h"
 #include "policy/document.h"
 #include "policy/holder.h"
+#include "virtual_world.h"
 
 namespace trailcourse::policy {
 namespace {
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
+using testing_support::VirtualProcess;
+using testing_support::VirtualWorld;
 
 // ---- Documents ----
 
@@ -327,9 +330,10 @@
 
 // Routers with real holders, a driver now and then replaced, the real ledger. A request arrives somewhere at
 // each step of time; what it is decided under is written down with the true time.
-class World {
+class World : private VirtualWorld {
  public:
-  World(std::uint64_t seed, Defect defect) : random_(seed), defect_(defect) {
+  World(std::uint64_t seed, Defect defect)
+      : VirtualWorld(seed, testing_support::CallRules{}), defect_(defect) {
     rules_.lease.ttl = seconds(2);
     rules_.lease.renew_after = milliseconds(600);
     rules_.lease.retry = milliseconds(200);
@@ -348,23 +352,13 @@
   }
 
   WorldReport run() {
-    const Micros calm = seconds(45);
-    const Micros end = seconds(75);
-    while (!events_.empty() && events_.begin()->first <= end && report_.broken.empty()) {
-      now_ = events_.begin()->first;
-      const auto job = events_.begin()->second;
-      events_.erase(events_.begin());
-      if (now_ >= calm && !calm_) {
-        become_calm();
-      }
-      job();
-      ++report_.steps;
-    }
+    play(
+        seconds(45), seconds(75), [this] { become_calm(); }, [] {});
     const Seen seen = look_now();
-    if (report_.broken.empty() && seen.change && seen.change->open()) {
+    if (seen.change && seen.change->open()) {
       fail(std::string("a change is stuck: ") + to_string(seen.change->state) + told(seen));
     }
-    for (std::size_t i = 0; i < routers_.size() && report_.broken.empty(); ++i) {
+    for (std::size_t i = 0; i < routers_.size(); ++i) {
       const Router& one = routers_[i];
       const Ruling ruling = one.holder->ruling(clock(one));
       if (ruling.kind != Ruling::Kind::kVersion || ruling.version != seen.current) {
@@ -372,37 +366,19 @@
              to_string(one.holder->standing(clock(one))) + told(seen));
       }
     }
+    report_.broken = broken_;
+    report_.steps = steps_;
     return report_;
   }
 
  private:
-  struct Router {
+  struct Router : VirtualProcess {
     std::optional<Holder> holder;
-    int incarnation = 0;
-    double rate = 1.0;
-    Micros offset{0};
-    bool paused = false;
-    bool cut = false;
     bool bad_disk = false;
     coordination::LeaseId lease = 0;
-    std::vector<std::function<void()>> held;
     Micros told_until{0};
   };
 
-  void at(Micros when, std::function<void()> job) { events_.emplace(std::max(when, now_), std::move(job)); }
-  Micros drawn(Micros most) { return Micros(static_cast<Micros::rep>(random_() % (most.count() + 1))); }
-  bool chance(int percent) { return static_cast<int>(random_() % 100) < percent; }
-  void fail(const std::string& what) {
-    if (report_.broken.empty()) {
-      report_.broken = "at " + std::to_string(now_.count() / 1'000) + " ms: " + what;
-    }
-  }
-  Micros clock(const Router& router) const {
-    return router.offset + Micros(static_cast<Micros::rep>(static_cast<double>(now_.count()) * router.rate));
-  }
-  std::int64_t store_ms() const {
-    return static_cast<std::int64_t>(static_cast<double>(now_.count()) * 1.009 / 1e3);
-  }
   std::string told(const Seen& seen) const {
     std::string out;
     for (const auto& [name, permit] : seen.permits) {
@@ -428,64 +404,25 @@
     return out;
   }
 
-  // To the store and back, each way late or lost; exactly one of the two follows.
+  // To the store and back.
   template <typename Value>
-  void call(int index, std::function<Value()> use, std::function<void(const Value&)> answer,
-            std::function<void()> lost) {
-    const int incarnation = routers_[static_cast<std::size_t>(index)].incarnation;
-    const auto over = std::make_shared<bool>(false);
-    const auto alive = [this, index, incarnation, over] {
-      return routers_[static_cast<std::size_t>(index)].incarnation == incarnation && !*over;
-    };
-    const bool loses_call = !calm_ && (routers_[static_cast<std::size_t>(index)].cut || chance(3));
-    const bool loses_answer = !calm_ && chance(3);
-    const Micros there = drawn(calm_ || chance(85) ? milliseconds(10) : seconds(3));
-    const Micros back = drawn(calm_ || chance(85) ? milliseconds(10) : seconds(3));
-    at(now_ + milliseconds(800), [this, index, alive, over, lost] {
-      deliver(index, [alive, over, lost] {
-        if (alive()) {
-          *over = true;
-          lost();
-        }
-      });
-    });
-    if (loses_call) {
-      return;
-    }
-    at(now_ + there, [this, index, use, alive, over, answer, loses_answer, back] {
-      ledger_.expire(store_ms());
-      const Value value = use();
-      tell();
-      if (!loses_answer) {
-        at(now_ + back, [this, index, alive, over, answer, value] {
-          deliver(index, [alive, over, answer, value] {
-            if (alive()) {
-              *over = true;
-              answer(value);
-            }
-          });
-        });
-      }
-    });
-  }
-
-  void deliver(int index, std::function<void()> job) {
-    Router& router = routers_[static_cast<std::size_t>(index)];
-    if (router.paused) {
-      router.held.push_back(std::move(job));
-      return;
-    }
-    job();
-    turn(index);
+  void call_store(int index, std::function<Value()> use, std::function<void(const Value&)> answer,
+                  std::function<void()> lost) {
+    call<Value>(
+        of(index), nullptr, of(index).cut,
+        [this, use]() -> std::optional<Value> {
+          ledger_.expire(store_ms());
+          const Value value = use();
+          tell();
+          return value;
+        },
+        answer, lost);
   }
 
   void start(int index) {
     Router& router = routers_[static_cast<std::size_t>(index)];
-    ++router.incarnation;
-    router.rate = 1.0 + (static_cast<double>(random_() % 1'901) - 950.0) * 1e-6 * 1.0;
-    router.offset = drawn(seconds(50)) + seconds(1);
-    router.paused = false;
-    router.held.clear();
+    begin_incarnation(router, 950, seconds(50));
+    router.turn = [this, index] { turn(index); };
     router.bad_disk = false;
     if (defect_ == Defect::kTimedFromAnswer) {
       rules_.lease.margin = -seconds(1);  // as if the time began when the answer came
@@ -493,7 +430,7 @@
     router.holder.emplace(std::to_string(router.incarnation), "edge", rules_,
                           [](std::uint64_t) { return std::string(); });
     watch(index, router.incarnation);
-    tick(index, router.incarnation);
+    tick(router, milliseconds(40));
   }
   void watch(int index, int incarnation) {
     at(now_ + drawn(milliseconds(20)), [this, index, incarnation] {
@@ -513,7 +450,7 @@
     const int incarnation = router.incarnation;
     router.told_until = std::max(router.told_until, now_ + drawn(chance(90) ? milliseconds(20) : seconds(1)));
     at(router.told_until, [this, index, incarnation, known] {
-      deliver(index, [this, index, incarnation, known] {
+      deliver(of(index), [this, index, incarnation, known] {
         Router& one = routers_[static_cast<std::size_t>(index)];
         if (one.incarnation != incarnation) {
           return;
@@ -549,22 +486,8 @@
     }
   }
 
-  void tick(int index, int incarnation) {
-    at(now_ + milliseconds(40), [this, index, incarnation] {
-      Router& router = routers_[static_cast<std::size_t>(index)];
-      if (router.incarnation == incarnation) {
-        if (!router.paused) {
-          turn(index);
-        }
-        tick(index, incarnation);
-      }
-    });
-  }
   void turn(int index) {
     Router& router = routers_[static_cast<std::size_t>(index)];
-    if (router.paused) {
-      return;
-    }
     for (const HolderOrder& order : router.holder->due(clock(router))) {
       std::visit([this, index](const auto& one) { carry(index, one); }, order);
     }
@@ -574,7 +497,7 @@
   void carry(int index, const KeepDocument& keep) {
     const int incarnation = of(index).incarnation;
     at(now_ + drawn(milliseconds(30)), [this, index, incarnation, keep] {
-      deliver(index, [this, index, incarnation, keep] {
+      deliver(of(index), [this, index, incarnation, keep] {
         if (of(index).incarnation == incarnation) {
           of(index).holder->kept(clock(of(index)), keep.version, of(index).bad_disk ? "full disk" : "");
         }
@@ -583,7 +506,7 @@
   }
   void carry(int index, const SayPermit& say) {
     const coordination::LeaseId lease = of(index).lease;
-    call<bool>(
+    call_store<bool>(
         index,
         [this, index, say, lease] {
           try {
@@ -604,11 +527,11 @@
     const std::uint64_t number = ask.order.number;
     const auto lost = [this, index, number] { of(index).holder->lost(clock(of(index)), number); };
     if (ask.order.ask == ownership::Ask::kAcquire) {
-      call<coordination::LeaseId>(
+      call_store<coordination::LeaseId>(
           index, [this] { return ledger_.grant(store_ms(), rules_.lease.ttl.count() / 1'000, 0); },
           [this, index, ask, number, lost](const coordination::LeaseId& lease) {
             of(index).lease = lease;
-            call<bool>(
+            call_store<bool>(
                 index,
                 [this, index, ask, lease] {
                   coordination::Transaction join;
@@ -636,7 +559,7 @@
       return;
     }
     const coordination::LeaseId lease = of(index).lease;
-    call<bool>(
+    call_store<bool>(
         index, [this, lease] { return ledger_.keep_alive(store_ms(), lease) > 0; },
         [this, index, number](const bool& alive) {
           of(index).holder->renewed(clock(of(index)), number, alive);
@@ -769,16 +692,12 @@
   void wake(int index, int incarnation) {
     Router& router = of(index);
     if (router.incarnation == incarnation && router.paused) {
-      router.paused = false;
       // Requests that waited in its buffers are decided the moment it wakes, before anything else is read.
       const Ruling ruling = router.holder->ruling(clock(router));
       if (ruling.kind == Ruling::Kind::kVersion) {
         decide(static_cast<std::size_t>(index), ruling.version);
       }
-      for (const auto& job : std::exchange(router.held, {})) {
-        job();
-      }
-      turn(index);
+      VirtualWorld::wake(router);
     }
   }
   void mend(int index, int incarnation) {
@@ -800,7 +719,6 @@
     });
   }
   void become_calm() {
-    calm_ = true;
     for (int i = 0; i < static_cast<int>(routers_.size()); ++i) {
       of(i).bad_disk = false;
       wake(i, of(i).incarnation);
@@ -809,16 +727,12 @@
     }
   }
 
-  std::mt19937_64 random_;
   Defect defect_;
   HolderRules rules_;
   DriverRules driver_rules_;
   coordination::Ledger ledger_{coordination::Limits{}};
-  std::vector<Router> routers_;
+  std::deque<Router> routers_;
   std::optional<Driver> driver_;
-  std::multimap<Micros, std::function<void()>> events_;
-  Micros now_{0};
-  bool calm_ = false;
   std::uint64_t last_version_ = 0;
   std::uint64_t newest_ = 0;
   std::set<std::uint64_t> aborted_;
@@ -826,12 +740,9 @@
 };
 
 TEST(PolicyWorldTest, NoRequestIsDecidedUnderTheOldVersionAfterOneUnderTheNew) {
-  const char* const one = std::getenv("TRAILCOURSE_SEED");
-  const char* const many = std::getenv("TRAILCOURSE_SEEDS");
-  const std::uint64_t first = one != nullptr ? std::strtoull(one, nullptr, 10) : 1;
-  const std::uint64_t last = one != nullptr ? first : many != nullptr ? std::strtoull(many, nullptr, 10) : 40;
+  const auto seeds = testing_support::seeds_to_play(40);
   WorldReport sum;
-  for (std::uint64_t seed = first; seed <= last; ++seed) {
+  for (std::uint64_t seed = seeds.first; seed <= seeds.last; ++seed) {
     const WorldReport report = World(seed, Defect::kNone).run();
     ASSERT_EQ(report.broken, "") << "TRAILCOURSE_SEED=" << seed;
     sum.decided += report.decided;
@@ -855,11 +766,9 @@
                                                {Defect::kJoinUnseen, "decides under version"},
                                                {Defect::kAbortedKept, "aborted"}};
   for (const auto& [defect, words] : expected) {
-    std::string found;
-    for (std::uint64_t seed = 1; seed <= 400 && found.find(words) == std::string::npos; ++seed) {
-      const WorldReport report = World(seed, defect).run();
-      found = report.broken.empty() ? found : report.broken;
-    }
+    const std::string found = testing_support::find_failure(1, 400, words, [&](std::uint64_t seed) {
+                                return World(seed, defect).run().broken;
+                              }).failure;
     EXPECT_NE(found.find(words), std::string::npos)
         << "defect " << static_cast<int>(defect) << " was not found: '" << found << "'";
   }
