--- a/benchmarks/scale/capacity_page_data.cpp
+++ b/benchmarks/scale/capacity_page_data.cpp
@@ -94,7 +94,6 @@
   Role out;
   out.name = text(entry, "name", where);
   const std::string here = where + ": " + out.name;
-  out.title = text(entry, "title", here);
   out.mechanism = text(entry, "mechanism", here);
   for (const json& row : list(entry, "rows", here)) {
     out.rows.push_back(read_row(row, here));
--- a/benchmarks/scale/capacity_page_data.h
+++ b/benchmarks/scale/capacity_page_data.h
@@ -57,7 +57,6 @@
 
 struct Role {
   std::string name;
-  std::string title;
   std::string mechanism;  // and its files
   std::vector<RoleRow> rows;
 };
--- a/benchmarks/scale/capacity_page_formula.cpp
+++ b/benchmarks/scale/capacity_page_formula.cpp
@@ -157,7 +157,9 @@
 
   Figure call(const std::string& function) {
     expect('(');
-    const Figure out = function == "fit" ? fitted() : over_arguments(function);
+    const Figure out = function == "fit"        ? fitted()
+                       : function == "measured" ? measured()
+                                                : over_arguments(function);
     expect(')');
     return out;
   }
@@ -203,6 +205,25 @@
     return out;
   }
 
+  Figure measured() {
+    Figure out;
+    const Slope* slope = find_slope(out);
+    expect(',');
+    const Figure size = formula();
+    out = combine(out, size, [](double, double x) { return x; });
+    if (!out.known()) {
+      return out;
+    }
+    const auto found = std::find_if(slope->points.begin(), slope->points.end(),
+                                    [&](const auto& point) { return point.first == size.value; });
+    if (found == slope->points.end()) {
+      out.missing.insert(slope->name + " at another size");
+      return out;
+    }
+    out.value = found->second;
+    return out;
+  }
+
   Figure over_arguments(const std::string& function) {
     Figure out = formula();
     if (function == "ceil") {
--- a/benchmarks/scale/capacity_page_formula.h
+++ b/benchmarks/scale/capacity_page_formula.h
@@ -5,6 +5,7 @@
 //     term    = factor { ("*" | "/") factor }
 //     factor  = number | name | call | "-" factor | "(" formula ")"
 //     call    = "fit" "(" slope "," formula ")"    the cost at a size, by the form that was fitted
+//             | "measured" "(" slope "," formula ")"    what was measured at just that size, if anything was
 //             | "min" | "max" | "ceil"  "(" formula { "," formula } ")"
 //
 // Names are made of lower-case letters, digits, `_` and `.`; those of slopes may stand in quotes.
--- a/tests/capacity_test.cpp
+++ b/tests/capacity_test.cpp
@@ -116,6 +116,15 @@
   EXPECT_DOUBLE_EQ(evaluate("min(ceil(7 / 2), 9)", names).value, 4.0);
 }
 
+TEST(CapacityFormulaTest, WhatWasMeasuredAtASizeIsNotTheLineThrough) {
+  FormulaNames names = sample_names();
+  names.slopes["store.calls"].points[1].second = 48.0;
+  EXPECT_DOUBLE_EQ(evaluate("measured(store.calls, 2 * 10)", names).value, 48.0);
+  EXPECT_FALSE(evaluate("measured(store.calls, 21)", names).known());
+  EXPECT_FALSE(evaluate("measured(board.calls, 20)", names).known());
+  EXPECT_FALSE(evaluate("measured(store.calls, fit(board.calls, 1))", names).known());
+}
+
 TEST(CapacityFormulaTest, AFigureBeyondWhatWasMeasuredKnowsByHowMuch) {
   const FormulaNames names = sample_names();
   EXPECT_DOUBLE_EQ(evaluate("fit(store.calls, 50)", names).beyond, 1.0);
@@ -176,7 +185,7 @@
     return json::parse(R"json({"derived": [
         {"name": "calls", "formula": "fit(store.calls, routers)", "unit": "calls/s", "what": "calls"}],
       "situations": [{"name": "steady", "what": "nothing happens"}],
-      "roles": [{"name": "store", "title": "Store", "mechanism": "the registry", "rows": [
+      "roles": [{"name": "store", "mechanism": "the registry", "rows": [
         {"situation": "steady", "state": "{routers} permits", "messages in a second": "{calls | calls/s}",
          "memory": "{fit(store.memory, routers) | B}"}]}],
       "plan": [
