--- a/benchmarks/fleet_bench.h
+++ b/benchmarks/fleet_bench.h
@@ -78,7 +78,7 @@
   // `policy status`; an empty object where the store did not answer. Throws NotMeasured where it did not
   // several times in a row.
   nlohmann::json policy_status();
-  // Routers that have permission, as the store says.
+  // Routers that have permission, as the store or the living aggregators say.
   std::size_t permitted_routers();
   // Announces work that fills a cache.
   void fill(const std::string& name, int objects, double rate);
@@ -93,12 +93,15 @@
 
   // The router whose log says these words last, and how often any did.
   std::pair<std::string, std::size_t> begun(const std::string& words);
-  // What the registry or an aggregator reports now. Throws NotMeasured where it says nothing.
+  // What the registry or an aggregator reports now, as a line and as figures. Throw NotMeasured where it says
+  // nothing.
+  std::string report(const std::string& member);
   Figures figures(const std::string& member);
   // Of all aggregators.
   std::map<std::string, Figures> aggregator_figures();
 
  private:
+  void await_aggregators();
   // Throws NotMeasured where the store has ended.
   void check_store();
   // Throws NotMeasured: a command of staff failed and printed this.
--- a/src/fleet/layout.cpp
+++ b/src/fleet/layout.cpp
@@ -288,9 +288,7 @@
 }
 
 json Layout::aggregator_config(const Member& member) const {
-  json section{{"listen", member.address},
-               {"name", member.known_as.empty() ? member.name : member.known_as},
-               {"zones", served_zones(member.name)}};
+  json section{{"listen", member.address}, {"name", member.name}, {"zones", served_zones(member.name)}};
   section.update(shape_.aggregator);
   json coordination{{"store", "etcd"}, {"endpoints", {member.registry}}};
   coordination.update(shape_.coordination);
--- a/src/fleet/layout.h
+++ b/src/fleet/layout.h
@@ -72,7 +72,6 @@
   std::string board;                     // where it reaches the board: a proxy's, or the board's own
   std::string registry;                  // where a router or aggregator reaches the store; empty: it has none
   std::vector<Endpoint> aggregators;     // of a router, in order of preference
-  std::string known_as;                  // by which an aggregator signs what it writes; else its name
   std::vector<std::string> environment;  // NAME=VALUE, of its process
   std::string relay;                     // where a router passes pages on; empty: it does not
   int starts = 0;                        // so far: each start has a seed of its own
