Fleets in virtual time: tests of a change, of the store's calls and of drawn faults; calls at the board

Watches are told in the order of their clients' serial numbers: they were in the order of addresses, which OneSeedIsOneRun found.

--- a/benchmarks/scale/hollow_client.cpp
+++ b/benchmarks/scale/hollow_client.cpp
@@ -19,19 +19,23 @@
 
 // ---- Watches ----
 
-void WatchList::add(StoreClient& client, std::uint64_t watch) { watches_[&client] = Watch{watch, Micros(0)}; }
+void WatchList::add(StoreClient& client, std::uint64_t watch) {
+  watches_[client.serial()] = Watch{&client, watch, Micros(0)};
+}
+
+void WatchList::remove(const StoreClient& client) { watches_.erase(client.serial()); }
 
 Micros WatchList::tell(Node& server, const SharedNews& news, Micros before) {
   Micros spent = before;
-  for (const auto& [client, watch] : watches_) {
+  for (const auto& [serial, watch] : watches_) {
     spent += micros(simulation_.costs.line);
-    tell_one(server, *client, news, spent);
+    tell_one(server, *watch.client, news, spent);
   }
   return spent - before;
 }
 
 void WatchList::tell_one(Node& server, StoreClient& client, const SharedNews& news, Micros leaves) {
-  const auto found = watches_.find(&client);
+  const auto found = watches_.find(client.serial());
   if (found == watches_.end()) {
     return;
   }
--- a/benchmarks/scale/hollow_client.h
+++ b/benchmarks/scale/hollow_client.h
@@ -34,7 +34,7 @@
   explicit WatchList(Simulation& simulation) : simulation_(simulation) {}
 
   void add(StoreClient& client, std::uint64_t watch);
-  void remove(StoreClient& client) { watches_.erase(&client); }
+  void remove(const StoreClient& client);
   void clear() { watches_.clear(); }
   std::size_t size() const { return watches_.size(); }
   // The time that the server spends on it; lines leave one after the other, the first once `before` is over.
@@ -43,11 +43,12 @@
 
  private:
   struct Watch {
+    StoreClient* client = nullptr;
     std::uint64_t number = 0;
     Micros told_until{0};  // lines don't overtake each other
   };
   Simulation& simulation_;
-  std::map<StoreClient*, Watch> watches_;
+  std::map<std::uint64_t, Watch> watches_;  // by the client's serial number: one order in each run
 };
 
 // What routers call: the store itself, or an aggregator.
--- a/benchmarks/scale/hollow_node.cpp
+++ b/benchmarks/scale/hollow_node.cpp
@@ -70,7 +70,7 @@
 // ---- Processes ----
 
 Node::Node(Simulation& simulation, std::string name, int region)
-    : simulation_(simulation), name_(std::move(name)), region_(region) {}
+    : simulation_(simulation), name_(std::move(name)), serial_(++simulation.processes), region_(region) {}
 
 void Node::begin() {
   kill();
--- a/benchmarks/scale/hollow_node.h
+++ b/benchmarks/scale/hollow_node.h
@@ -83,6 +83,7 @@
   CostRules costs;
   std::vector<Micros> distances;  // by region
   std::set<int> cut_regions;      // from all that is not theirs
+  std::uint64_t processes = 0;    // that were made
 };
 
 // What a server says to a call.
@@ -114,6 +115,8 @@
   virtual ~Node() = default;
 
   const std::string& name() const { return name_; }
+  // In the order in which the simulation's processes were made.
+  std::uint64_t serial() const { return serial_; }
   int region() const { return region_; }
   int incarnation() const { return incarnation_; }
   bool alive() const { return alive_; }
@@ -159,6 +162,7 @@
 
   Simulation& simulation_;
   std::string name_;
+  std::uint64_t serial_;
   int region_;
   int incarnation_ = 0;
   bool alive_ = false;
--- /dev/null
+++ b/benchmarks/scale/hollow_start.cpp
@@ -0,0 +1,69 @@
+#include "scale/hollow_start.h"
+
+#include <algorithm>
+#include <functional>
+#include <queue>
+#include <random>
+#include <vector>
+
+#include "startup/asking.h"
+
+namespace trailcourse::scale {
+
+namespace {
+
+constexpr Micros kTogether{3'000};
+constexpr Micros kRefusal{500};  // from the call to its answer
+
+struct Asked {
+  Micros at{0};
+  std::size_t router = 0;
+  bool operator>(const Asked& other) const { return at > other.at; }
+};
+
+// `moments` in order.
+std::size_t most_within(const std::vector<Micros>& moments, Micros stretch) {
+  std::size_t most = 0;
+  std::size_t first = 0;
+  for (std::size_t last = 0; last < moments.size(); ++last) {
+    while (moments[last] - moments[first] >= stretch) {
+      ++first;
+    }
+    most = std::max(most, last - first + 1);
+  }
+  return most;
+}
+
+}  // namespace
+
+BoardCalls measure_board(const startup::AskingRules& rules, int routers, Micros back, std::uint64_t seed) {
+  std::mt19937_64 random(seed);
+  std::vector<startup::Asking> machines;
+  std::priority_queue<Asked, std::vector<Asked>, std::greater<>> queue;
+  for (int i = 0; i < routers; ++i) {
+    machines.emplace_back(rules, random());
+    machines.back().fleet_size(routers);
+    const Micros begin = Micros(static_cast<Micros::rep>(random() % kTogether.count()));
+    queue.push({machines.back().first(begin).at, static_cast<std::size_t>(i)});
+  }
+  std::vector<Micros> answered;  // in the order of time
+  while (!queue.empty()) {
+    const Asked now = queue.top();
+    queue.pop();
+    if (now.at >= back) {
+      answered.push_back(now.at);
+      continue;
+    }
+    const startup::Call next =
+        machines[now.router].after(now.at, now.at + kRefusal, startup::CallEnd::kRefused, Micros(0));
+    queue.push({next.at, now.router});
+  }
+  BoardCalls out;
+  out.calls = answered.size();
+  out.most_in_100_ms = most_within(answered, Micros(100'000));
+  out.most_in_second = most_within(answered, Micros(1'000'000));
+  out.last_list_s = static_cast<double>((answered.back() - back).count()) / 1e6;
+  return out;
+}
+
+}  // namespace trailcourse::scale
--- a/benchmarks/scale/scale_bench.cpp
+++ b/benchmarks/scale/scale_bench.cpp
@@ -13,6 +13,7 @@
 #include <cstdlib>
 #include <cxxopts.hpp>
 #include <exception>
+#include <fstream>
 #include <iostream>
 #include <map>
 #include <nlohmann/json.hpp>
@@ -20,6 +21,7 @@
 #include <vector>
 
 #include "scale/fleet_model_runs.h"
+#include "scale/hollow_start.h"
 #include "scale/slopes.h"
 
 namespace {
@@ -45,9 +47,11 @@
   bool rest = false;
   bool change = false;
   bool queue = false;
+  bool board = false;
   int faults = 0;
   double fault_seconds = 60.0;
   double cut_seconds = 0.0;
+  std::vector<std::string> join;
   std::string write;
   bool as_json = false;
   std::string command;
@@ -66,7 +70,100 @@
   bool shown_ = isatty(STDERR_FILENO) != 0;
 };
 
-// All that is measured, by what it is a slope of.
+// Slopes by name, gathered point by point.
+class SlopeTable {
+ public:
+  void point(const std::string& name, const std::string& what, const std::string& unit,
+             const std::string& per, double x, double y) {
+    Slope& slope = slopes_[name];
+    slope.name = name;
+    slope.what = what;
+    slope.unit = unit;
+    slope.per = per;
+    slope.points.emplace_back(x, y);
+  }
+  std::vector<Slope> measured(const std::string& command) {
+    std::vector<Slope> out;
+    for (auto& [name, slope] : slopes_) {
+      slope.setting = "hollow, virtual time";
+      slope.command = command;
+      out.push_back(measured_here(slope));
+    }
+    return out;
+  }
+
+ private:
+  std::map<std::string, Slope> slopes_;
+};
+
+constexpr const char* kAtRest = "at rest, a second";
+constexpr const char* kChange = "a change, ";
+
+void add_rest(SlopeTable& table, const json& row) {
+  const std::string way = row.at("way");
+  const bool flat = way == "flat";
+  const std::string per = flat ? "routers" : "regions";
+  const double x = row.at(per);
+  table.point("store.calls.rest." + way + ".hollow",
+              "calls at the store at rest, permissions of policy alone", "calls a second", per, x,
+              row.at("store_calls"));
+  table.point("store.bytes.rest." + way + ".hollow",
+              "bytes at the store at rest, both ways, without TCP and IP", "bytes a second", per, x,
+              row.at("store_bytes"));
+  table.point("router.bytes.rest." + way + ".hollow",
+              "bytes at a router at rest for its permission, both ways", "bytes a second", "routers",
+              row.at("routers"), row.at("router_bytes"));
+  if (flat) {
+    return;
+  }
+  const double below = row.at("routers_of_one");
+  const std::string per_one = "routers of one aggregator";
+  table.point("aggregator.calls.rest.hollow", "calls at an aggregator at rest", "calls a second", per_one,
+              below, row.at("aggregator_calls"));
+  table.point("aggregator.bytes.rest.hollow", "bytes at an aggregator at rest, both ways, without TCP and IP",
+              "bytes a second", per_one, below, row.at("aggregator_bytes"));
+}
+
+void add_change(SlopeTable& table, const json& row) {
+  const std::string what = row.at("what");
+  std::string condition = what.substr(std::string(kChange).size());
+  const bool all_up = condition == to_string(Condition::kAllUp);
+  std::replace(condition.begin(), condition.end(), ' ', '-');
+  const std::string way = row.at("way");
+  const std::string name = way + "." + condition + ".hollow";
+  const double routers = row.at("routers");
+  const std::string words = what + ": from its proposal until all decide under it";
+  table.point("change.ms.p50." + name, words + ", median", "ms", "routers", routers, row.at("p50_ms"));
+  table.point("change.ms.p99." + name, words + ", p99", "ms", "routers", routers, row.at("p99_ms"));
+  table.point("change.ms.worst." + name, words + ", worst", "ms", "routers", routers, row.at("worst_ms"));
+  if (!all_up) {
+    return;
+  }
+  const std::string per = way == "flat" ? "routers" : "regions";
+  const double x = row.at(per);
+  table.point("store.calls.change." + way + ".hollow",
+              "calls at the store during one change, renewals among them", "calls", per, x,
+              row.at("store_calls"));
+  table.point("store.bytes.change." + way + ".hollow", "bytes at the store during one change, both ways",
+              "bytes", per, x, row.at("store_bytes"));
+}
+
+constexpr const char* kBoard = "calls at the notice board, ";
+constexpr const char* kStarts = "everybody starts";
+constexpr const char* kBack = "the board is back after an hour";
+
+void add_board(SlopeTable& table, const json& row) {
+  const std::string what = row.at("what");
+  const std::string name = what.ends_with(kBack) ? "board-back" : "everybody-starts";
+  const double routers = row.at("routers");
+  table.point("board.calls.second." + name + ".hollow", what + ": most in a second", "calls a second",
+              "routers", routers, row.at("most_in_second"));
+  table.point("board.last.list." + name + ".hollow", what + ": until the last router has its list", "s",
+              "routers", routers, row.at("last_list_s"));
+}
+
+// Rows as they are printed, and the slopes that are worked out from them. Rows of earlier runs can be joined,
+// so that large sizes are measured one by one.
 class Table {
  public:
   explicit Table(const Options& options) : options_(options) {}
@@ -82,34 +179,36 @@
     }
     rows_.push_back(std::move(row));
   }
-  void point(const std::string& name, const std::string& what, const std::string& unit,
-             const std::string& per, double x, double y) {
-    Slope& slope = slopes_[name];
-    slope.name = name;
-    slope.what = what;
-    slope.unit = unit;
-    slope.per = per;
-    slope.points.emplace_back(x, y);
+  void join(const std::string& path) {
+    std::ifstream in(path);
+    for (json& row : json::parse(in)) {
+      rows_.push_back(std::move(row));
+    }
   }
-  void finish() {
+  void finish() const {
     if (options_.as_json) {
       std::cout << rows_.dump(1) << std::endl;
     }
-    std::vector<Slope> fresh;
-    for (auto& [name, slope] : slopes_) {
-      slope.setting = "hollow, virtual time";
-      slope.command = options_.command;
-      fresh.push_back(measured_here(slope));
+    SlopeTable slopes;
+    for (const json& row : rows_) {
+      const std::string what = row.at("what");
+      const bool measured = row.value("p50_ms", 1.0) > 0.0;
+      if (what == kAtRest) {
+        add_rest(slopes, row);
+      } else if (what.starts_with(kChange) && measured) {
+        add_change(slopes, row);
+      } else if (what.starts_with(kBoard)) {
+        add_board(slopes, row);
+      }
     }
-    if (!options_.write.empty() && !fresh.empty()) {
-      save_slopes(options_.write, fresh);
+    if (!options_.write.empty()) {
+      save_slopes(options_.write, slopes.measured(options_.command));
     }
   }
 
  private:
   const Options& options_;
   json rows_ = json::array();
-  std::map<std::string, Slope> slopes_;
 };
 
 FleetShape shape_for(const Options& options, int size, std::uint64_t seed) {
@@ -139,6 +238,9 @@
   explicit Bench(const Options& options) : options_(options), table_(options) {}
 
   bool run() {
+    for (const std::string& path : options_.join) {
+      table_.join(path);
+    }
     for (const int size : options_.sizes) {
       if (options_.rest) {
         rest(size);
@@ -150,6 +252,10 @@
         queue(size, 4.5);
         queue(size, 1.5);
       }
+      if (options_.board) {
+        board(size, kStarts, Micros(0));
+        board(size, kBack, Micros(3'600'000'000));
+      }
       for (int i = 0; i < options_.faults; ++i) {
         faults(size, options_.seed + static_cast<std::uint64_t>(i));
       }
@@ -160,42 +266,24 @@
 
  private:
   std::string way() const { return options_.flat ? "flat" : "regions"; }
-  // What the store's cost grows with.
-  double store_x(const FleetShape& shape) const { return options_.flat ? shape.routers : shape.regions; }
-  std::string store_per() const { return options_.flat ? "routers" : "regions"; }
 
   void rest(int size) {
     FleetModel model(shape_for(options_, size, options_.seed));
     progress_.say("at rest, " + std::to_string(size) + " routers");
     start(model);
     const RestFigures figures = measure_rest(model, kRest);
+    const std::size_t servers = std::max<std::size_t>(1, model.aggregators().size());
+    const double below = size / static_cast<double>(servers);
     table_.row({{"routers", size},
                 {"way", way()},
                 {"regions", model.shape().regions},
-                {"what", "at rest, a second"},
+                {"what", kAtRest},
+                {"routers_of_one", below},
                 {"store_calls", rounded(figures.store_calls)},
                 {"store_bytes", rounded(figures.store_bytes)},
                 {"aggregator_calls", rounded(figures.aggregator_calls)},
                 {"aggregator_bytes", rounded(figures.aggregator_bytes)},
                 {"router_bytes", rounded(figures.router_bytes)}});
-    const double x = store_x(model.shape());
-    table_.point("store.calls.rest." + way() + ".hollow",
-                 "calls at the store at rest, permissions of policy alone", "calls a second", store_per(), x,
-                 figures.store_calls);
-    table_.point("store.bytes.rest." + way() + ".hollow",
-                 "bytes at the store at rest, both ways, without TCP and IP", "bytes a second", store_per(),
-                 x, figures.store_bytes);
-    table_.point("router.bytes.rest." + way() + ".hollow",
-                 "bytes at a router at rest for its permission, both ways", "bytes a second", "routers", size,
-                 figures.router_bytes);
-    if (!options_.flat) {
-      const double below = size / static_cast<double>(model.aggregators().size());
-      table_.point("aggregator.calls.rest.hollow", "calls at an aggregator at rest", "calls a second",
-                   "routers of one aggregator", below, figures.aggregator_calls);
-      table_.point("aggregator.bytes.rest.hollow",
-                   "bytes at an aggregator at rest, both ways, without TCP and IP", "bytes a second",
-                   "routers of one aggregator", below, figures.aggregator_bytes);
-    }
     check(model.check().broken());
   }
 
@@ -228,7 +316,7 @@
     table_.row({{"routers", shape.routers},
                 {"way", way()},
                 {"regions", shape.regions},
-                {"what", std::string("a change, ") + to_string(condition)},
+                {"what", std::string(kChange) + to_string(condition)},
                 {"changes", series.ms.size()},
                 {"unfinished", series.unfinished},
                 {"p50_ms", rounded(series.ms.quantile(0.5))},
@@ -237,26 +325,6 @@
                 {"store_calls", rounded(series.store_calls.mean())},
                 {"store_bytes", rounded(series.store_bytes.mean())},
                 {"store_longest_wait_ms", rounded(series.store_wait_ms.worst())}});
-    if (series.ms.empty()) {
-      return;
-    }
-    std::string words = to_string(condition);
-    std::replace(words.begin(), words.end(), ' ', '-');
-    const std::string name = way() + "." + words + ".hollow";
-    const std::string what = std::string("a change of policy from its proposal until all decide under it, ") +
-                             to_string(condition);
-    table_.point("change.ms.p50." + name, what + ", median", "ms", "routers", shape.routers,
-                 series.ms.quantile(0.5));
-    table_.point("change.ms.worst." + name, what + ", worst", "ms", "routers", shape.routers,
-                 series.ms.worst());
-    if (condition == Condition::kAllUp) {
-      table_.point("store.calls.change." + way() + ".hollow",
-                   "calls at the store during one change, renewals among them", "calls", store_per(),
-                   store_x(shape), series.store_calls.mean());
-      table_.point("store.bytes.change." + way() + ".hollow",
-                   "bytes at the store during one change, both ways", "bytes", store_per(), store_x(shape),
-                   series.store_bytes.mean());
-    }
   }
 
   void queue(int size, double mean_seconds) {
@@ -278,6 +346,19 @@
     check(model.check().broken());
   }
 
+  // By the program's rules for a fleet.
+  void board(int size, const char* what, Micros back) {
+    trailcourse::startup::AskingRules rules;
+    rules.spread = true;
+    const BoardCalls figures = measure_board(rules, size, back, options_.seed);
+    table_.row({{"routers", size},
+                {"what", std::string(kBoard) + what},
+                {"calls", figures.calls},
+                {"most_in_100_ms", figures.most_in_100_ms},
+                {"most_in_second", figures.most_in_second},
+                {"last_list_s", rounded(figures.last_list_s)}});
+  }
+
   void faults(int size, std::uint64_t seed) {
     progress_.say(std::to_string(size) + " routers, drawn faults, seed " + std::to_string(seed));
     FleetModel model(shape_for(options_, size, seed));
@@ -326,10 +407,12 @@
       "rest", "measure a fleet at rest", cxxopts::value(out.rest))(
       "changes", "measure changes, in each condition", cxxopts::value(out.change))(
       "queue", "measure changes that come at drawn times", cxxopts::value(out.queue))(
+      "board", "measure the first calls at the notice board", cxxopts::value(out.board))(
       "faults", "so many seeds of drawn faults", cxxopts::value(out.faults)->default_value("0"))(
       "fault-seconds", "virtual time of each", cxxopts::value(out.fault_seconds)->default_value("60"))(
       "cut-seconds", "for which one region is cut off meanwhile",
       cxxopts::value(out.cut_seconds)->default_value("0"))(
+      "join", "files of rows of earlier runs, as --json printed them", cxxopts::value(out.join))(
       "write", "the file of slopes", cxxopts::value(out.write))("json", "rows as JSON",
                                                                 cxxopts::value(out.as_json))("help", "this");
   const auto parsed = rules.parse(argc, argv);
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -1,12 +1,16 @@
-// How costs grow with the fleet: the form that is fitted to points, the file of slopes.
+// How costs grow with the fleet: the form that is fitted to points, the file of slopes; and whole fleets in
+// virtual time on the real state machines.
 #include <gtest/gtest.h>
 
 #include <cmath>
 #include <filesystem>
-#include <fstream>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <random>
 
+#include "scale/fleet_model.h"
+#include "scale/fleet_model_runs.h"
+#include "scale/hollow_start.h"
 #include "scale/slopes.h"
 
 namespace trailcourse::scale {
@@ -88,5 +92,93 @@
   EXPECT_THROW(load_slopes("/dev/null"), BadSlopes) << "a file that is there must be whole";
 }
 
+// ---- Fleets in virtual time ----
+
+constexpr Micros kSecond{1'000'000};
+
+std::unique_ptr<FleetModel> settled_fleet(const FleetShape& shape) {
+  auto out = std::make_unique<FleetModel>(shape);
+  out->start(kSecond);
+  out->run_for(kSecond);
+  EXPECT_TRUE(out->settle(60 * kSecond)) << out->describe();
+  out->run_for(3 * kSecond);
+  return out;
+}
+
+TEST(FleetModelTest, AChangeIsInForceWithinFiveSecondsAtAThousandRouters) {
+  for (const Condition condition :
+       {Condition::kAllUp, Condition::kFewStopped, Condition::kAggregatorStopped}) {
+    const auto model = settled_fleet(shape_of(1'000, false, 1));
+    ChangeSeries series;
+    measure_changes(*model, condition, SeriesOptions{2, 60 * kSecond}, series);
+    EXPECT_EQ(series.broken, "");
+    EXPECT_EQ(series.unfinished, 0);
+    EXPECT_LT(series.ms.worst(), 5'000.0) << to_string(condition);
+  }
+}
+
+TEST(FleetModelTest, TheStoreSeesRegionsAndNotRouters) {
+  const auto calls = [](int routers, bool flat) {
+    FleetShape shape = shape_of(routers, flat, 2);
+    shape.regions = 6;
+    const auto model = settled_fleet(shape);
+    return static_cast<double>(model->change(60 * kSecond).store.calls) +
+           measure_rest(*model, 10 * kSecond).store_calls;
+  };
+  const double by_regions = calls(300, false);
+  EXPECT_LT(by_regions, 0.25 * calls(300, true));
+  EXPECT_LT(calls(1'200, false), 1.25 * by_regions) << "four times the routers in as many regions";
+  EXPECT_GT(calls(1'200, true), 3.0 * calls(300, true));
+}
+
+TEST(FleetModelTest, OneSeedIsOneRun) {
+  const auto steps = [](std::uint64_t seed) {
+    const auto model = settled_fleet(shape_of(100, false, seed));
+    model->change(60 * kSecond);
+    return model->simulation().events.steps();
+  };
+  EXPECT_EQ(steps(3), steps(3));
+  EXPECT_NE(steps(3), steps(4));
+}
+
+TEST(FleetModelTest, TheRuleHoldsUnderDrawnFaults) {
+  std::uint64_t done = 0;
+  for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+    const auto model = settled_fleet(shape_of(150, false, seed));
+    FaultOptions options;
+    options.time = 40 * kSecond;
+    const FaultFigures figures = run_faults(*model, options);
+    EXPECT_EQ(figures.broken, "") << "seed " << seed;
+    EXPECT_GT(figures.faults, 30U);
+    done += figures.done;
+  }
+  EXPECT_GT(done, 6U);
+}
+
+// The check is able to find what it is there for: routers that take their permission to hold for longer than
+// the aggregator does.
+TEST(FleetModelTest, APermissionThatIsTakenTooLongIsFound) {
+  std::string found;
+  for (std::uint64_t seed = 1; seed <= 20 && found.empty(); ++seed) {
+    FleetShape shape = shape_of(100, false, seed);
+    shape.router.holder.lease.margin = Micros(-4'000'000);
+    const auto model = settled_fleet(shape);
+    FaultOptions options;
+    options.time = 40 * kSecond;
+    found = run_faults(*model, options).broken;
+  }
+  EXPECT_NE(found.find("still"), std::string::npos) << found;
+}
+
+TEST(HollowStartTest, TheBoardIsAskedWithinItsBound) {
+  startup::AskingRules rules;
+  rules.spread = true;
+  for (const Micros back : {Micros(0), 3'600 * kSecond}) {
+    const BoardCalls calls = measure_board(rules, 2'000, back, 1);
+    EXPECT_EQ(calls.calls, 2'000U);
+    EXPECT_LT(calls.most_in_second, 200U);
+  }
+}
+
 }  // namespace
 }  // namespace trailcourse::scale
