--- a/benchmarks/scale/control_costs.cpp
+++ b/benchmarks/scale/control_costs.cpp
@@ -8,7 +8,7 @@
 #include "coordination/etcd_json.h"
 #include "coordination/ledger.h"
 #include "membership/view.h"
-#include "ownership/desk.h"
+#include "ownership/lease_manager.h"
 #include "policy/change.h"
 #include "policy/options.h"
 #include "role_costs.h"
@@ -156,21 +156,22 @@
   return out;
 }
 
-std::unique_ptr<ownership::Desk> candidate(int members) {
-  auto desk = std::make_unique<ownership::Desk>(router_name(0), "0123456789abcdef", zone_name(0),
-                                                std::set<std::string>{"fill"}, ownership::DeskRules());
-  desk->heard(Micros(1), true);
+std::unique_ptr<ownership::LeaseManager> candidate(int members) {
+  auto manager = std::make_unique<ownership::LeaseManager>(router_name(0), "0123456789abcdef", zone_name(0),
+                                                           std::set<std::string>{"fill"},
+                                                           ownership::LeaseManagerRules());
+  manager->heard(Micros(1), true);
   ownership::Work work;
   work.name = "w";
   work.kind = "fill";
   work.shards = 4;
-  desk->work(Micros(1), "w", work);
+  manager->work(Micros(1), "w", work);
   ownership::Owner owner{router_name(1), "0123456789abcdef", 7};
   for (std::uint64_t shard = 0; shard < work.shards; ++shard) {
-    desk->owner(Micros(1), {"w", shard}, owner, 7);
+    manager->owner(Micros(1), {"w", shard}, owner, 7);
   }
-  desk->members(Micros(1), members_by_zone(members));
-  return desk;
+  manager->members(Micros(1), members_by_zone(members));
+  return manager;
 }
 
 void measure_candidates(const CostSink& sink) {
@@ -194,22 +195,22 @@
                    {}};
   for (const int members : kMembers) {
     memory.points.emplace_back(members, bytes_held_by([&] { return candidate(members); }));
-    const auto desk = candidate(members);
+    const auto manager = candidate(members);
     const auto list = members_by_zone(members);
     Micros now(1'000'000);
     const int calls = std::max(1, 5'000 / members);
     change.points.emplace_back(members, cpu_us_per_call(calls, [&] {
                                  now += Micros(1'000);
-                                 desk->members(now, list);
-                                 keep_result(desk->due(now));
+                                 manager->members(now, list);
+                                 keep_result(manager->due(now));
                                }));
     std::uint64_t revision = 8;
     owner.points.emplace_back(
         members, cpu_us_per_call(calls, [&] {
           now += Micros(1'000);
-          desk->owner(now, {"w", 0}, std::nullopt, ++revision);
-          keep_result(desk->next(now));
-          desk->owner(now, {"w", 0}, ownership::Owner{router_name(1), "0123456789abcdef", 7}, ++revision);
+          manager->owner(now, {"w", 0}, std::nullopt, ++revision);
+          keep_result(manager->next(now));
+          manager->owner(now, {"w", 0}, ownership::Owner{router_name(1), "0123456789abcdef", 7}, ++revision);
         }));
   }
   for (const CostSeries& series : {memory, change, owner}) {
--- a/benchmarks/scale/hollow_store.cpp
+++ b/benchmarks/scale/hollow_store.cpp
@@ -18,7 +18,7 @@
 constexpr double kFastestClock = 1.009;  // within the drift that leases allow for
 constexpr Micros kExpiryLook{10'000};
 
-// Of duties::Conductor.
+// Of tasks::PolicyChangeTask.
 constexpr Micros kIdleLook{5'000'000};
 constexpr Micros kLostLook{200'000};
 
--- a/benchmarks/scale/hollow_store.h
+++ b/benchmarks/scale/hollow_store.h
@@ -1,5 +1,5 @@
 // The store of shared truth of a simulated fleet, on the real coordination::Ledger, and whoever drives
-// changes of policy by the real policy::Driver, as duties::Conductor does.
+// changes of policy by the real policy::Driver, as tasks::PolicyChangeTask does.
 #pragma once
 
 #include <functional>
--- a/src/cache_node/node.h
+++ b/src/cache_node/node.h
@@ -16,7 +16,7 @@
 #include "cache_node/node_core.h"
 #include "cache_node/node_options.h"
 #include "cache_node/source_client.h"
-#include "fencing/term_book.h"
+#include "fencing/token_store.h"
 #include "protocol/settings.h"
 #include "routing/board_watcher.h"
 #include "routing/directory.h"
@@ -32,7 +32,7 @@
        std::int64_t lookup_ms, store::Store& store, std::uint64_t seed);
 
   // What remembers the terms of fenced commands; without one they are refused. Outlives the node.
-  void use(fencing::TermBook& terms) { terms_ = &terms; }
+  void use(fencing::TokenStore& terms) { terms_ = &terms; }
   // Listens at once: while the store recovers, what it holds counts as missing. Throws std::system_error.
   void start();
   // Takes nothing new; what is open goes on.
@@ -86,7 +86,7 @@
   std::unordered_map<RequestNumber, std::uint64_t> readings_;
   std::vector<Action> actions_;
   bool carrying_out_ = false;
-  fencing::TermBook* terms_ = nullptr;
+  fencing::TokenStore* terms_ = nullptr;
   std::string last_fence_;  // in the log
   std::unordered_map<Ticket, std::pair<protocol::ServeFields, std::string>>
       fenced_;  // whose term is being kept
--- a/src/fencing/term_book.cpp
+++ b/src/fencing/token_store.cpp
@@ -1,4 +1,4 @@
-#include "fencing/term_book.h"
+#include "fencing/token_store.h"
 
 #include <xxhash.h>
 
@@ -24,7 +24,7 @@
 
 }  // namespace
 
-TermBook::TermBook(std::shared_ptr<store::Files> files, store::Executor& executor)
+TokenStore::TokenStore(std::shared_ptr<store::Files> files, store::Executor& executor)
     : files_(std::move(files)), executor_(executor) {
   if (!files_) {
     return;
@@ -51,9 +51,9 @@
   }
 }
 
-TermBook::~TermBook() { *alive_ = false; }
+TokenStore::~TokenStore() { *alive_ = false; }
 
-std::string TermBook::text(const Token& next) const {
+std::string TokenStore::text(const Token& next) const {
   std::string body;
   std::map<std::string, Term> terms = fence_.all();
   // What other works' commands wait for goes along: the last write is the one that stands.
@@ -67,7 +67,7 @@
   return sum_of(body) + "\n" + body;
 }
 
-void TermBook::admit(const std::string& token, Then then) {
+void TokenStore::admit(const std::string& token, Then then) {
   const auto refuse = [&](std::uint64_t& count, const char* why) {
     ++count;
     then(why);
@@ -110,7 +110,7 @@
   }
 }
 
-void TermBook::keep(const Token& token) {
+void TokenStore::keep(const Token& token) {
   store_ = token.store;  // from now on: a second store's token must not slip in behind this one
   const auto good = std::make_shared<bool>(false);
   executor_.run(
@@ -134,7 +134,7 @@
       });
 }
 
-void TermBook::kept(const Token& token, bool good) {
+void TokenStore::kept(const Token& token, bool good) {
   if (good) {
     ++counts_.kept;
     fence_.kept(token.work, token.term);
--- a/src/fencing/term_book.h
+++ b/src/fencing/token_store.h
@@ -27,15 +27,15 @@
   std::uint64_t admitted = 0, refused = 0, foreign = 0, kept = 0, unreadable = 0;
 };
 
-class TermBook {
+class TokenStore {
  public:
   // Reads what was kept. No files: nothing can be remembered, and nothing fenced is admitted. Throws
   // store::FileError, or std::runtime_error where the file cannot be read: a receiver that forgot its terms
   // must not go on as if there had been none.
-  TermBook(std::shared_ptr<store::Files> files, store::Executor& executor);
-  ~TermBook();
-  TermBook(const TermBook&) = delete;
-  TermBook& operator=(const TermBook&) = delete;
+  TokenStore(std::shared_ptr<store::Files> files, store::Executor& executor);
+  ~TokenStore();
+  TokenStore(const TokenStore&) = delete;
+  TokenStore& operator=(const TokenStore&) = delete;
 
   // Whether an effect under the token may be carried out: called back with an empty text, at once where the
   // term is the highest known, else once it is kept; or with why not, in one word of plain characters.
--- a/src/membership/neighbours.cpp
+++ b/src/membership/peers.cpp
@@ -1,4 +1,4 @@
-#include "membership/neighbours.h"
+#include "membership/peers.h"
 
 #include <algorithm>
 #include <utility>
@@ -7,7 +7,7 @@
 
 namespace trailcourse::membership {
 
-std::vector<std::string> Neighbours::to_try(const std::vector<std::string>& members) const {
+std::vector<std::string> Peers::to_try(const std::vector<std::string>& members) const {
   std::vector<std::pair<std::uint64_t, std::string>> ring;
   for (const std::string& name : members) {
     if (name != self_) {
@@ -23,7 +23,7 @@
   return out;
 }
 
-void Neighbours::watch(const std::vector<std::string>& names) {
+void Peers::watch(const std::vector<std::string>& names) {
   std::map<std::string, int> next;
   for (const std::string& name : names) {
     const auto found = missed_.find(name);
@@ -32,14 +32,14 @@
   missed_ = std::move(next);
 }
 
-void Neighbours::tried(const std::string& name, bool reached) {
+void Peers::tried(const std::string& name, bool reached) {
   const auto found = missed_.find(name);
   if (found != missed_.end()) {
     found->second = reached ? 0 : found->second + 1;
   }
 }
 
-std::map<std::string, Doubt> Neighbours::doubts() const {
+std::map<std::string, Doubt> Peers::doubts() const {
   const auto missed = [this](const auto& one) { return one.second >= misses_; };
   const auto fails = std::count_if(missed_.begin(), missed_.end(), missed);
   std::map<std::string, Doubt> out;
--- a/src/membership/neighbours.h
+++ b/src/membership/peers.h
@@ -1,5 +1,5 @@
 // Whom a member tries to reach now and then, and what it makes of that: a member that the store hears and its
-// neighbours do not is of little use to them. Each tries a few by a ring of hashes, so that each is tried by
+// peers do not is of little use to them. Each tries a few by a ring of hashes, so that each is tried by
 // as many.
 //
 // Package `membership`: no I/O, no clock.
@@ -14,10 +14,10 @@
 
 namespace trailcourse::membership {
 
-class Neighbours {
+class Peers {
  public:
   // `misses` in a row make a doubt.
-  Neighbours(std::string self, std::size_t count, int misses)
+  Peers(std::string self, std::size_t count, int misses)
       : self_(std::move(self)), count_(count), misses_(misses) {}
 
   // Of these members the ones to try, by the ring.
--- a/src/membership/view.h
+++ b/src/membership/view.h
@@ -1,5 +1,5 @@
 // Who is in the fleet, as one member sees it: from the sessions in the store, less those that flap, that are
-// about to leave, or that their neighbours cannot reach though the store can. Members may see different
+// about to leave, or that their peers cannot reach though the store can. Members may see different
 // things for a while; nothing that must not be wrong stands on them agreeing (that is what leases and terms
 // are for), only who asks first for work.
 //
@@ -7,7 +7,7 @@
 // | -------- | ------------------------------------------------------------- | ----------------- |
 // | in       | a session in the store                                        | yes               |
 // | damped   | came and went too often of late                               | no                |
-// | doubted  | the store hears it, its neighbours do not                     | no                |
+// | doubted  | the store hears it, its peers do not                     | no                |
 // | draining | says that it ends                                             | no                |
 // | shadowed | a later start has the same name: two routers, or an old one   | no                |
 //
--- a/src/ownership/desk.cpp
+++ b/src/ownership/lease_manager.cpp
@@ -1,4 +1,4 @@
-#include "ownership/desk.h"
+#include "ownership/lease_manager.h"
 
 #include <algorithm>
 #include <utility>
@@ -25,8 +25,8 @@
   return "parked";
 }
 
-Desk::Desk(std::string self, std::string incarnation, std::string zone, std::set<std::string> kinds,
-           const DeskRules& rules)
+LeaseManager::LeaseManager(std::string self, std::string incarnation, std::string zone,
+                           std::set<std::string> kinds, const LeaseManagerRules& rules)
     : self_(std::move(self)),
       incarnation_(std::move(incarnation)),
       zone_(std::move(zone)),
@@ -35,9 +35,11 @@
 
 // ---- What the store told ----
 
-void Desk::members(Micros, std::map<std::string, std::string> members) { members_ = std::move(members); }
+void LeaseManager::members(Micros, std::map<std::string, std::string> members) {
+  members_ = std::move(members);
+}
 
-void Desk::work(Micros now, const std::string& name, std::optional<Work> work) {
+void LeaseManager::work(Micros now, const std::string& name, std::optional<Work> work) {
   if (!work) {
     works_.erase(name);
     return;  // its shards are let go by their steps
@@ -52,7 +54,8 @@
   }
 }
 
-void Desk::owner(Micros now, const ShardId& id, std::optional<Owner> owner, coordination::Revision revision) {
+void LeaseManager::owner(Micros now, const ShardId& id, std::optional<Owner> owner,
+                         coordination::Revision revision) {
   if (owner) {
     owners_[id] = *owner;
   } else {
@@ -74,7 +77,7 @@
   }
 }
 
-void Desk::done(Micros, const ShardId& id, bool done) {
+void LeaseManager::done(Micros, const ShardId& id, bool done) {
   if (done) {
     done_.insert(id);
   } else {
@@ -82,7 +85,7 @@
   }
 }
 
-void Desk::release_asked(Micros, const ShardId& id, const std::string& from) {
+void LeaseManager::release_asked(Micros, const ShardId& id, const std::string& from) {
   if (from.empty()) {
     releases_.erase(id);
   } else {
@@ -90,18 +93,18 @@
   }
 }
 
-void Desk::allow(Micros now, std::optional<std::set<std::string>> kinds) {
+void LeaseManager::allow(Micros now, std::optional<std::set<std::string>> kinds) {
   allowed_ = std::move(kinds);
   for (const auto& [name, known] : std::map<std::string, Work>(works_)) {
     work(now, name, known);  // its shards may have been forgotten meanwhile
   }
 }
 
-void Desk::shadowed(Micros, bool shadowed) { shadowed_ = shadowed; }
-void Desk::heard(Micros, bool heard) { heard_ = heard; }
-void Desk::drain(Micros) { draining_ = true; }
+void LeaseManager::shadowed(Micros, bool shadowed) { shadowed_ = shadowed; }
+void LeaseManager::heard(Micros, bool heard) { heard_ = heard; }
+void LeaseManager::drain(Micros) { draining_ = true; }
 
-bool Desk::drained() const {
+bool LeaseManager::drained() const {
   return std::all_of(shards_.begin(), shards_.end(), [](const auto& one) {
     return one.second.term == 0 && one.second.phase == ShardPhase::kAway;
   });
@@ -109,7 +112,7 @@
 
 // ---- Answers ----
 
-void Desk::acquired(Micros now, const ShardId& id, std::uint64_t number, const Acquired& acquired) {
+void LeaseManager::acquired(Micros now, const ShardId& id, std::uint64_t number, const Acquired& acquired) {
   Shard* const shard = find(id);
   if (shard == nullptr || shard->phase != ShardPhase::kAsking) {
     return;
@@ -139,7 +142,7 @@
   }
 }
 
-void Desk::renewed(Micros now, const ShardId& id, std::uint64_t number, bool alive) {
+void LeaseManager::renewed(Micros now, const ShardId& id, std::uint64_t number, bool alive) {
   Shard* const shard = find(id);
   if (shard == nullptr) {
     return;
@@ -155,7 +158,7 @@
   }
 }
 
-void Desk::released(Micros now, const ShardId& id, std::uint64_t number) {
+void LeaseManager::released(Micros now, const ShardId& id, std::uint64_t number) {
   Shard* const shard = find(id);
   if (shard == nullptr) {
     return;
@@ -170,7 +173,7 @@
   }
 }
 
-void Desk::lost(Micros now, const ShardId& id, std::uint64_t number) {
+void LeaseManager::lost(Micros now, const ShardId& id, std::uint64_t number) {
   if (Shard* const shard = find(id)) {
     shard->lease.lost(now, number);
     if (shard->phase == ShardPhase::kAsking) {
@@ -179,7 +182,7 @@
   }
 }
 
-void Desk::recorded(Micros now, const ShardId& id, std::uint64_t number, const Recorded& recorded) {
+void LeaseManager::recorded(Micros now, const ShardId& id, std::uint64_t number, const Recorded& recorded) {
   Shard* const shard = find(id);
   if (shard == nullptr || !shard->write_out || shard->write_number != number || shard->term == 0) {
     return;
@@ -223,7 +226,7 @@
   shard->phase = ShardPhase::kDelayed;
 }
 
-void Desk::record_lost(Micros now, const ShardId& id, std::uint64_t number) {
+void LeaseManager::record_lost(Micros now, const ShardId& id, std::uint64_t number) {
   Shard* const shard = find(id);
   if (shard != nullptr && shard->write_out && shard->write_number == number) {
     shard->write_out = false;  // the same is written again: where it was done, that shows
@@ -231,9 +234,9 @@
   }
 }
 
-// ---- The duty's words ----
+// ---- The task's words ----
 
-void Desk::checkpoint(Micros, const ShardId& id, Term term, std::string checkpoint, bool done) {
+void LeaseManager::checkpoint(Micros, const ShardId& id, Term term, std::string checkpoint, bool done) {
   Shard* const shard = find(id);
   if (shard == nullptr || term == 0 || shard->term != term || !shard->begun) {
     return;
@@ -245,7 +248,7 @@
   shard->waiting = std::move(next);
 }
 
-void Desk::finished(Micros, const ShardId& id, Term term) {
+void LeaseManager::finished(Micros, const ShardId& id, Term term) {
   Shard* const shard = find(id);
   if (shard == nullptr || term == 0 || shard->term != term || !shard->begun) {
     return;
@@ -259,7 +262,7 @@
   }
 }
 
-bool Desk::may_act(Micros now, const ShardId& id, Term term) const {
+bool LeaseManager::may_act(Micros now, const ShardId& id, Term term) const {
   const auto found = shards_.find(id);
   if (found == shards_.end() || term == 0) {
     return false;
@@ -270,12 +273,12 @@
 
 // ---- Steps ----
 
-Desk::Shard* Desk::find(const ShardId& id) {
+LeaseManager::Shard* LeaseManager::find(const ShardId& id) {
   const auto found = shards_.find(id);
   return found == shards_.end() ? nullptr : &found->second;
 }
 
-const Work* Desk::work_of(const ShardId& id) const {
+const Work* LeaseManager::work_of(const ShardId& id) const {
   const auto found = works_.find(id.work);
   const bool known = found != works_.end() && id.shard < found->second.shards &&
                      kinds_.contains(found->second.kind) &&
@@ -283,7 +286,7 @@
   return known ? &found->second : nullptr;
 }
 
-std::vector<std::string> Desk::candidates(const Work& work) const {
+std::vector<std::string> LeaseManager::candidates(const Work& work) const {
   std::vector<std::string> out;
   for (const auto& [name, zone] : members_) {
     if (work.zone.empty() || zone == work.zone) {
@@ -293,13 +296,13 @@
   return out;
 }
 
-std::size_t Desk::held() const {
+std::size_t LeaseManager::held() const {
   return static_cast<std::size_t>(std::count_if(shards_.begin(), shards_.end(), [](const auto& one) {
     return one.second.term != 0 || one.second.phase == ShardPhase::kAsking;
   }));
 }
 
-std::optional<Micros> Desk::ask_at(const ShardId& id, const Shard& shard) const {
+std::optional<Micros> LeaseManager::ask_at(const ShardId& id, const Shard& shard) const {
   const Work* const work = work_of(id);
   const bool open = work != nullptr && !work->paused && !draining_ && !shadowed_ && heard_ &&
                     shard.phase == ShardPhase::kAway && shard.term == 0 &&
@@ -313,11 +316,11 @@
     return std::nullopt;
   }
   const Micros wait =
-      wait_for_turn(turn_of(id.work, id.shard, self_, names), rules_.turn, rules_.longest_turn);
+      wait_for_slot(slot_of(id.work, id.shard, self_, names), rules_.slot, rules_.longest_slot);
   return std::max(shard.vacant_since + wait, shard.not_before);
 }
 
-Micros Desk::pause_after(std::uint64_t starts) const {
+Micros LeaseManager::pause_after(std::uint64_t starts) const {
   if (starts < 2) {
     return Micros(0);
   }
@@ -328,7 +331,7 @@
   return std::min(out, rules_.longest_poison_pause);
 }
 
-Progress Desk::next_progress(const Shard& shard) const {
+Progress LeaseManager::next_progress(const Shard& shard) const {
   Progress out = shard.writing ? *shard.writing : shard.kept.progress;
   out.writes = out.term == shard.term ? out.writes + 1 : 1;
   out.term = shard.term;
@@ -337,7 +340,7 @@
 }
 
 // It is not owned any more, whoever said so. A lease that stands is given back.
-void Desk::leave(Micros now, const ShardId& id, Shard& shard) {
+void LeaseManager::leave(Micros now, const ShardId& id, Shard& shard) {
   if (shard.begun) {
     out_.push_back(Abandon{id, shard.term});
   }
@@ -355,7 +358,7 @@
   shard.better_since = Micros(-1);
 }
 
-void Desk::begin_yield(Micros now, const ShardId& id, Shard& shard) {
+void LeaseManager::begin_yield(Micros now, const ShardId& id, Shard& shard) {
   if (shard.phase == ShardPhase::kYielding) {
     return;
   }
@@ -373,7 +376,7 @@
 }
 
 // Whether this router is still the one to own it.
-void Desk::judge_place(Micros now, const ShardId& id, Shard& shard, const Work* work) {
+void LeaseManager::judge_place(Micros now, const ShardId& id, Shard& shard, const Work* work) {
   const auto asked = releases_.find(id);
   if (asked != releases_.end() && asked->second == self_) {
     releases_.erase(asked);
@@ -397,8 +400,8 @@
   }
 }
 
-// The start has to be in the store before the duty begins.
-void Desk::record_start(Micros now, const Work& work, Shard& shard) {
+// The start has to be in the store before the task begins.
+void LeaseManager::record_start(Micros now, const Work& work, Shard& shard) {
   const Progress& kept = shard.kept.progress;
   if (kept.parked && kept.resumed >= work.resumed) {
     shard.phase = ShardPhase::kParked;
@@ -418,7 +421,7 @@
   shard.waiting = std::move(next);
 }
 
-void Desk::write_next(Micros now, const ShardId& id, Shard& shard) {
+void LeaseManager::write_next(Micros now, const ShardId& id, Shard& shard) {
   if (shard.write_out || now < shard.write_after || !shard.lease.may_act(now)) {
     return;
   }
@@ -432,7 +435,7 @@
   out_.push_back(Write{id, ++shard.write_number, shard.term, shard.kept.modified, *shard.writing});
 }
 
-void Desk::step_owned(Micros now, const ShardId& id, Shard& shard) {
+void LeaseManager::step_owned(Micros now, const ShardId& id, Shard& shard) {
   const Work* const work = work_of(id);
   if (shard.lease.phase(now) == Phase::kDoubtful) {
     if (shard.begun) {
@@ -489,7 +492,7 @@
   write_next(now, id, shard);
 }
 
-void Desk::step(Micros now, const ShardId& id, Shard& shard) {
+void LeaseManager::step(Micros now, const ShardId& id, Shard& shard) {
   if (shard.term != 0 && shard.lease.phase(now) != Phase::kStopped) {
     step_owned(now, id, shard);
   }
@@ -510,7 +513,7 @@
   }
 }
 
-std::vector<DeskOrder> Desk::due(Micros now) {
+std::vector<LeaseManagerOrder> LeaseManager::due(Micros now) {
   for (auto& [id, shard] : shards_) {
     step(now, id, shard);
   }
@@ -522,7 +525,7 @@
   return std::exchange(out_, {});
 }
 
-std::optional<Micros> Desk::next(Micros now) const {
+std::optional<Micros> LeaseManager::next(Micros now) const {
   std::optional<Micros> out;
   const auto add = [&out, now](std::optional<Micros> when) {
     if (when) {
@@ -558,7 +561,7 @@
   return out;
 }
 
-std::vector<ShardSeen> Desk::all(Micros now) const {
+std::vector<ShardSeen> LeaseManager::all(Micros now) const {
   std::vector<ShardSeen> out;
   for (const auto& [id, shard] : shards_) {
     const auto owner = owners_.find(id);
--- a/src/ownership/desk.h
+++ b/src/ownership/lease_manager.h
@@ -1,10 +1,11 @@
 // One router's part in all owned work: which shards it may try to own and when, what it has to ask the store,
-// when a duty begins and ends, and whether an effect may be begun now. The lease of each shard (lease.h) says
-// for how long; the desk says whether at all.
+// when a task begins and ends, and whether an effect may be begun now. The lease of each shard (lease.h) says
+// for how long; the manager says whether at all.
 //
 // A shard's life at one router:
 //
-//     away ──(nobody owns it, my turn)──> asking ──(granted)──> recording ──(kept)──> delayed ──> running
+//     away ──(nobody owns it, my time slot)──> asking ──(granted)──> recording ──(kept)──> delayed ──>
+//     running
 //      ^                                                            │                               │
 //      └──(lost, refused, let go)── yielding <──(drain, hand-over, paused, better owner)────────────┘
 //                                                                   └──> parked (too many died of it)
@@ -30,10 +31,10 @@
 
 namespace trailcourse::ownership {
 
-struct DeskRules {
+struct LeaseManagerRules {
   LeaseRules lease;
-  Micros turn{200'000};            // a candidate waits so long for each one before it
-  Micros longest_turn{2'000'000};  // and no longer than that in all
+  Micros slot{200'000};            // a candidate waits so long for each one before it
+  Micros longest_slot{2'000'000};  // and no longer than that in all
   Micros settle{10'000'000};   // a better owner has to be there for so long before the shard is handed to it
   Micros yield_most{500'000};  // for the last checkpoint, when a shard is let go
   Micros stand_back{5'000'000};    // who let go on request does not ask again for so long
@@ -58,20 +59,20 @@
   coordination::Revision modified = 0;
   Progress progress;
 };
-struct Begin {  // the duty, from this checkpoint
+struct Begin {  // the task, from this checkpoint
   ShardId id;
   Term term = 0;
   std::string checkpoint;
 };
-struct Finish {  // the duty is to come to an end, and to say its last checkpoint
+struct Finish {  // the task is to come to an end, and to say its last checkpoint
   ShardId id;
   Term term = 0;
 };
-struct Abandon {  // the duty stops at once: it does not own the shard any more, or cannot know
+struct Abandon {  // the task stops at once: it does not own the shard any more, or cannot know
   ShardId id;
   Term term = 0;
 };
-using DeskOrder = std::variant<AskLease, Write, Begin, Finish, Abandon>;
+using LeaseManagerOrder = std::variant<AskLease, Write, Begin, Finish, Abandon>;
 
 // What staff see of a shard.
 struct ShardSeen {
@@ -83,15 +84,15 @@
   std::uint64_t starts = 0;
 };
 
-struct DeskCounts {
+struct LeaseManagerCounts {
   std::uint64_t acquired = 0, lost = 0, yielded = 0, parked = 0, checkpoints = 0, refused_writes = 0;
 };
 
-class Desk {
+class LeaseManager {
  public:
   // The kinds of work that this router can do.
-  Desk(std::string self, std::string incarnation, std::string zone, std::set<std::string> kinds,
-       const DeskRules& rules);
+  LeaseManager(std::string self, std::string incarnation, std::string zone, std::set<std::string> kinds,
+               const LeaseManagerRules& rules);
 
   // What the store told. `members`: those that may be given work, with their zones.
   void members(Micros now, std::map<std::string, std::string> members);
@@ -119,18 +120,18 @@
   void recorded(Micros now, const ShardId& id, std::uint64_t number, const Recorded& recorded);
   void record_lost(Micros now, const ShardId& id, std::uint64_t number);
 
-  // The duty's words. A checkpoint is kept as soon as the one before is; `done`: nothing is left to do.
+  // The task's words. A checkpoint is kept as soon as the one before is; `done`: nothing is left to do.
   void checkpoint(Micros now, const ShardId& id, Term term, std::string checkpoint, bool done);
   // It has come to its end after Finish; its last checkpoint was said before.
   void finished(Micros now, const ShardId& id, Term term);
   // Whether an effect under this term may be begun now: to be asked before each.
   bool may_act(Micros now, const ShardId& id, Term term) const;
 
-  std::vector<DeskOrder> due(Micros now);
+  std::vector<LeaseManagerOrder> due(Micros now);
   std::optional<Micros> next(Micros now) const;
 
   std::vector<ShardSeen> all(Micros now) const;
-  const DeskCounts& counts() const { return counts_; }
+  const LeaseManagerCounts& counts() const { return counts_; }
 
  private:
   struct Shard {
@@ -147,7 +148,7 @@
     Micros write_after{0};
     std::optional<Progress> waiting;  // to be written next
     Micros begin_at{0};
-    bool begun = false;  // the duty was told to begin
+    bool begun = false;  // the task was told to begin
     bool ended = false;  // and said that it has come to its end
     Micros yield_since{-1};
     Micros better_since{-1};  // since when another should own it
@@ -175,18 +176,18 @@
   std::string zone_;
   std::set<std::string> kinds_;
   std::optional<std::set<std::string>> allowed_;
-  DeskRules rules_;
+  LeaseManagerRules rules_;
   std::map<std::string, std::string> members_;
   std::map<std::string, Work> works_;
   std::map<ShardId, Shard> shards_;
   std::map<ShardId, Owner> owners_;  // as told, also of work that is not known yet
   std::set<ShardId> done_;
   std::map<ShardId, std::string> releases_;
-  std::vector<DeskOrder> out_;
+  std::vector<LeaseManagerOrder> out_;
   bool shadowed_ = false;
   bool heard_ = false;
   bool draining_ = false;
-  DeskCounts counts_;
+  LeaseManagerCounts counts_;
 };
 
 }  // namespace trailcourse::ownership
--- a/src/ownership/shards.cpp
+++ b/src/ownership/shards.cpp
@@ -28,16 +28,16 @@
   return first == members.end() ? std::string() : *first;
 }
 
-std::size_t turn_of(const std::string& work, std::size_t shard, const std::string& member,
+std::size_t slot_of(const std::string& work, std::size_t shard, const std::string& member,
                     const std::vector<std::string>& members) {
   return static_cast<std::size_t>(std::count_if(
       members.begin(), members.end(),
       [&](const std::string& other) { return other != member && before(work, shard, other, member); }));
 }
 
-Micros wait_for_turn(std::size_t turn, Micros step, Micros longest) {
+Micros wait_for_slot(std::size_t slot, Micros step, Micros longest) {
   const auto most = step.count() > 0 ? static_cast<std::size_t>(longest / step) : 0;
-  return step * static_cast<Micros::rep>(std::min(turn, most));
+  return step * static_cast<Micros::rep>(std::min(slot, most));
 }
 
 std::size_t moved(const std::string& work, std::size_t shards, const std::vector<std::string>& before_members,
--- a/src/ownership/shards.h
+++ b/src/ownership/shards.h
@@ -17,11 +17,11 @@
 std::string owner_of(const std::string& work, std::size_t shard, const std::vector<std::string>& members);
 
 // The place of a member in the order of candidates for a shard, 0 for its owner by hash.
-std::size_t turn_of(const std::string& work, std::size_t shard, const std::string& member,
+std::size_t slot_of(const std::string& work, std::size_t shard, const std::string& member,
                     const std::vector<std::string>& members);
 
 // How long a candidate waits for those before it: a step each, up to the longest.
-Micros wait_for_turn(std::size_t turn, Micros step, Micros longest);
+Micros wait_for_slot(std::size_t slot, Micros step, Micros longest);
 
 // Shards that belong to another member than before.
 std::size_t moved(const std::string& work, std::size_t shards, const std::vector<std::string>& before,
--- a/src/ownership/work.h
+++ b/src/ownership/work.h
@@ -25,7 +25,7 @@
 
 struct Work {
   std::string name;
-  std::string kind;  // which duty carries it out
+  std::string kind;  // which task carries it out
   std::string zone;  // whose members may own it; empty: all
   std::uint64_t shards = 1;
   bool paused = false;
@@ -50,7 +50,7 @@
   bool parked = false;        // not tried any more until staff resume it
   std::uint64_t resumed = 0;  // the work's count when it was parked
   std::string by;
-  std::string checkpoint;  // of the duty
+  std::string checkpoint;  // of the task
   bool done = false;
 
   friend bool operator==(const Progress&, const Progress&) = default;
--- a/src/program/aggregator_command.cpp
+++ b/src/program/aggregator_command.cpp
@@ -7,18 +7,18 @@
 #include <utility>
 
 #include "aggregation/service.h"
-#include "duties/conductor.h"
-#include "duties/steward.h"
 #include "program/descriptors.h"
 #include "program/fleet_work.h"
 #include "program/signals.h"
+#include "tasks/policy_change_task.h"
+#include "tasks/task_runner.h"
 #include "transport/log.h"
 
 namespace trailcourse::program {
 
 using aggregation::Service;
-using duties::Steward;
 using std::chrono::milliseconds;
+using tasks::TaskRunner;
 using transport::Clock;
 using transport::Level;
 using transport::log_line;
@@ -30,10 +30,10 @@
 constexpr std::int64_t kReservedDescriptors = 64;  // standard streams, epoll, listener, calls to the store
 
 // An aggregator drives changes of policy, and does no other work of the fleet.
-duties::OwnershipOptions own_work(const OperatorFile& file) {
-  duties::OwnershipOptions out = file.ownership;
-  const auto is_other = [](const std::string& kind) { return kind != duties::kPolicyWork; };
-  const bool told = out.kinds != duties::OwnershipOptions{}.kinds;
+tasks::OwnershipOptions own_work(const OperatorFile& file) {
+  tasks::OwnershipOptions out = file.ownership;
+  const auto is_other = [](const std::string& kind) { return kind != tasks::kPolicyWork; };
+  const bool told = out.kinds != tasks::OwnershipOptions{}.kinds;
   if (told && std::any_of(out.kinds.begin(), out.kinds.end(), is_other)) {
     log_line(Level::kWarning) << "ownership.kinds: an aggregator takes on the kind policy alone";
   }
@@ -42,12 +42,12 @@
 }
 
 // Waits until no router has permission from here, and the policy's work has gone to another.
-transport::Task<void> end_aggregator(transport::Scheduler& scheduler, Service& service, Steward& steward) {
+transport::Task<void> end_aggregator(transport::Scheduler& scheduler, Service& service, TaskRunner& runner) {
   service.drain();
-  steward.drain();
+  runner.drain();
   const Clock::time_point asked = Clock::now();
   const Micros most = service.longest_ttl() + kDrainMore;
-  while (!(service.drained() && steward.drained()) && Clock::now() - asked < most) {
+  while (!(service.drained() && runner.drained()) && Clock::now() - asked < most) {
     co_await scheduler.sleep(kDrainCheck);
   }
   log_line(Level::kInfo) << (service.drained() ? "drained, ending" : "ending, not drained in time");
@@ -55,7 +55,7 @@
 }
 
 transport::Task<void> heed(transport::Scheduler& scheduler, Signals& signals, Service& service,
-                           Steward& steward) {
+                           TaskRunner& runner) {
   bool ending = false;
   for (;;) {
     const int signal = co_await signals.next();
@@ -64,7 +64,7 @@
     } else if (!std::exchange(ending, true)) {
       log_line(Level::kInfo) << "signal " << signal << ": draining, " << service.core().routers()
                              << " routers have permission";
-      scheduler.spawn(end_aggregator(scheduler, service, steward));
+      scheduler.spawn(end_aggregator(scheduler, service, runner));
     }
   }
 }
@@ -82,14 +82,16 @@
   const std::unique_ptr<coordination::SharedStore> store = open_store(scheduler, file.coordination, seed);
   Service service(scheduler, *store, options, prefix, seed);
   // Of no zone: work that is bound to a zone is its routers'.
-  Steward steward(scheduler, *store, own_work(file), prefix,
-                  Steward::Self{options.name, service.core().identity().incarnation, "", options.listen, ""});
-  steward.add(duties::kPolicyWork, [&](duties::Charge charge) {
-    return std::make_unique<duties::Conductor>(scheduler, *store, prefix, file.policy, std::move(charge));
+  TaskRunner runner(
+      scheduler, *store, own_work(file), prefix,
+      TaskRunner::Self{options.name, service.core().identity().incarnation, "", options.listen, ""});
+  runner.add(tasks::kPolicyWork, [&](tasks::TaskContext context) {
+    return std::make_unique<tasks::PolicyChangeTask>(scheduler, *store, prefix, file.policy,
+                                                     std::move(context));
   });
   service.start();
-  steward.start();
-  scheduler.spawn(heed(scheduler, signals, service, steward));
+  runner.start();
+  scheduler.spawn(heed(scheduler, signals, service, runner));
   log_line(Level::kInfo) << "aggregator " << options.name << " listens on " << options.listen << ", serves "
                          << options.zones.size() << " zones";
   scheduler.run();
--- a/src/program/configuration.cpp
+++ b/src/program/configuration.cpp
@@ -126,12 +126,12 @@
   out.has_relay = read(relay_record(), out.relay);
   read(coordination::coordination_record(), out.coordination);
   read(aggregation::aggregation_record(), out.aggregation);
-  read(duties::ownership_record(), out.ownership);
+  read(tasks::ownership_record(), out.ownership);
   read(policy::policy_record(), out.policy);
   check_relay(out.relay);
   check_coordination(out.coordination);
   aggregation::check_aggregation(out.aggregation);
-  duties::check_ownership(out.ownership);
+  tasks::check_ownership(out.ownership);
   policy::check_policy(out.policy);
   if (out.policy.follow && out.coordination.store == "none" && out.aggregation.endpoints.empty()) {
     fail("policy.follow", "no store is named in the section coordination, and no endpoint in aggregation");
--- a/src/program/fleet_work.cpp
+++ b/src/program/fleet_work.cpp
@@ -5,10 +5,10 @@
 
 #include "coordination/embedded_store.h"
 #include "coordination/etcd_store.h"
-#include "duties/conductor.h"
-#include "duties/filler.h"
-#include "duties/prober.h"
-#include "duties/reporter.h"
+#include "tasks/filler.h"
+#include "tasks/policy_change_task.h"
+#include "tasks/prober.h"
+#include "tasks/reporter.h"
 #include "transport/log.h"
 
 namespace trailcourse::program {
@@ -65,37 +65,38 @@
 }
 
 void FleetWork::take_on_work() {
-  const duties::OwnershipOptions& options = configuration_.start.ownership;
+  const tasks::OwnershipOptions& options = configuration_.start.ownership;
   const std::string& prefix = configuration_.start.coordination.prefix;
-  steward_.emplace(
+  task_runner_.emplace(
       scheduler_, *store_, options, prefix,
-      duties::Steward::Self{configuration_.name, incarnation_of(configuration_.seed),
-                            configuration_.profile.settings.zone, to_string(configuration_.listen), ""});
-  steward_->add("probe", [this, prefix, options](duties::Charge charge) {
-    return std::make_unique<duties::Prober>(scheduler_, *store_, prefix, directory_, options,
-                                            std::move(charge));
+      tasks::TaskRunner::Self{configuration_.name, incarnation_of(configuration_.seed),
+                              configuration_.profile.settings.zone, to_string(configuration_.listen), ""});
+  task_runner_->add("probe", [this, prefix, options](tasks::TaskContext context) {
+    return std::make_unique<tasks::Prober>(scheduler_, *store_, prefix, directory_, options,
+                                           std::move(context));
   });
-  steward_->add("fill", [this, options](duties::Charge charge) {
-    return std::make_unique<duties::Filler>(scheduler_, router_, configuration_.profile, options,
-                                            configuration_.seed ^ kFillSeed, std::move(charge));
+  task_runner_->add("fill", [this, options](tasks::TaskContext context) {
+    return std::make_unique<tasks::Filler>(scheduler_, router_, configuration_.profile, options,
+                                           configuration_.seed ^ kFillSeed, std::move(context));
   });
-  steward_->add("report", [this, prefix, options](duties::Charge charge) {
-    return std::make_unique<duties::Reporter>(scheduler_, *store_, prefix, options, std::move(charge));
+  task_runner_->add("report", [this, prefix, options](tasks::TaskContext context) {
+    return std::make_unique<tasks::Reporter>(scheduler_, *store_, prefix, options, std::move(context));
   });
-  steward_->add(duties::kPolicyWork, [this, prefix](duties::Charge charge) {
-    return std::make_unique<duties::Conductor>(scheduler_, *store_, prefix, configuration_.start.policy,
-                                               std::move(charge));
+  task_runner_->add(tasks::kPolicyWork, [this, prefix](tasks::TaskContext context) {
+    return std::make_unique<tasks::PolicyChangeTask>(scheduler_, *store_, prefix, configuration_.start.policy,
+                                                     std::move(context));
+  });
+  task_runner_->tell_keys(tasks::kVerdicts, [this](const std::string& key, const std::string& value) {
+    hear_verdict(key, value);
   });
-  steward_->tell_keys(duties::kVerdicts,
-                      [this](const std::string& key, const std::string& value) { hear_verdict(key, value); });
   router_.watch_attempts(
       [this](const std::string& cache, Status status, Note note) { attempt_ended(cache, status, note); });
 }
 
 void FleetWork::follow_policy() {
-  const duties::PolicyKeeper::Self self{configuration_.name, incarnation_of(configuration_.seed),
-                                        configuration_.profile.settings.zone,
-                                        static_cast<std::int64_t>(configuration_.most_open_requests())};
+  const tasks::PolicyFollower::Self self{configuration_.name, incarnation_of(configuration_.seed),
+                                         configuration_.profile.settings.zone,
+                                         static_cast<std::int64_t>(configuration_.most_open_requests())};
   policy_.emplace(scheduler_, policy_store_ ? *policy_store_ : *store_, configuration_.start.policy,
                   configuration_.start.coordination.prefix, self, configuration_.profile, router_,
                   [this](std::optional<std::set<std::string>> kinds) { allow(std::move(kinds)); });
@@ -103,20 +104,20 @@
 
 // What work the policy in force lets this router own.
 void FleetWork::allow(std::optional<std::set<std::string>> kinds) {
-  if (!steward_) {
+  if (!task_runner_) {
     return;
   }
   if (kinds) {
-    kinds->insert(duties::kPolicyWork);  // else no policy could ever be changed
+    kinds->insert(tasks::kPolicyWork);  // else no policy could ever be changed
   }
-  steward_->allow(std::move(kinds));
+  task_runner_->allow(std::move(kinds));
 }
 
 FleetWork::~FleetWork() { *alive_ = false; }
 
 void FleetWork::start() {
-  if (steward_) {
-    steward_->start();
+  if (task_runner_) {
+    task_runner_->start();
     scheduler_.spawn(count());
   }
   if (policy_) {
@@ -131,8 +132,8 @@
 }
 
 void FleetWork::drain() {
-  if (steward_) {
-    steward_->drain();
+  if (task_runner_) {
+    task_runner_->drain();
   }
 }
 
@@ -153,12 +154,12 @@
 void FleetWork::tell_suspects() {
   const std::string& zone = configuration_.profile.settings.zone;
   for (const auto& [cache, suspect] : suspects_.changes()) {
-    steward_->keep(duties::suspect_key(zone, cache, configuration_.name), suspect ? "1" : "");
+    task_runner_->keep(tasks::suspect_key(zone, cache, configuration_.name), suspect ? "1" : "");
   }
 }
 
 void FleetWork::hear_verdict(const std::string& key, const std::string& value) {
-  const std::string stem = duties::kVerdicts + configuration_.profile.settings.zone + "/";
+  const std::string stem = tasks::kVerdicts + configuration_.profile.settings.zone + "/";
   if (!key.starts_with(stem)) {
     return;  // another zone's
   }
@@ -167,7 +168,7 @@
     verdicts_.withdrawn(cache);
     return;
   }
-  const std::optional<duties::Verdict> verdict = duties::read_verdict(cache, value);
+  const std::optional<tasks::Verdict> verdict = tasks::read_verdict(cache, value);
   const Micros now = std::chrono::duration_cast<Micros>(Clock::now().time_since_epoch());
   const std::optional<Observed> seen = verdict ? verdicts_.heard(now, *verdict) : std::nullopt;
   if (!seen) {
@@ -191,8 +192,8 @@
       co_return;
     }
     const routing::RouterCounts& counts = router_.counts();
-    duties::Counters counters;
-    counters.incarnation = steward_->self().incarnation;
+    tasks::Counters counters;
+    counters.incarnation = task_runner_->self().incarnation;
     counters.values = {{"requests", counts.requests},
                        {"served", counts.served},
                        {"refused", counts.refused},
@@ -200,7 +201,7 @@
                        {"left", counts.left},
                        {"attempts", counts.attempts},
                        {"attempts_failed", counts.attempts_failed}};
-    steward_->keep(duties::kCounters + configuration_.name, duties::write_counters(counters));
+    task_runner_->keep(tasks::kCounters + configuration_.name, tasks::write_counters(counters));
   }
 }
 
--- a/src/program/fleet_work.h
+++ b/src/program/fleet_work.h
@@ -1,4 +1,4 @@
-// A router's part in the fleet's work, put together: the store, the steward, its duties, the policy, and what
+// A router's part in the fleet's work, put together: the store, the runner, its tasks, the policy, and what
 // the router tells them and hears from them. There only where the operator's file names a store, or the
 // aggregators of its region, which stand for the store where only the policy is followed.
 #pragma once
@@ -9,12 +9,12 @@
 #include <string>
 
 #include "coordination/shared_store.h"
-#include "duties/policy_keeper.h"
-#include "duties/steward.h"
-#include "duties/suspects.h"
 #include "program/configuration.h"
 #include "routing/directory.h"
 #include "routing/router.h"
+#include "tasks/policy_follower.h"
+#include "tasks/suspects.h"
+#include "tasks/task_runner.h"
 
 namespace trailcourse::program {
 
@@ -35,14 +35,14 @@
   void start();
   void drain();
   // Whether all is let go, or there was nothing.
-  bool drained() const { return !steward_ || steward_->drained(); }
+  bool drained() const { return !task_runner_ || task_runner_->drained(); }
   // Whether requests may be taken, as far as the fleet's policy goes.
   bool ready() const { return !policy_ || policy_->ready(); }
   // Gives the permission of the policy back: nothing arrives any more.
   void leave();
   bool left() const { return !policy_ || policy_->stopped(); }
   // One object of JSON each; empty where there is no such thing.
-  std::string status() const { return steward_ ? steward_->status() : std::string(); }
+  std::string status() const { return task_runner_ ? task_runner_->status() : std::string(); }
   std::string policy_status() const { return policy_ ? policy_->status() : std::string(); }
 
  private:
@@ -60,10 +60,10 @@
   const routing::Directory& directory_;
   std::unique_ptr<coordination::SharedStore> store_;         // null for none
   std::unique_ptr<coordination::SharedStore> policy_store_;  // through aggregators; null for none
-  std::optional<duties::Steward> steward_;
-  std::optional<duties::PolicyKeeper> policy_;
-  duties::SuspectBook suspects_;
-  duties::VerdictBook verdicts_;
+  std::optional<tasks::TaskRunner> task_runner_;
+  std::optional<tasks::PolicyFollower> policy_;
+  tasks::SuspectBook suspects_;
+  tasks::VerdictBook verdicts_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/program/node_commands.cpp
+++ b/src/program/node_commands.cpp
@@ -110,7 +110,7 @@
   const std::string fence_folder = !file.cache.fence_folder.empty() ? file.cache.fence_folder
                                    : !file.store.folder.empty()     ? file.store.folder + ".fence"
                                                                     : std::string();
-  fencing::TermBook terms(
+  fencing::TokenStore terms(
       fence_folder.empty() ? nullptr : std::shared_ptr<store::Files>(store::open_folder(fence_folder)), pool);
   node.use(terms);
   node.start();
--- a/src/program/operator_file.cpp
+++ b/src/program/operator_file.cpp
@@ -25,7 +25,7 @@
   visit(coordination::registry_record(), file.registry);
   visit(aggregation::aggregator_record(), file.aggregator);
   visit(aggregation::aggregation_record(), file.aggregation);
-  visit(duties::ownership_record(), file.ownership);
+  visit(tasks::ownership_record(), file.ownership);
   visit(policy::policy_record(), file.policy);
   visit(tuning_record(), file.router);
 }
@@ -72,7 +72,7 @@
     check_coordination(file.coordination);
   }
   if (has("ownership")) {
-    duties::check_ownership(file.ownership);
+    tasks::check_ownership(file.ownership);
   }
   if (has("policy")) {
     policy::check_policy(file.policy);
--- a/src/program/operator_file.h
+++ b/src/program/operator_file.h
@@ -10,10 +10,10 @@
 #include "board/board_core.h"
 #include "cache_node/node_options.h"
 #include "coordination/options.h"
-#include "duties/options.h"
 #include "policy/options.h"
 #include "program/configuration.h"
 #include "store/options.h"
+#include "tasks/options.h"
 
 namespace trailcourse::program {
 
@@ -30,7 +30,7 @@
   coordination::RegistryOptions registry;
   aggregation::AggregatorOptions aggregator;
   aggregation::AggregationOptions aggregation;
-  duties::OwnershipOptions ownership;
+  tasks::OwnershipOptions ownership;
   policy::PolicyOptions policy;
   Tuning router;
   std::vector<std::string> sections;  // that the file has
--- a/src/program/policy_command.cpp
+++ b/src/program/policy_command.cpp
@@ -8,12 +8,12 @@
 #include <nlohmann/json.hpp>
 #include <ostream>
 
-#include "duties/conductor.h"
 #include "ownership/work.h"
 #include "policy/change.h"
 #include "policy/document.h"
-#include "program/store_desk.h"
+#include "program/store_client.h"
 #include "protocol/numbers.h"
+#include "tasks/policy_change_task.h"
 
 namespace trailcourse::program {
 
@@ -38,13 +38,13 @@
   return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
 }
 
-policy::Seen look(StoreDesk& desk) {
-  return policy::read_seen(desk.prefix(), desk.commit(policy::look(desk.prefix())));
+policy::Seen look(StoreClient& client) {
+  return policy::read_seen(client.prefix(), client.commit(policy::look(client.prefix())));
 }
 
-std::map<std::uint64_t, policy::Document> documents(StoreDesk& desk) {
+std::map<std::uint64_t, policy::Document> documents(StoreClient& client) {
   std::map<std::uint64_t, policy::Document> out;
-  for (const coordination::Entry& entry : desk.get(policy::kDocuments)) {
+  for (const coordination::Entry& entry : client.get(policy::kDocuments)) {
     try {
       policy::Document document = policy::read_document(entry.value);
       const std::uint64_t version = document.version;
@@ -120,12 +120,12 @@
   }
 }
 
-int wait_for(StoreDesk& desk, const PolicyCommand& command, std::uint64_t id, std::ostream& out) {
+int wait_for(StoreClient& client, const PolicyCommand& command, std::uint64_t id, std::ostream& out) {
   const Clock::time_point end = Clock::now() + std::chrono::duration_cast<Clock::duration>(
                                                    std::chrono::duration<double>(command.longest_s));
   std::string told;
   for (;;) {
-    const policy::Seen seen = look(desk);
+    const policy::Seen seen = look(client);
     if (!seen.change || seen.change->id < id) {
       out << "no such change\n";
       return kChangeOpen;
@@ -149,12 +149,12 @@
       print_status(seen, out);
       return kChangeAwaited;
     }
-    desk.pause(kLook);
+    client.pause(kLook);
   }
 }
 
-int propose(StoreDesk& desk, const PolicyCommand& command, std::ostream& out, std::ostream& errors) {
-  const auto all = documents(desk);
+int propose(StoreClient& client, const PolicyCommand& command, std::ostream& out, std::ostream& errors) {
+  const auto all = documents(client);
   policy::Document document;
   if (!command.version.empty()) {
     const auto of = protocol::read_number<std::uint64_t>(command.version);
@@ -170,7 +170,7 @@
   }
   document.author = !command.author.empty() ? command.author : document.author;
   document.reason = !command.reason.empty() ? command.reason : document.reason;
-  const policy::Seen seen = look(desk);
+  const policy::Seen seen = look(client);
   bool superseded = false;
   if (const std::string why = policy::may_begin(seen, command.urgent, superseded); !why.empty()) {
     errors << "trailcourse: policy: " << why << '\n';
@@ -191,20 +191,20 @@
   const std::string audit = std::to_string(unix_ms()) + " " + document.author + ": " + document.reason +
                             (superseded ? "; supersedes change " + std::to_string(seen.change->id) : "");
   coordination::Transaction write =
-      policy::begin(desk.prefix(), seen, change, policy::write_text(document), audit);
-  if (!desk.commit(write).succeeded) {
+      policy::begin(client.prefix(), seen, change, policy::write_text(document), audit);
+  if (!client.commit(write).succeeded) {
     errors << "trailcourse: policy: things changed meanwhile; nothing was done\n";
     return kChangeOpen;
   }
   // Somebody has to drive it: the work is there from the first change on.
   ownership::Work work;
-  work.name = duties::kPolicyWork;
-  work.kind = duties::kPolicyWork;
-  const std::string key = desk.key(ownership::kWork + work.name);
+  work.name = tasks::kPolicyWork;
+  work.kind = tasks::kPolicyWork;
+  const std::string key = client.key(ownership::kWork + work.name);
   coordination::Transaction drive;
   drive.when = {coordination::absent(key)};
   drive.then = {coordination::Put{key, ownership::write_work(work), 0}};
-  desk.commit(drive);
+  client.commit(drive);
   if (!command.json) {
     out << "change " << change.id << " to version " << change.version << " is proposed\n";
     for (const std::string& line :
@@ -214,11 +214,11 @@
   } else if (!command.wait) {
     out << json{{"change", change.id}, {"version", change.version}}.dump() << '\n';
   }
-  return command.wait ? wait_for(desk, command, change.id, out) : 0;
+  return command.wait ? wait_for(client, command, change.id, out) : 0;
 }
 
-int abort(StoreDesk& desk, const PolicyCommand& command, std::ostream& out, std::ostream& errors) {
-  const policy::Seen seen = look(desk);
+int abort(StoreClient& client, const PolicyCommand& command, std::ostream& out, std::ostream& errors) {
+  const policy::Seen seen = look(client);
   const bool can = seen.change && (seen.change->state == policy::ChangeState::kPreparing ||
                                    seen.change->state == policy::ChangeState::kHolding);
   if (!can) {
@@ -234,7 +234,7 @@
   step.change.state = policy::ChangeState::kAborted;
   step.change.why = command.reason.empty() ? "by staff" : command.reason;
   step.audit = std::to_string(unix_ms()) + " aborted by staff: " + step.change.why;
-  if (!desk.commit(policy::carry_out(desk.prefix(), seen, step)).succeeded) {
+  if (!client.commit(policy::carry_out(client.prefix(), seen, step)).succeeded) {
     errors << "trailcourse: policy: things changed meanwhile; nothing was done\n";
     return kChangeOpen;
   }
@@ -242,10 +242,10 @@
   return 0;
 }
 
-int diff(StoreDesk& desk, const PolicyCommand& command, std::ostream& out) {
+int diff(StoreClient& client, const PolicyCommand& command, std::ostream& out) {
   const policy::Document draft = policy::read_draft(text_of(command.file));
-  const auto all = documents(desk);
-  const policy::Seen seen = look(desk);
+  const auto all = documents(client);
+  const policy::Seen seen = look(client);
   const auto lines = policy::difference(content_in_force(all, seen.current), draft.content);
   if (command.json) {
     out << json{{"version", seen.current}, {"lines", lines}}.dump(1) << '\n';
@@ -261,14 +261,14 @@
   return 0;
 }
 
-int history(StoreDesk& desk, const PolicyCommand& command, std::ostream& out) {
+int history(StoreClient& client, const PolicyCommand& command, std::ostream& out) {
   struct Line {
     std::uint64_t change;
     std::uint64_t revision;
     std::string step, text;
   };
   std::vector<Line> lines;
-  for (const coordination::Entry& entry : desk.get(policy::kAudit)) {
+  for (const coordination::Entry& entry : client.get(policy::kAudit)) {
     const std::string rest = entry.key.substr(std::string(policy::kAudit).size());
     lines.push_back({std::strtoull(rest.c_str(), nullptr, 10), entry.modified,
                      rest.substr(rest.find('/') + 1), entry.value});
@@ -290,9 +290,9 @@
   return 0;
 }
 
-int show(StoreDesk& desk, const PolicyCommand& command, std::ostream& out, std::ostream& errors) {
-  const auto all = documents(desk);
-  const auto version = command.version.empty() ? std::optional<std::uint64_t>(look(desk).current)
+int show(StoreClient& client, const PolicyCommand& command, std::ostream& out, std::ostream& errors) {
+  const auto all = documents(client);
+  const auto version = command.version.empty() ? std::optional<std::uint64_t>(look(client).current)
                                                : protocol::read_number<std::uint64_t>(command.version);
   const auto found = version ? all.find(*version) : all.end();
   if (found == all.end()) {
@@ -321,25 +321,25 @@
     if (command.action == "check") {
       return check(command, out);
     }
-    StoreDesk desk(command.store);
+    StoreClient client(command.store);
     if (command.action == "diff") {
-      return diff(desk, command, out);
+      return diff(client, command, out);
     }
     if (command.action == "propose") {
-      return propose(desk, command, out, errors);
+      return propose(client, command, out, errors);
     }
     if (command.action == "abort") {
-      return abort(desk, command, out, errors);
+      return abort(client, command, out, errors);
     }
     if (command.action == "history") {
-      return history(desk, command, out);
+      return history(client, command, out);
     }
     if (command.action == "show") {
-      return show(desk, command, out, errors);
+      return show(client, command, out, errors);
     }
-    const policy::Seen seen = look(desk);
+    const policy::Seen seen = look(client);
     if (command.action == "wait") {
-      return wait_for(desk, command, seen.change ? seen.change->id : 0, out);
+      return wait_for(client, command, seen.change ? seen.change->id : 0, out);
     }
     if (command.json) {
       out << status_json(seen).dump(1) << '\n';
--- a/src/program/start_options.h
+++ b/src/program/start_options.h
@@ -8,11 +8,11 @@
 #include "aggregation/options.h"
 #include "config/record.h"
 #include "coordination/options.h"
-#include "duties/options.h"
 #include "policy/options.h"
 #include "snapshot/snapshot.h"
 #include "startup/rules.h"
 #include "startup/upstream.h"
+#include "tasks/options.h"
 
 namespace trailcourse::program {
 
@@ -42,7 +42,7 @@
   RelayOptions relay;
   coordination::CoordinationOptions coordination;
   aggregation::AggregationOptions aggregation;
-  duties::OwnershipOptions ownership;
+  tasks::OwnershipOptions ownership;
   policy::PolicyOptions policy;
 };
 
--- a/src/program/start_support.cpp
+++ b/src/program/start_support.cpp
@@ -27,7 +27,7 @@
 constexpr std::uint64_t kGateSeed = 0x9e3779b97f4a7c15ULL;
 constexpr std::uint64_t kUpstreamSeed = 0xc2b2ae3d27d4eb4fULL;
 constexpr std::uint64_t kRelaySeed = 0x165667b19e3779f9ULL;
-constexpr std::uint64_t kKeeperSeed = 0x27d4eb2f165667c5ULL;
+constexpr std::uint64_t kWriterSeed = 0x27d4eb2f165667c5ULL;
 
 std::int64_t unix_ms() {
   return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch())
@@ -145,7 +145,7 @@
     log_line(Level::kWarning) << "snapshot: " << error.what() << ": going on without one";
     return;
   }
-  keeper_.emplace(options, configuration_.seed ^ kKeeperSeed);
+  writer_.emplace(options, configuration_.seed ^ kWriterSeed);
   mailbox_ = std::make_unique<transport::Mailbox>(scheduler_);
   pool_ = std::make_unique<store::IoPool>(
       1, [this](std::function<void()> job) { mailbox_->post(std::move(job)); });
@@ -237,15 +237,15 @@
     const std::uint64_t before = log_.last();
     if (relay_) {
       relay_->take(page, known_at, path);
-    } else if (keeper_) {
+    } else if (writer_) {
       log_.append(page);
       log_.rename(page.value("board", ""));
     }
-    if (keeper_) {
+    if (writer_) {
       if (log_.last() != before) {
-        keeper_->changed(steady_ms());
+        writer_->changed(steady_ms());
       }
-      keeper_->confirmed(steady_ms());
+      writer_->confirmed(steady_ms());
     }
     if (gate_) {
       const Micros age = std::max(Micros(0), steady() - known_at);
@@ -259,8 +259,8 @@
     if (relay_) {
       relay_->anew();
     }
-    if (keeper_) {
-      keeper_->changed(steady_ms());
+    if (writer_) {
+      writer_->changed(steady_ms());
     }
     if (gate_) {
       gate_->anew(router_->now());
@@ -320,7 +320,7 @@
 transport::Task<void> StartSupport::keep_snapshot() {
   for (;;) {
     co_await scheduler_.sleep(kLook);
-    const std::optional<std::int64_t> due = keeper_->due();
+    const std::optional<std::int64_t> due = writer_->due();
     if (due && *due <= steady_ms() && confirmed_steady_ >= Micros(0)) {
       write_snapshot();
     }
@@ -342,7 +342,7 @@
   made.confirmed_ms =
       made.saved_ms - std::chrono::duration_cast<milliseconds>(steady() - confirmed_steady_).count();
   made.page = log_.whole(purges_from);
-  keeper_->begun(steady_ms());
+  writer_->begun(steady_ms());
   const auto error = std::make_shared<std::string>();
   const auto bytes = std::make_shared<const std::string>(snapshot::write_snapshot(made));
   pool_->run(
@@ -356,7 +356,7 @@
       },
       [this, error] {
         const bool good = error->empty();
-        if (keeper_->ended(steady_ms(), good)) {
+        if (writer_->ended(steady_ms(), good)) {
           log_line(good ? Level::kInfo : Level::kWarning)
               << "snapshot: " << (good ? "written again" : "cannot be written: " + *error);
         }
@@ -366,7 +366,7 @@
 bool StartSupport::ready() const { return !gate_ || gate_->ready(router_->now()); }
 
 std::string StartSupport::status() const {
-  if (!gate_ && !relay_ && !upstream_ && !keeper_) {
+  if (!gate_ && !relay_ && !upstream_ && !writer_) {
     return {};
   }
   nlohmann::json out;
--- a/src/program/start_support.h
+++ b/src/program/start_support.h
@@ -17,7 +17,7 @@
 #include "routing/relay.h"
 #include "routing/router.h"
 #include "snapshot/folder.h"
-#include "snapshot/keeper.h"
+#include "snapshot/writer.h"
 #include "startup/fleet_size.h"
 #include "startup/gate.h"
 #include "startup/upstream.h"
@@ -72,7 +72,7 @@
   std::unique_ptr<transport::Mailbox> mailbox_;
   std::unique_ptr<store::IoPool> pool_;
   std::optional<snapshot::SnapshotFolder> folder_;
-  std::optional<snapshot::Keeper> keeper_;
+  std::optional<snapshot::Writer> writer_;
   std::string snapshot_board_id_;
   Micros confirmed_steady_{-1};
   routing::Router* router_ = nullptr;
--- a/src/program/store_desk.cpp
+++ b/src/program/store_client.cpp
@@ -1,4 +1,4 @@
-#include "program/store_desk.h"
+#include "program/store_client.h"
 
 #include <optional>
 #include <stdexcept>
@@ -18,10 +18,10 @@
 
 }  // namespace
 
-StoreDesk::StoreDesk(const coordination::CoordinationOptions& options)
+StoreClient::StoreClient(const coordination::CoordinationOptions& options)
     : options_(options), store_(open_store(scheduler_, options, 1)) {}
 
-Outcome StoreDesk::commit(const coordination::Transaction& transaction) {
+Outcome StoreClient::commit(const coordination::Transaction& transaction) {
   const auto reply = std::make_shared<std::optional<Reply<Outcome>>>();
   store_->commit(transaction, [reply](const Reply<Outcome>& told) { *reply = told; });
   const Clock::time_point end = Clock::now() + kPatience;
@@ -34,7 +34,7 @@
   return (*reply)->value;
 }
 
-std::vector<coordination::Entry> StoreDesk::get(const std::string& stem, bool prefix) {
+std::vector<coordination::Entry> StoreClient::get(const std::string& stem, bool prefix) {
   coordination::Transaction read;
   read.then = {coordination::Get{coordination::Range{options_.prefix + stem, prefix}}};
   std::vector<coordination::Entry> out = commit(read).steps.at(0).found;
@@ -44,7 +44,7 @@
   return out;
 }
 
-void StoreDesk::pause(Clock::duration time) {
+void StoreClient::pause(Clock::duration time) {
   const Clock::time_point end = Clock::now() + time;
   while (Clock::now() < end) {
     scheduler_.turn(std::min<Clock::duration>(kTurn, end - Clock::now()));
--- a/src/program/store_desk.h
+++ b/src/program/store_client.h
@@ -12,9 +12,9 @@
 
 namespace trailcourse::program {
 
-class StoreDesk {
+class StoreClient {
  public:
-  explicit StoreDesk(const coordination::CoordinationOptions& options);
+  explicit StoreClient(const coordination::CoordinationOptions& options);
 
   // Throws std::runtime_error where there is no answer within 5 s.
   coordination::Outcome commit(const coordination::Transaction& transaction);
--- a/src/program/work_command.cpp
+++ b/src/program/work_command.cpp
@@ -11,12 +11,12 @@
 #include <stdexcept>
 
 #include "coordination/shared_store.h"
-#include "duties/fill_plan.h"
-#include "duties/reporter.h"
 #include "membership/view.h"
 #include "ownership/work.h"
-#include "program/store_desk.h"
+#include "program/store_client.h"
 #include "protocol/numbers.h"
+#include "tasks/fill_plan.h"
+#include "tasks/reporter.h"
 
 namespace trailcourse::program {
 
@@ -46,9 +46,9 @@
                                : "handed over";
 }
 
-std::map<std::string, std::pair<ownership::Work, std::vector<Row>>> read_all(StoreDesk& desk) {
+std::map<std::string, std::pair<ownership::Work, std::vector<Row>>> read_all(StoreClient& client) {
   std::map<std::string, std::pair<ownership::Work, std::vector<Row>>> out;
-  for (const Entry& entry : desk.get(ownership::kWork)) {
+  for (const Entry& entry : client.get(ownership::kWork)) {
     if (const auto work = ownership::read_work(entry.key, entry.value)) {
       std::vector<Row> rows;
       for (std::uint64_t i = 0; i < work->shards; ++i) {
@@ -58,7 +58,7 @@
     }
   }
   const auto each = [&](const char* stem, const auto& take) {
-    for (const Entry& entry : desk.get(stem)) {
+    for (const Entry& entry : client.get(stem)) {
       const auto id = ownership::read_shard_key(entry.key, stem);
       const auto found = id ? out.find(id->work) : out.end();
       if (found != out.end() && id->shard < found->second.second.size()) {
@@ -107,14 +107,14 @@
   out << line << '\n';
 }
 
-int list(StoreDesk& desk, const WorkCommand& command, std::ostream& out) {
-  const auto all = read_all(desk);
+int list(StoreClient& client, const WorkCommand& command, std::ostream& out) {
+  const auto all = read_all(client);
   if (command.json) {
     json rows = json::array();
     for (const auto& [name, one] : all) {
       rows.push_back(json_of(one.first, one.second));
     }
-    out << json{{"store", desk.id()}, {"work", rows}}.dump(1) << '\n';
+    out << json{{"store", client.id()}, {"work", rows}}.dump(1) << '\n';
     return 0;
   }
   row_out(out, "%-28s %-8s %-12s %7s %6s %6s %6s %s", "WORK", "KIND", "ZONE", "SHARDS", "OWNED", "DONE",
@@ -132,8 +132,8 @@
   return 0;
 }
 
-int show(StoreDesk& desk, const WorkCommand& command, std::ostream& out, std::ostream& errors) {
-  const auto all = read_all(desk);
+int show(StoreClient& client, const WorkCommand& command, std::ostream& out, std::ostream& errors) {
+  const auto all = read_all(client);
   const auto found = all.find(command.name);
   if (found == all.end()) {
     errors << "trailcourse: work: there is no work " << command.name << '\n';
@@ -157,9 +157,9 @@
 }
 
 // Changes the work's record where it is as it was read.
-int change(StoreDesk& desk, const WorkCommand& command, std::ostream& out, std::ostream& errors) {
+int change(StoreClient& client, const WorkCommand& command, std::ostream& out, std::ostream& errors) {
   const std::string key = ownership::kWork + command.name;
-  const std::vector<Entry> found = desk.get(key, false);
+  const std::vector<Entry> found = client.get(key, false);
   std::optional<ownership::Work> work =
       found.empty() ? std::nullopt : ownership::read_work(key, found.front().value);
   if (!work) {
@@ -173,9 +173,9 @@
     ++work->resumed;  // parked shards are tried again
   }
   Transaction write;
-  write.when = {coordination::unchanged(desk.key(key), found.front().modified)};
-  write.then = {coordination::Put{desk.key(key), ownership::write_work(*work), 0}};
-  if (!desk.commit(write).succeeded) {
+  write.when = {coordination::unchanged(client.key(key), found.front().modified)};
+  write.then = {coordination::Put{client.key(key), ownership::write_work(*work), 0}};
+  if (!client.commit(write).succeeded) {
     errors << "trailcourse: work: " << command.name << " was changed meanwhile; nothing was done\n";
     return kChangedMeanwhile;
   }
@@ -183,16 +183,17 @@
   return 0;
 }
 
-int remove(StoreDesk& desk, const WorkCommand& command, std::ostream& out, std::ostream& errors) {
+int remove(StoreClient& client, const WorkCommand& command, std::ostream& out, std::ostream& errors) {
   Transaction write;
   const std::string name = command.name;
-  write.then = {coordination::Delete{coordination::Range{desk.key(ownership::kWork + name), false}},
-                coordination::Delete{coordination::Range{desk.key(ownership::kProgress + name + "/"), true}},
-                coordination::Delete{coordination::Range{desk.key("lists/" + name + "/"), true}},
-                coordination::Delete{coordination::Range{desk.key(ownership::kDone + name + "/"), true}},
-                coordination::Delete{coordination::Range{desk.key(ownership::kRelease + name + "/"), true}}};
+  write.then = {
+      coordination::Delete{coordination::Range{client.key(ownership::kWork + name), false}},
+      coordination::Delete{coordination::Range{client.key(ownership::kProgress + name + "/"), true}},
+      coordination::Delete{coordination::Range{client.key("lists/" + name + "/"), true}},
+      coordination::Delete{coordination::Range{client.key(ownership::kDone + name + "/"), true}},
+      coordination::Delete{coordination::Range{client.key(ownership::kRelease + name + "/"), true}}};
   // Its owners hear of it and give their leases back: the keys of ownership go with those.
-  if (desk.commit(write).steps.at(0).deleted == 0) {
+  if (client.commit(write).steps.at(0).deleted == 0) {
     errors << "trailcourse: work: there is no work " << name << '\n';
     return kNoSuchWork;
   }
@@ -200,8 +201,8 @@
   return 0;
 }
 
-int hand_over(StoreDesk& desk, const WorkCommand& command, std::ostream& out, std::ostream& errors) {
-  const auto all = read_all(desk);
+int hand_over(StoreClient& client, const WorkCommand& command, std::ostream& out, std::ostream& errors) {
+  const auto all = read_all(client);
   const auto found = all.find(command.name);
   if (found == all.end()) {
     errors << "trailcourse: work: there is no work " << command.name << '\n';
@@ -215,9 +216,9 @@
     }
     Transaction write;
     const std::string shard = to_string(row.id);
-    write.when = {coordination::created_at(desk.key(ownership::kOwn + shard), row.owner.term)};
-    write.then = {coordination::Put{desk.key(ownership::kRelease + shard), row.owner.member, 0}};
-    if (desk.commit(write).succeeded) {
+    write.when = {coordination::created_at(client.key(ownership::kOwn + shard), row.owner.term)};
+    write.then = {coordination::Put{client.key(ownership::kRelease + shard), row.owner.member, 0}};
+    if (client.commit(write).succeeded) {
       out << row.owner.member << " is asked to let go of " << shard << '\n';
       ++asked;
     }
@@ -249,30 +250,30 @@
   return now.count() + static_cast<std::int64_t>(*seconds * 1e3);
 }
 
-int add(StoreDesk& desk, const WorkCommand& command, std::ostream& out, std::ostream& errors) {
+int add(StoreClient& client, const WorkCommand& command, std::ostream& out, std::ostream& errors) {
   ownership::Work work;
   work.name = command.name;
   work.kind = command.kind;
   work.zone = command.zone;
   work.shards = static_cast<std::uint64_t>(std::max(0, command.shards));
   if (work.kind == "fill") {
-    duties::FillOrder order;
+    tasks::FillOrder order;
     order.request_class = command.request_class;
     order.at_ms = at_ms(command.at);
     order.objects_per_s = command.objects_per_s;
     order.objects = command.objects;
-    duties::read_fill_order(duties::write_fill_order(order));  // names what cannot be used
+    tasks::read_fill_order(tasks::write_fill_order(order));  // names what cannot be used
     if (order.objects.empty()) {
       throw std::invalid_argument("--objects: none are listed");
     }
     order.objects.clear();
-    work.params = duties::write_fill_order(order);
+    work.params = tasks::write_fill_order(order);
   }
   if (work.kind == "probe" && work.zone.empty()) {
     throw std::invalid_argument("--zone: probing is of one zone");
   }
   ownership::check_work(work);
-  const std::string key = desk.key(ownership::kWork + work.name);
+  const std::string key = client.key(ownership::kWork + work.name);
   // The lists first: who takes the work on finds them there.
   std::vector<std::string> lists(work.kind == "fill" ? work.shards : 0);
   for (std::size_t i = 0; i < command.objects.size() && !lists.empty(); ++i) {
@@ -281,13 +282,13 @@
   for (std::size_t i = 0; i < lists.size(); ++i) {
     Transaction list;
     list.when = {coordination::absent(key)};
-    list.then = {coordination::Put{desk.key(duties::fill_list_key(work.name, i)), lists[i], 0}};
-    desk.commit(list);
+    list.then = {coordination::Put{client.key(tasks::fill_list_key(work.name, i)), lists[i], 0}};
+    client.commit(list);
   }
   Transaction write;
   write.when = {coordination::absent(key)};
   write.then = {coordination::Put{key, ownership::write_work(work), 0}};
-  if (!desk.commit(write).succeeded) {
+  if (!client.commit(write).succeeded) {
     errors << "trailcourse: work: there is work " << work.name << " already\n";
     return kChangedMeanwhile;
   }
@@ -295,8 +296,8 @@
   return 0;
 }
 
-int report(StoreDesk& desk, const WorkCommand& command, std::ostream& out, std::ostream& errors) {
-  const std::vector<Entry> found = desk.get(duties::kReport, false);
+int report(StoreClient& client, const WorkCommand& command, std::ostream& out, std::ostream& errors) {
+  const std::vector<Entry> found = client.get(tasks::kReport, false);
   const json text = found.empty() ? json() : json::parse(found.front().value, nullptr, false);
   if (!text.is_object()) {
     errors << "trailcourse: work: there is no report yet\n";
@@ -316,11 +317,11 @@
   return 0;
 }
 
-int members(StoreDesk& desk, const WorkCommand& command, std::ostream& out) {
+int members(StoreClient& client, const WorkCommand& command, std::ostream& out) {
   membership::View view{membership::ViewRules{}};
   const Micros now = std::chrono::duration_cast<Micros>(Clock::now().time_since_epoch());
   for (const char* stem : {membership::kMembers, membership::kDoubts}) {
-    for (const Entry& entry : desk.get(stem)) {
+    for (const Entry& entry : client.get(stem)) {
       view.take(now, entry.key, entry.value, entry.created, entry.modified);
     }
   }
@@ -337,7 +338,7 @@
                       {"doubters", seen.doubters},
                       {"since", seen.since}});
     }
-    out << json{{"store", desk.id()}, {"view", view.number()}, {"members", rows}}.dump(1) << '\n';
+    out << json{{"store", client.id()}, {"view", view.number()}, {"members", rows}}.dump(1) << '\n';
     return 0;
   }
   row_out(out, "%-24s %-12s %-22s %-18s %10s %9s %s", "MEMBER", "ZONE", "ADDRESS", "START", "SINCE",
@@ -354,26 +355,26 @@
 
 int run_work_command(const WorkCommand& command, std::ostream& out, std::ostream& errors) {
   try {
-    StoreDesk desk(command.store);
+    StoreClient client(command.store);
     if (command.action == "list") {
-      return list(desk, command, out);
+      return list(client, command, out);
     }
     if (command.action == "show") {
-      return show(desk, command, out, errors);
+      return show(client, command, out, errors);
     }
     if (command.action == "pause" || command.action == "resume") {
-      return change(desk, command, out, errors);
+      return change(client, command, out, errors);
     }
     if (command.action == "remove") {
-      return remove(desk, command, out, errors);
+      return remove(client, command, out, errors);
     }
     if (command.action == "hand-over") {
-      return hand_over(desk, command, out, errors);
+      return hand_over(client, command, out, errors);
     }
     if (command.action == "add") {
-      return add(desk, command, out, errors);
+      return add(client, command, out, errors);
     }
-    return command.action == "report" ? report(desk, command, out, errors) : members(desk, command, out);
+    return command.action == "report" ? report(client, command, out, errors) : members(client, command, out);
   } catch (const std::runtime_error& error) {
     errors << "trailcourse: " << error.what() << '\n';
     return kFailed;
--- a/src/snapshot/keeper.cpp
+++ b/src/snapshot/writer.cpp
@@ -1,4 +1,4 @@
-#include "snapshot/keeper.h"
+#include "snapshot/writer.h"
 
 #include <algorithm>
 
@@ -10,16 +10,16 @@
 
 }  // namespace
 
-void Keeper::changed(std::int64_t now_ms) {
+void Writer::changed(std::int64_t now_ms) {
   if (!changed_) {
     changed_at_ms_ = now_ms;
   }
   changed_ = true;
 }
 
-void Keeper::confirmed(std::int64_t) { confirmed_ = true; }
+void Writer::confirmed(std::int64_t) { confirmed_ = true; }
 
-std::optional<std::int64_t> Keeper::due() const {
+std::optional<std::int64_t> Writer::due() const {
   if (writing_) {
     return std::nullopt;
   }
@@ -31,13 +31,13 @@
              : std::nullopt;
 }
 
-void Keeper::begun(std::int64_t) {
+void Writer::begun(std::int64_t) {
   writing_ = true;
   changed_ = false;
   confirmed_ = false;
 }
 
-bool Keeper::ended(std::int64_t now_ms, bool good) {
+bool Writer::ended(std::int64_t now_ms, bool good) {
   writing_ = false;
   // All routers of a fleet saw the change in one moment, and may share a disk: their writes are drawn apart.
   const auto drawn = [this](std::int64_t longest) {
--- a/src/snapshot/keeper.h
+++ b/src/snapshot/writer.h
@@ -12,9 +12,9 @@
 
 namespace trailcourse::snapshot {
 
-class Keeper {
+class Writer {
  public:
-  Keeper(const SnapshotOptions& options, std::uint64_t seed) : options_(options), random_(seed) {}
+  Writer(const SnapshotOptions& options, std::uint64_t seed) : options_(options), random_(seed) {}
 
   // The list or the purges are other than those written last.
   void changed(std::int64_t now_ms);
--- a/src/duties/fill_plan.cpp
+++ b/src/tasks/fill_plan.cpp
@@ -1,4 +1,4 @@
-#include "duties/fill_plan.h"
+#include "tasks/fill_plan.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -7,7 +7,7 @@
 
 #include "protocol/numbers.h"
 
-namespace trailcourse::duties {
+namespace trailcourse::tasks {
 
 using nlohmann::json;
 
@@ -189,4 +189,4 @@
       .dump();
 }
 
-}  // namespace trailcourse::duties
+}  // namespace trailcourse::tasks
--- a/src/duties/fill_plan.h
+++ b/src/tasks/fill_plan.h
@@ -6,7 +6,7 @@
 // a successor asks for nothing again that was checkpointed. What was out when its owner ended is asked for
 // again, which a cache that holds it answers as a hit.
 //
-// Package `duties`: knows JSON; no I/O, no clock.
+// Package `tasks`: knows JSON; no I/O, no clock.
 #pragma once
 
 #include <trailcourse/decider.h>
@@ -18,7 +18,7 @@
 #include <string>
 #include <vector>
 
-namespace trailcourse::duties {
+namespace trailcourse::tasks {
 
 // What staff announce: the params of work of kind `fill`.
 struct FillOrder {
@@ -88,4 +88,4 @@
   FillProgress progress_;
 };
 
-}  // namespace trailcourse::duties
+}  // namespace trailcourse::tasks
--- a/src/duties/filler.cpp
+++ b/src/tasks/filler.cpp
@@ -1,4 +1,4 @@
-#include "duties/filler.h"
+#include "tasks/filler.h"
 
 #include <cstdio>
 #include <utility>
@@ -7,7 +7,7 @@
 #include "protocol/numbers.h"
 #include "transport/log.h"
 
-namespace trailcourse::duties {
+namespace trailcourse::tasks {
 
 using std::chrono::milliseconds;
 using transport::Clock;
@@ -57,13 +57,13 @@
 };
 
 Filler::Filler(transport::Scheduler& scheduler, routing::Router& router, const protocol::Profile& profile,
-               const OwnershipOptions& options, std::uint64_t seed, Charge charge)
+               const OwnershipOptions& options, std::uint64_t seed, TaskContext context)
     : scheduler_(scheduler),
       router_(router),
       profile_(profile),
       options_(options),
-      charge_(std::move(charge)),
-      last_id_(seed ^ charge_.term),
+      context_(std::move(context)),
+      last_id_(seed ^ context_.term),
       timer_(scheduler, [this] { turn(); }) {}
 
 Filler::~Filler() {
@@ -77,7 +77,7 @@
 
 void Filler::begin() {
   try {
-    order_ = read_fill_order(charge_.work.params);
+    order_ = read_fill_order(context_.work.params);
     const auto found = profile_.class_index.find(order_->request_class);
     if (found == profile_.class_index.end()) {
       throw std::invalid_argument("class: '" + order_->request_class + "' is not served here");
@@ -94,31 +94,31 @@
   if (order_->objects.empty()) {
     load();
   } else {
-    plan(charge_.id.shard, charge_.work.shards);
+    plan(context_.id.shard, context_.work.shards);
   }
 }
 
 // Nobody can do it: it is over, and the log says why.
 void Filler::cannot(const std::string& why) {
-  log_line(Level::kError) << to_string(charge_.id) << " cannot be done: " << why;
-  charge_.checkpoint_at("cannot be done: " + why, true);
+  log_line(Level::kError) << to_string(context_.id) << " cannot be done: " << why;
+  context_.checkpoint_at("cannot be done: " + why, true);
   said_done_ = true;
 }
 
 // The shard's own list. Asked for again until the store answers.
 void Filler::load() {
-  charge_.get(fill_list_key(charge_.id.work, charge_.id.shard),
-              [this, alive = alive_](const std::optional<std::string>& text) {
-                if (!*alive || plan_ || said_done_ || finishing_) {
-                  return;
-                }
-                order_->objects = read_fill_list(text.value_or(""));
-                if (order_->objects.empty()) {
-                  cannot("objects: none are listed for this shard");
-                } else {
-                  plan(0, 1);
-                }
-              });
+  context_.get(fill_list_key(context_.id.work, context_.id.shard),
+               [this, alive = alive_](const std::optional<std::string>& text) {
+                 if (!*alive || plan_ || said_done_ || finishing_) {
+                   return;
+                 }
+                 order_->objects = read_fill_list(text.value_or(""));
+                 if (order_->objects.empty()) {
+                   cannot("objects: none are listed for this shard");
+                 } else {
+                   plan(0, 1);
+                 }
+               });
   timer_.set(Clock::now() + milliseconds(1'000));
 }
 
@@ -127,7 +127,7 @@
   rules.open = static_cast<std::size_t>(options_.fill_open);
   rules.tries = static_cast<int>(options_.fill_tries);
   rules.retry = milliseconds(options_.fill_retry_ms);
-  plan_.emplace(*order_, shard, shards, rules, charge_.checkpoint);
+  plan_.emplace(*order_, shard, shards, rules, context_.checkpoint);
   turn();
 }
 
@@ -139,16 +139,16 @@
   if (plan_ && !said_done_) {
     say(plan_->done());
   }
-  charge_.finished();
+  context_.finished();
 }
 
 void Filler::say(bool done) {
   if (done && !std::exchange(said_done_, true)) {
     const FillProgress& progress = plan_->progress();
-    log_line(Level::kInfo) << to_string(charge_.id) << " is done: filled " << progress.filled << " (held "
+    log_line(Level::kInfo) << to_string(context_.id) << " is done: filled " << progress.filled << " (held "
                            << progress.held << "), failed " << progress.failed << " of " << progress.of;
   }
-  charge_.checkpoint_at(plan_->checkpoint(), done);
+  context_.checkpoint_at(plan_->checkpoint(), done);
 }
 
 void Filler::turn() {
@@ -171,7 +171,7 @@
     say(true);
     return;
   }
-  if (!charge_.may_act()) {
+  if (!context_.may_act()) {
     timer_.set(Clock::now() + milliseconds(50));
     return;
   }
@@ -196,7 +196,7 @@
   passed->request_class = order_->request_class;
   passed->object = object.substr(0, slash);
   passed->part = slash == std::string::npos ? "" : object.substr(slash + 1);
-  passed->fence = charge_.fence;
+  passed->fence = context_.fence;
   routing::ClientRequest request;
   request.told.request_class = request_class_;
   request.told.object = protocol::read_hex<ObjectId>(passed->object).value_or(0);
@@ -222,4 +222,4 @@
   turn();
 }
 
-}  // namespace trailcourse::duties
+}  // namespace trailcourse::tasks
--- a/src/duties/filler.h
+++ b/src/tasks/filler.h
@@ -1,8 +1,8 @@
-// The duty of announced filling: one shard's objects asked for through this router's own decisions, as a
+// The task of announced filling: one shard's objects asked for through this router's own decisions, as a
 // client would. The term goes with each command, so that a cache node of this project refuses an owner of the
 // past; a cache that cannot check fills twice at worst.
 //
-// Package `duties`, over `routing`. One thread.
+// Package `tasks`, over `routing`. One thread.
 #pragma once
 
 #include <map>
@@ -11,19 +11,19 @@
 #include <string>
 #include <unordered_map>
 
-#include "duties/duty.h"
-#include "duties/fill_plan.h"
-#include "duties/options.h"
 #include "protocol/settings.h"
 #include "routing/router.h"
+#include "tasks/fill_plan.h"
+#include "tasks/options.h"
+#include "tasks/owned_task.h"
 #include "transport/alarm.h"
 
-namespace trailcourse::duties {
+namespace trailcourse::tasks {
 
-class Filler : public Duty {
+class Filler : public OwnedTask {
  public:
   Filler(transport::Scheduler& scheduler, routing::Router& router, const protocol::Profile& profile,
-         const OwnershipOptions& options, std::uint64_t seed, Charge charge);
+         const OwnershipOptions& options, std::uint64_t seed, TaskContext context);
   ~Filler() override;
 
   void begin() override;
@@ -45,7 +45,7 @@
   routing::Router& router_;
   const protocol::Profile& profile_;
   OwnershipOptions options_;
-  Charge charge_;
+  TaskContext context_;
   std::uint64_t last_id_;
   std::optional<FillOrder> order_;
   std::optional<FillPlan> plan_;
@@ -58,4 +58,4 @@
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
-}  // namespace trailcourse::duties
+}  // namespace trailcourse::tasks
--- a/src/duties/fleet_report.cpp
+++ b/src/tasks/fleet_report.cpp
@@ -1,9 +1,9 @@
-#include "duties/fleet_report.h"
+#include "tasks/fleet_report.h"
 
 #include <nlohmann/json.hpp>
 #include <utility>
 
-namespace trailcourse::duties {
+namespace trailcourse::tasks {
 
 using nlohmann::json;
 
@@ -78,4 +78,4 @@
   return json{{"sums", sums_}, {"last", last}}.dump();
 }
 
-}  // namespace trailcourse::duties
+}  // namespace trailcourse::tasks
--- a/src/duties/fleet_report.h
+++ b/src/tasks/fleet_report.h
@@ -1,6 +1,6 @@
 // The fleet's counters in one report: what each router counts, and the sum that the owner of the work writes.
 //
-// Package `duties`: knows JSON; no I/O, no clock.
+// Package `tasks`: knows JSON; no I/O, no clock.
 #pragma once
 
 #include <cstdint>
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-namespace trailcourse::duties {
+namespace trailcourse::tasks {
 
 // By name. What one router counted since its start; a new start begins at 0.
 struct Counters {
@@ -40,4 +40,4 @@
   std::size_t present_ = 0;
 };
 
-}  // namespace trailcourse::duties
+}  // namespace trailcourse::tasks
--- a/src/duties/options.cpp
+++ b/src/tasks/options.cpp
@@ -1,8 +1,8 @@
-#include "duties/options.h"
+#include "tasks/options.h"
 
 #include <algorithm>
 
-namespace trailcourse::duties {
+namespace trailcourse::tasks {
 
 using config::RealRange;
 using config::WholeRange;
@@ -106,15 +106,15 @@
   return rules;
 }
 
-ownership::DeskRules desk_rules(const OwnershipOptions& options) {
-  ownership::DeskRules rules;
+ownership::LeaseManagerRules lease_manager_rules(const OwnershipOptions& options) {
+  ownership::LeaseManagerRules rules;
   rules.lease.ttl = milliseconds(options.ttl_ms);
   rules.lease.drift = options.drift_percent / 100.0;
   rules.lease.margin = milliseconds(options.margin_ms);
   rules.lease.renew_after = milliseconds(options.renew_ms);
   rules.lease.retry = milliseconds(options.retry_ms);
-  rules.turn = milliseconds(options.turn_ms);
-  rules.longest_turn = milliseconds(options.longest_turn_ms);
+  rules.slot = milliseconds(options.turn_ms);
+  rules.longest_slot = milliseconds(options.longest_turn_ms);
   rules.settle = milliseconds(options.settle_ms);
   rules.yield_most = milliseconds(options.yield_ms);
   rules.stand_back = milliseconds(options.stand_back_ms);
@@ -133,4 +133,4 @@
   return rules;
 }
 
-}  // namespace trailcourse::duties
+}  // namespace trailcourse::tasks
--- a/src/duties/options.h
+++ b/src/tasks/options.h
@@ -1,6 +1,6 @@
 // The section `ownership` of the operator's file: what a router does of the fleet's work, and by which times.
 //
-// Package `duties`.
+// Package `tasks`.
 #pragma once
 
 #include <cstdint>
@@ -9,9 +9,9 @@
 
 #include "config/record.h"
 #include "membership/view.h"
-#include "ownership/desk.h"
+#include "ownership/lease_manager.h"
 
-namespace trailcourse::duties {
+namespace trailcourse::tasks {
 
 struct OwnershipOptions {
   std::vector<std::string> kinds{"probe", "fill", "report", "policy"};
@@ -51,8 +51,8 @@
 // What one key alone cannot tell; throws config::KeyError.
 void check_ownership(const OwnershipOptions& options);
 
-ownership::DeskRules desk_rules(const OwnershipOptions& options);
+ownership::LeaseManagerRules lease_manager_rules(const OwnershipOptions& options);
 ownership::LeaseRules session_rules(const OwnershipOptions& options);
 membership::ViewRules view_rules(const OwnershipOptions& options);
 
-}  // namespace trailcourse::duties
+}  // namespace trailcourse::tasks
--- a/src/duties/duty.h
+++ b/src/tasks/owned_task.h
@@ -1,7 +1,7 @@
 // One shard of owned work being done: what carries it out is told where to begin and when to stop, says how
 // far it is, and asks before each effect whether it still may.
 //
-// Package `duties`.
+// Package `tasks`.
 #pragma once
 
 #include <functional>
@@ -12,11 +12,11 @@
 #include "coordination/shared_store.h"
 #include "ownership/work.h"
 
-namespace trailcourse::duties {
+namespace trailcourse::tasks {
 
-// What a duty is given. The calls may be made for as long as the duty lives; they have no effect once the
+// What a task is given. The calls may be made for as long as the task lives; they have no effect once the
 // shard is owned by another.
-struct Charge {
+struct TaskContext {
   ownership::Work work;
   ownership::ShardId id;
   ownership::Term term = 0;
@@ -28,28 +28,28 @@
   std::function<bool()> may_act;
   // So far is what was done. `done`: nothing is left.
   std::function<void(std::string checkpoint, bool done)> checkpoint_at;
-  // After finish(): the last checkpoint is said, the duty may go.
+  // After finish(): the last checkpoint is said, the task may go.
   std::function<void()> finished;
   // Reads a key of the store; nothing where it is not there. Not called back where the store does not answer:
-  // the duty asks again.
+  // the task asks again.
   std::function<void(std::string key, std::function<void(std::optional<std::string>)> then)> get;
   // Writes a key under the term: refused by the store once another owns the shard. An empty value deletes it.
   std::function<void(std::string key, std::string value)> put;
 };
 
-class Duty {
+class OwnedTask {
  public:
-  Duty() = default;
-  Duty(const Duty&) = delete;
-  Duty& operator=(const Duty&) = delete;
+  OwnedTask() = default;
+  OwnedTask(const OwnedTask&) = delete;
+  OwnedTask& operator=(const OwnedTask&) = delete;
   // It stops at once: what it has out is given up.
-  virtual ~Duty() = default;
+  virtual ~OwnedTask() = default;
 
   virtual void begin() = 0;
   // It is to come to an end soon, and to say finished().
   virtual void finish() = 0;
 };
 
-using DutyMaker = std::function<std::unique_ptr<Duty>(Charge)>;
+using OwnedTaskMaker = std::function<std::unique_ptr<OwnedTask>(TaskContext)>;
 
-}  // namespace trailcourse::duties
+}  // namespace trailcourse::tasks
--- a/src/duties/conductor.cpp
+++ b/src/tasks/policy_change_task.cpp
@@ -1,11 +1,11 @@
-#include "duties/conductor.h"
+#include "tasks/policy_change_task.h"
 
 #include <algorithm>
 #include <utility>
 
 #include "transport/log.h"
 
-namespace trailcourse::duties {
+namespace trailcourse::tasks {
 
 using coordination::Outcome;
 using coordination::Reply;
@@ -23,16 +23,17 @@
 
 }  // namespace
 
-Conductor::Conductor(transport::Scheduler& scheduler, coordination::SharedStore& store, std::string prefix,
-                     const policy::PolicyOptions& options, Charge charge)
+PolicyChangeTask::PolicyChangeTask(transport::Scheduler& scheduler, coordination::SharedStore& store,
+                                   std::string prefix, const policy::PolicyOptions& options,
+                                   TaskContext context)
     : scheduler_(scheduler),
       store_(store),
       prefix_(std::move(prefix)),
-      charge_(std::move(charge)),
+      context_(std::move(context)),
       driver_(policy::driver_rules(options)),
       timer_(scheduler, [this] { look(); }) {}
 
-Conductor::~Conductor() {
+PolicyChangeTask::~PolicyChangeTask() {
   *alive_ = false;
   for (const auto watch : {permits_, policy_}) {
     if (watch != 0) {
@@ -41,23 +42,23 @@
   }
 }
 
-void Conductor::begin() {
-  charge_.checkpoint_at("driving", false);
+void PolicyChangeTask::begin() {
+  context_.checkpoint_at("driving", false);
   permits_ = store_.watch(coordination::Range{prefix_ + policy::kPermits, true}, *this);
   policy_ = store_.watch(coordination::Range{prefix_ + policy::kChangeKey, false}, *this);
 }
 
-void Conductor::finish() {
+void PolicyChangeTask::finish() {
   finishing_ = true;
   timer_.set(std::nullopt);
-  charge_.finished();
+  context_.finished();
 }
 
-void Conductor::wait(Micros longest) {
+void PolicyChangeTask::wait(Micros longest) {
   timer_.set(Clock::now() + std::chrono::duration_cast<Clock::duration>(std::max(longest, Micros(1'000))));
 }
 
-void Conductor::look() {
+void PolicyChangeTask::look() {
   if (finishing_) {
     return;
   }
@@ -82,7 +83,7 @@
   });
 }
 
-void Conductor::looked(const policy::Seen& seen) {
+void PolicyChangeTask::looked(const policy::Seen& seen) {
   const Micros at = now();
   std::optional<policy::Step> step = driver_.next(at, seen);
   if (!step) {
@@ -91,7 +92,7 @@
     }
     return;
   }
-  if (!charge_.may_act()) {
+  if (!context_.may_act()) {
     wait(kLostLook);
     return;
   }
@@ -103,7 +104,7 @@
   coordination::Transaction write = policy::carry_out(prefix_, seen, *step);
   // The driver of the past is refused by the store, whatever it believes.
   write.when.push_back(
-      coordination::created_at(prefix_ + ownership::kOwn + to_string(charge_.id), charge_.term));
+      coordination::created_at(prefix_ + ownership::kOwn + to_string(context_.id), context_.term));
   store_.commit(std::move(write), [this, alive = alive_](const Reply<Outcome>& reply) {
     if (*alive) {
       // Refused, or nobody knows: what stands is looked at again.
@@ -116,4 +117,4 @@
   });
 }
 
-}  // namespace trailcourse::duties
+}  // namespace trailcourse::tasks
--- a/src/duties/conductor.h
+++ b/src/tasks/policy_change_task.h
@@ -1,27 +1,27 @@
-// The duty of driving changes of policy: looks at what stands in the store, asks the driver for the next
+// The task of driving changes of policy: looks at what stands in the store, asks the driver for the next
 // step, and writes it where record and version are as they were seen and this router still owns the work.
 // Nothing is known beside what stands in the store, so that a successor goes on from there.
 //
-// Package `duties`, over `policy`. One thread.
+// Package `tasks`, over `policy`. One thread.
 #pragma once
 
 #include <memory>
 #include <string>
 
-#include "duties/duty.h"
 #include "policy/change.h"
 #include "policy/options.h"
+#include "tasks/owned_task.h"
 #include "transport/alarm.h"
 
-namespace trailcourse::duties {
+namespace trailcourse::tasks {
 
 constexpr const char* kPolicyWork = "policy";  // name and kind of the work
 
-class Conductor : public Duty, public coordination::Watcher {
+class PolicyChangeTask : public OwnedTask, public coordination::Watcher {
  public:
-  Conductor(transport::Scheduler& scheduler, coordination::SharedStore& store, std::string prefix,
-            const policy::PolicyOptions& options, Charge charge);
-  ~Conductor() override;
+  PolicyChangeTask(transport::Scheduler& scheduler, coordination::SharedStore& store, std::string prefix,
+                   const policy::PolicyOptions& options, TaskContext context);
+  ~PolicyChangeTask() override;
 
   void begin() override;
   void finish() override;
@@ -39,7 +39,7 @@
   transport::Scheduler& scheduler_;
   coordination::SharedStore& store_;
   std::string prefix_;
-  Charge charge_;
+  TaskContext context_;
   policy::Driver driver_;
   transport::Alarm timer_;
   coordination::SharedStore::WatchId permits_ = 0;
@@ -50,4 +50,4 @@
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
-}  // namespace trailcourse::duties
+}  // namespace trailcourse::tasks
--- a/src/duties/policy_keeper.cpp
+++ b/src/tasks/policy_follower.cpp
@@ -1,4 +1,4 @@
-#include "duties/policy_keeper.h"
+#include "tasks/policy_follower.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -8,7 +8,7 @@
 #include "store/files.h"
 #include "transport/log.h"
 
-namespace trailcourse::duties {
+namespace trailcourse::tasks {
 
 using coordination::Outcome;
 using coordination::Reply;
@@ -28,9 +28,9 @@
 
 }  // namespace
 
-PolicyKeeper::PolicyKeeper(transport::Scheduler& scheduler, coordination::SharedStore& store,
-                           const policy::PolicyOptions& options, std::string prefix, Self self,
-                           const protocol::Profile& profile, routing::Router& router, WorkAllowed allowed)
+PolicyFollower::PolicyFollower(transport::Scheduler& scheduler, coordination::SharedStore& store,
+                               const policy::PolicyOptions& options, std::string prefix, Self self,
+                               const protocol::Profile& profile, routing::Router& router, WorkAllowed allowed)
     : scheduler_(scheduler),
       store_(store),
       options_(options),
@@ -58,21 +58,21 @@
   router.rule_by([this](int request_class) { return rule(request_class); });
 }
 
-PolicyKeeper::~PolicyKeeper() {
+PolicyFollower::~PolicyFollower() {
   *alive_ = false;
   if (watch_ != 0) {
     store_.unwatch(watch_);
   }
 }
 
-Micros PolicyKeeper::now() { return std::chrono::duration_cast<Micros>(Clock::now().time_since_epoch()); }
+Micros PolicyFollower::now() { return std::chrono::duration_cast<Micros>(Clock::now().time_since_epoch()); }
 
-void PolicyKeeper::start() {
+void PolicyFollower::start() {
   watch_ = store_.watch(coordination::Range{prefix_ + kPolicy, true}, *this);
   turn_soon();
 }
 
-void PolicyKeeper::stop() {
+void PolicyFollower::stop() {
   if (!std::exchange(stopping_, true)) {
     holder_.stop(now());
     turn_soon();
@@ -80,11 +80,12 @@
 }
 
 // While it drains it goes on being ready for what is on its way, as before.
-bool PolicyKeeper::ready() const { return holder_.ready(now()); }
+bool PolicyFollower::ready() const { return holder_.ready(now()); }
 
 // ---- What the store tells ----
 
-void PolicyKeeper::apply(const std::string& key, const std::string& value, coordination::Revision modified) {
+void PolicyFollower::apply(const std::string& key, const std::string& value,
+                           coordination::Revision modified) {
   if (value.empty()) {
     keys_.erase(key);
     return;
@@ -108,7 +109,7 @@
   holder_.document(now(), version);
 }
 
-void PolicyKeeper::current(coordination::Revision, const std::vector<coordination::Entry>& entries) {
+void PolicyFollower::current(coordination::Revision, const std::vector<coordination::Entry>& entries) {
   keys_.clear();
   for (const coordination::Entry& entry : entries) {
     apply(entry.key.substr(prefix_.size()), entry.value, entry.modified);
@@ -117,7 +118,7 @@
   tell();
 }
 
-void PolicyKeeper::changed(coordination::Revision, const std::vector<coordination::Change>& changes) {
+void PolicyFollower::changed(coordination::Revision, const std::vector<coordination::Change>& changes) {
   for (const coordination::Change& change : changes) {
     apply(change.entry.key.substr(prefix_.size()), change.deleted ? std::string() : change.entry.value,
           change.entry.modified);
@@ -126,17 +127,17 @@
   tell();
 }
 
-void PolicyKeeper::silent(const std::string&) {
+void PolicyFollower::silent(const std::string&) {
   holder_.heard(now(), false);
   turn_soon();
 }
 
-void PolicyKeeper::heard() {
+void PolicyFollower::heard() {
   holder_.heard(now(), true);
   turn_soon();
 }
 
-void PolicyKeeper::tell() {
+void PolicyFollower::tell() {
   const auto of = [this](const std::string& key) {
     const auto found = keys_.find(key);
     return found == keys_.end() ? std::pair<std::string, coordination::Revision>() : found->second;
@@ -154,7 +155,7 @@
   turn_soon();
 }
 
-std::string PolicyKeeper::judge(std::uint64_t version) const {
+std::string PolicyFollower::judge(std::uint64_t version) const {
   if (const auto bad = unreadable_.find(version); bad != unreadable_.end()) {
     return bad->second;
   }
@@ -170,7 +171,7 @@
 
 // ---- Orders ----
 
-void PolicyKeeper::turn_soon() {
+void PolicyFollower::turn_soon() {
   if (!std::exchange(soon_, true)) {
     scheduler_.post([this, alive = alive_] {
       if (*alive) {
@@ -181,7 +182,7 @@
   }
 }
 
-void PolicyKeeper::turn() {
+void PolicyFollower::turn() {
   if (std::exchange(turning_, true)) {
     return;
   }
@@ -201,7 +202,7 @@
 }
 
 // The log, and what work may be owned.
-void PolicyKeeper::note_version() {
+void PolicyFollower::note_version() {
   const Micros at = now();
   const policy::Standing standing = holder_.standing(at);
   if (standing != told_standing_) {
@@ -223,7 +224,7 @@
   allowed_(std::set<std::string>(work.begin(), work.end()));
 }
 
-void PolicyKeeper::carry_out(const policy::AskPermission& ask) {
+void PolicyFollower::carry_out(const policy::AskPermission& ask) {
   const std::uint64_t number = ask.order.number;
   const auto answered = [this, alive = alive_](auto what) {
     if (*alive) {
@@ -266,7 +267,7 @@
 
 // The permit stands only where all is as this router knew it: else it would decide under what may not be in
 // force.
-void PolicyKeeper::join(const policy::AskPermission& ask, coordination::LeaseId lease) {
+void PolicyFollower::join(const policy::AskPermission& ask, coordination::LeaseId lease) {
   lease_ = lease;
   coordination::Transaction write;
   write.when = {coordination::unchanged(prefix_ + policy::kChangeKey, ask.known.change_modified),
@@ -291,7 +292,7 @@
   });
 }
 
-void PolicyKeeper::carry_out(const policy::SayPermit& say) {
+void PolicyFollower::carry_out(const policy::SayPermit& say) {
   coordination::Transaction write;
   write.then = {coordination::Put{prefix_ + policy::permit_key(self_.name, lease_),
                                   policy::write_permit(say.permit), lease_}};
@@ -303,7 +304,7 @@
   });
 }
 
-void PolicyKeeper::carry_out(const policy::KeepDocument& keep) {
+void PolicyFollower::carry_out(const policy::KeepDocument& keep) {
   const auto found = documents_.find(keep.version);
   if (!pool_ || found == documents_.end()) {
     holder_.kept(now(), keep.version, "");
@@ -335,7 +336,7 @@
 
 // ---- Requests ----
 
-policy::Content PolicyKeeper::content_of(std::uint64_t version) const {
+policy::Content PolicyFollower::content_of(std::uint64_t version) const {
   policy::Content out;
   for (std::size_t i = 0; i < names_.size(); ++i) {
     const ClassSettings& kind = profile_.settings.classes[i];
@@ -357,7 +358,7 @@
   return out;
 }
 
-const PolicyKeeper::Set& PolicyKeeper::set_of(const Ruling& ruling) {
+const PolicyFollower::Set& PolicyFollower::set_of(const Ruling& ruling) {
   const std::pair<std::uint64_t, std::uint64_t> key(ruling.version, ruling.other);
   const auto found = sets_.find(key);
   if (found != sets_.end()) {
@@ -387,7 +388,7 @@
   return set;
 }
 
-routing::Rule PolicyKeeper::rule(int request_class) {
+routing::Rule PolicyFollower::rule(int request_class) {
   routing::Rule out;
   const Ruling ruling = holder_.ruling(now());
   if (ruling.kind == Ruling::Kind::kRefuse) {
@@ -411,7 +412,7 @@
   return out;
 }
 
-std::string PolicyKeeper::status() const {
+std::string PolicyFollower::status() const {
   const Micros at = now();
   const Ruling ruling = holder_.ruling(at);
   return nlohmann::json{
@@ -424,4 +425,4 @@
       .dump();
 }
 
-}  // namespace trailcourse::duties
+}  // namespace trailcourse::tasks
--- a/src/duties/policy_keeper.h
+++ b/src/tasks/policy_follower.h
@@ -1,7 +1,7 @@
 // A router's side of the fleet's policy, carried out: what the store tells, the permission, versions on disk,
 // and what the router is told to make of each request that arrives.
 //
-// Package `duties`, over `coordination`, `policy` and `routing`. One thread; the disk's work runs elsewhere.
+// Package `tasks`, over `coordination`, `policy` and `routing`. One thread; the disk's work runs elsewhere.
 #pragma once
 
 #include <functional>
@@ -20,9 +20,9 @@
 #include "transport/alarm.h"
 #include "transport/mailbox.h"
 
-namespace trailcourse::duties {
+namespace trailcourse::tasks {
 
-class PolicyKeeper : public coordination::Watcher {
+class PolicyFollower : public coordination::Watcher {
  public:
   struct Self {
     std::string name;
@@ -33,10 +33,10 @@
   // Told which kinds of work the version in force allows.
   using WorkAllowed = std::function<void(std::optional<std::set<std::string>> kinds)>;
 
-  PolicyKeeper(transport::Scheduler& scheduler, coordination::SharedStore& store,
-               const policy::PolicyOptions& options, std::string prefix, Self self,
-               const protocol::Profile& profile, routing::Router& router, WorkAllowed allowed);
-  ~PolicyKeeper() override;
+  PolicyFollower(transport::Scheduler& scheduler, coordination::SharedStore& store,
+                 const policy::PolicyOptions& options, std::string prefix, Self self,
+                 const protocol::Profile& profile, routing::Router& router, WorkAllowed allowed);
+  ~PolicyFollower() override;
 
   void start();
   // Gives its permission back: a change need not wait for this router. It decides under none from then on.
@@ -101,4 +101,4 @@
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
-}  // namespace trailcourse::duties
+}  // namespace trailcourse::tasks
--- a/src/duties/prober.cpp
+++ b/src/tasks/prober.cpp
@@ -1,4 +1,4 @@
-#include "duties/prober.h"
+#include "tasks/prober.h"
 
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -6,7 +6,7 @@
 #include "protocol/resp.h"
 #include "transport/log.h"
 
-namespace trailcourse::duties {
+namespace trailcourse::tasks {
 
 using std::chrono::milliseconds;
 using transport::Clock;
@@ -70,14 +70,14 @@
 };
 
 Prober::Prober(transport::Scheduler& scheduler, coordination::SharedStore& store, std::string prefix,
-               const routing::Directory& directory, const OwnershipOptions& options, Charge charge)
+               const routing::Directory& directory, const OwnershipOptions& options, TaskContext context)
     : scheduler_(scheduler),
       store_(store),
       prefix_(std::move(prefix)),
       directory_(directory),
       options_(options),
-      charge_(std::move(charge)),
-      plan_(rules_of(options), charge_.term),
+      context_(std::move(context)),
+      plan_(rules_of(options), context_.term),
       timer_(scheduler, [this] { turn(); }) {}
 
 Prober::~Prober() {
@@ -93,16 +93,16 @@
 Micros Prober::now() { return std::chrono::duration_cast<Micros>(Clock::now().time_since_epoch()); }
 
 void Prober::begin() {
-  watch_ = store_.watch(coordination::Range{prefix_ + kSuspects + charge_.work.zone + "/", true}, *this);
+  watch_ = store_.watch(coordination::Range{prefix_ + kSuspects + context_.work.zone + "/", true}, *this);
 }
 
 void Prober::finish() {
-  charge_.checkpoint_at("let go after " + std::to_string(plan_.probes()) + " probes", false);
-  charge_.finished();
+  context_.checkpoint_at("let go after " + std::to_string(plan_.probes()) + " probes", false);
+  context_.finished();
 }
 
 void Prober::take(const std::string& key, bool gone) {
-  const std::string stem = prefix_ + kSuspects + charge_.work.zone + "/";
+  const std::string stem = prefix_ + kSuspects + context_.work.zone + "/";
   const std::string rest = key.substr(std::min(stem.size(), key.size()));
   const std::size_t slash = rest.find('/');
   if (slash == std::string::npos || slash == 0 || slash + 1 == rest.size()) {
@@ -139,8 +139,8 @@
 
 void Prober::turn() {
   const Micros at = now();
-  if (!charge_.may_act()) {
-    // Nothing is begun; the steward ends this one, or it may go on soon.
+  if (!context_.may_act()) {
+    // Nothing is begun; the runner ends this one, or it may go on soon.
     timer_.set(Clock::now() + milliseconds(options_.probe_ms));
     return;
   }
@@ -156,11 +156,11 @@
                            << (back            ? "none any more"
                                : verdict.sound ? "sound"
                                                : "not to be had")
-                           << ", term " << charge_.term;
-    charge_.put(verdict_key(charge_.work.zone, verdict.cache), back ? "" : write_verdict(verdict));
+                           << ", term " << context_.term;
+    context_.put(verdict_key(context_.work.zone, verdict.cache), back ? "" : write_verdict(verdict));
   }
   if (!std::exchange(checkpointed_, true)) {
-    charge_.checkpoint_at("probing", false);  // it stands: nobody died of it
+    context_.checkpoint_at("probing", false);  // it stands: nobody died of it
   }
   const std::optional<Micros> next = plan_.next(at);
   std::optional<Clock::time_point> when;
@@ -208,4 +208,4 @@
   turn();
 }
 
-}  // namespace trailcourse::duties
+}  // namespace trailcourse::tasks
--- a/src/duties/prober.h
+++ b/src/tasks/prober.h
@@ -1,33 +1,33 @@
-// The duty of probing: of the caches that routers of a zone suspect, each is asked for its health by one
+// The task of probing: of the caches that routers of a zone suspect, each is asked for its health by one
 // router for all, and the verdict goes to the store, from where every router hears it.
 //
 // A probe changes nothing and is harmless twice, so its receiver need not check the term; verdicts bear it,
 // and a router passes over one of an earlier term (suspects.h). A cache that drains or is gone is not probed:
 // rule 3 goes before.
 //
-// Package `duties`, over `routing` and `transport`. One thread.
+// Package `tasks`, over `routing` and `transport`. One thread.
 #pragma once
 
 #include <memory>
 
-#include "duties/duty.h"
-#include "duties/options.h"
-#include "duties/suspects.h"
 #include "routing/directory.h"
+#include "tasks/options.h"
+#include "tasks/owned_task.h"
+#include "tasks/suspects.h"
 #include "transport/alarm.h"
 #include "transport/connection.h"
 
-namespace trailcourse::duties {
+namespace trailcourse::tasks {
 
 constexpr const char* kSuspects = "suspects/";        // suspects/ZONE/CACHE/ROUTER
 constexpr const char* kVerdicts = "fleet/verdicts/";  // fleet/verdicts/ZONE/CACHE
 std::string suspect_key(const std::string& zone, const std::string& cache, const std::string& router);
 std::string verdict_key(const std::string& zone, const std::string& cache);
 
-class Prober : public Duty, public coordination::Watcher {
+class Prober : public OwnedTask, public coordination::Watcher {
  public:
   Prober(transport::Scheduler& scheduler, coordination::SharedStore& store, std::string prefix,
-         const routing::Directory& directory, const OwnershipOptions& options, Charge charge);
+         const routing::Directory& directory, const OwnershipOptions& options, TaskContext context);
   ~Prober() override;
 
   void begin() override;
@@ -51,7 +51,7 @@
   std::string prefix_;
   const routing::Directory& directory_;
   OwnershipOptions options_;
-  Charge charge_;
+  TaskContext context_;
   ProbePlan plan_;
   transport::Alarm timer_;
   coordination::SharedStore::WatchId watch_ = 0;
@@ -61,4 +61,4 @@
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
-}  // namespace trailcourse::duties
+}  // namespace trailcourse::tasks
--- a/src/duties/reporter.cpp
+++ b/src/tasks/reporter.cpp
@@ -1,30 +1,30 @@
-#include "duties/reporter.h"
+#include "tasks/reporter.h"
 
 #include <nlohmann/json.hpp>
 #include <utility>
 
-namespace trailcourse::duties {
+namespace trailcourse::tasks {
 
 using std::chrono::milliseconds;
 using transport::Clock;
 
 Reporter::Reporter(transport::Scheduler& scheduler, coordination::SharedStore& store, std::string prefix,
-                   const OwnershipOptions& options, Charge charge)
+                   const OwnershipOptions& options, TaskContext context)
     : scheduler_(scheduler),
       store_(store),
       prefix_(std::move(prefix)),
       options_(options),
-      charge_(std::move(charge)),
-      report_(charge_.checkpoint),
+      context_(std::move(context)),
+      report_(context_.checkpoint),
       timer_(scheduler, [this] { turn(); }) {}
 
 void Reporter::finish() {
   timer_.set(std::nullopt);
-  charge_.finished();
+  context_.finished();
 }
 
 void Reporter::turn() {
-  if (charge_.may_act()) {
+  if (context_.may_act()) {
     coordination::Transaction read;
     read.then = {coordination::Get{coordination::Range{prefix_ + kCounters, true}}};
     store_.commit(std::move(read),
@@ -47,14 +47,14 @@
   }
   report_.take(routers);
   const nlohmann::json text{
-      {"term", charge_.term},
+      {"term", context_.term},
       {"number", ++number_},
       {"routers", report_.routers()},
       {"at_ms",
        std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count()},
       {"sums", report_.sums()}};
-  charge_.put(kReport, text.dump());
-  charge_.checkpoint_at(report_.checkpoint(), false);
+  context_.put(kReport, text.dump());
+  context_.checkpoint_at(report_.checkpoint(), false);
 }
 
-}  // namespace trailcourse::duties
+}  // namespace trailcourse::tasks
--- a/src/duties/suspects.cpp
+++ b/src/tasks/suspects.cpp
@@ -1,10 +1,10 @@
-#include "duties/suspects.h"
+#include "tasks/suspects.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
-namespace trailcourse::duties {
+namespace trailcourse::tasks {
 
 using nlohmann::json;
 
@@ -198,4 +198,4 @@
   return known ? std::optional<bool>(found->second.sound) : std::nullopt;
 }
 
-}  // namespace trailcourse::duties
+}  // namespace trailcourse::tasks
--- a/src/duties/suspects.h
+++ b/src/tasks/suspects.h
@@ -2,7 +2,7 @@
 // what the prober makes of what it is told and of its probes; and what a router makes of the prober's
 // verdicts.
 //
-// Package `duties`: no I/O, no clock; time is Micros of the caller's steady clock.
+// Package `tasks`: no I/O, no clock; time is Micros of the caller's steady clock.
 #pragma once
 
 #include <trailcourse/decider.h>
@@ -16,7 +16,7 @@
 
 #include "ownership/lease.h"
 
-namespace trailcourse::duties {
+namespace trailcourse::tasks {
 
 // ---- At each router: whom it suspects ----
 
@@ -127,4 +127,4 @@
   std::map<std::string, Last> last_;
 };
 
-}  // namespace trailcourse::duties
+}  // namespace trailcourse::tasks
--- a/src/duties/steward.cpp
+++ b/src/tasks/task_runner.cpp
@@ -1,4 +1,4 @@
-#include "duties/steward.h"
+#include "tasks/task_runner.h"
 
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -6,7 +6,7 @@
 
 #include "transport/log.h"
 
-namespace trailcourse::duties {
+namespace trailcourse::tasks {
 
 using coordination::Change;
 using coordination::LeaseId;
@@ -27,42 +27,43 @@
 
 }  // namespace
 
-Steward::Steward(transport::Scheduler& scheduler, coordination::SharedStore& store,
-                 const OwnershipOptions& options, std::string prefix, Self self)
+TaskRunner::TaskRunner(transport::Scheduler& scheduler, coordination::SharedStore& store,
+                       const OwnershipOptions& options, std::string prefix, Self self)
     : scheduler_(scheduler),
       store_(store),
       options_(options),
       prefix_(std::move(prefix)),
       self_(std::move(self)),
       view_(view_rules(options)),
-      neighbours_(self_.name, static_cast<std::size_t>(options.neighbours),
-                  static_cast<int>(options.neighbour_misses)),
-      desk_(self_.name, self_.incarnation, self_.zone, set_of(options.kinds), desk_rules(options)),
+      peers_(self_.name, static_cast<std::size_t>(options.neighbours),
+             static_cast<int>(options.neighbour_misses)),
+      lease_manager_(self_.name, self_.incarnation, self_.zone, set_of(options.kinds),
+                     lease_manager_rules(options)),
       session_(session_rules(options)),
       timer_(scheduler, [this] { turn(); }) {}
 
-Steward::~Steward() {
+TaskRunner::~TaskRunner() {
   *alive_ = false;
   if (watch_ != 0) {
     store_.unwatch(watch_);
   }
 }
 
-Micros Steward::now() { return std::chrono::duration_cast<Micros>(Clock::now().time_since_epoch()); }
+Micros TaskRunner::now() { return std::chrono::duration_cast<Micros>(Clock::now().time_since_epoch()); }
 
-void Steward::start() {
+void TaskRunner::start() {
   watch_ = store_.watch(coordination::Range{prefix_ + kFleet, true}, *this);
   if (options_.neighbours > 0) {
-    scheduler_.spawn(try_neighbours());
+    scheduler_.spawn(try_peers());
   }
   turn_soon();
 }
 
-void Steward::drain() {
+void TaskRunner::drain() {
   if (std::exchange(draining_, true)) {
     return;
   }
-  desk_.drain(now());
+  lease_manager_.drain(now());
   if (session_.term() != 0) {
     // The others give it nothing more while it ends.
     coordination::Transaction leaving;
@@ -73,16 +74,16 @@
   turn_soon();
 }
 
-void Steward::allow(std::optional<std::set<std::string>> kinds) {
-  desk_.allow(now(), std::move(kinds));
+void TaskRunner::allow(std::optional<std::set<std::string>> kinds) {
+  lease_manager_.allow(now(), std::move(kinds));
   turn_soon();
 }
 
-bool Steward::drained() const { return draining_ && desk_.drained() && session_.over(); }
+bool TaskRunner::drained() const { return draining_ && lease_manager_.drained() && session_.over(); }
 
 // ---- What the store tells ----
 
-void Steward::current(coordination::Revision revision, const std::vector<coordination::Entry>& entries) {
+void TaskRunner::current(coordination::Revision revision, const std::vector<coordination::Entry>& entries) {
   std::set<std::string> named;
   view_.begin_whole();
   for (const coordination::Entry& entry : entries) {
@@ -102,7 +103,7 @@
   told();
 }
 
-void Steward::changed(coordination::Revision, const std::vector<Change>& changes) {
+void TaskRunner::changed(coordination::Revision, const std::vector<Change>& changes) {
   for (const Change& change : changes) {
     apply(change);
   }
@@ -110,23 +111,23 @@
   told();
 }
 
-void Steward::silent(const std::string& why) {
+void TaskRunner::silent(const std::string& why) {
   if (std::exchange(heard_, false)) {
     log_line(Level::kWarning) << "the store is not heard: " << why;
   }
-  desk_.heard(now(), false);
+  lease_manager_.heard(now(), false);
   turn_soon();
 }
 
-void Steward::heard_store() {
+void TaskRunner::heard_store() {
   if (!std::exchange(heard_, true)) {
     log_line(Level::kInfo) << "the store " << store_.id() << " is heard";
-    desk_.heard(now(), true);
+    lease_manager_.heard(now(), true);
     turn_soon();
   }
 }
 
-void Steward::apply(const Change& change) {
+void TaskRunner::apply(const Change& change) {
   const Micros at = now();
   const std::string key = change.entry.key.substr(std::min(prefix_.size(), change.entry.key.size()));
   const std::string value = change.deleted ? std::string() : change.entry.value;
@@ -137,13 +138,13 @@
   }
   view_.take(at, key, value, change.entry.created, change.entry.modified);
   if (const auto owned = ownership::read_shard_key(key, ownership::kOwn)) {
-    desk_.owner(at, *owned,
-                change.deleted ? std::nullopt : ownership::read_owner(value, change.entry.created),
-                change.entry.modified);
+    lease_manager_.owner(at, *owned,
+                         change.deleted ? std::nullopt : ownership::read_owner(value, change.entry.created),
+                         change.entry.modified);
   } else if (const auto done = ownership::read_shard_key(key, ownership::kDone)) {
-    desk_.done(at, *done, !change.deleted);
+    lease_manager_.done(at, *done, !change.deleted);
   } else if (const auto release = ownership::read_shard_key(key, ownership::kRelease)) {
-    desk_.release_asked(at, *release, value);
+    lease_manager_.release_asked(at, *release, value);
   } else if (key.starts_with(ownership::kWork)) {
     const std::string name = key.substr(std::string(ownership::kWork).size());
     std::optional<ownership::Work> work = change.deleted ? std::nullopt : ownership::read_work(key, value);
@@ -155,7 +156,7 @@
     } else {
       works_[name] = *work;
     }
-    desk_.work(at, name, std::move(work));
+    lease_manager_.work(at, name, std::move(work));
   } else {
     for (const auto& [stem, taker] : takers_) {
       if (key.starts_with(stem)) {
@@ -165,8 +166,8 @@
   }
 }
 
-// The desk hears who may be given work.
-void Steward::told() {
+// The manager hears who may be given work.
+void TaskRunner::told() {
   const Micros at = now();
   std::map<std::string, std::string> members;
   for (const membership::Seen& seen : view_.all(at)) {
@@ -174,9 +175,9 @@
       members[seen.member.name] = seen.member.zone;
     }
   }
-  desk_.members(at, std::move(members));
+  lease_manager_.members(at, std::move(members));
   const bool shadowed = view_.shadowed(self_.name, self_.incarnation);
-  desk_.shadowed(at, shadowed);
+  lease_manager_.shadowed(at, shadowed);
   if (shadowed && view_told_ != view_.number()) {
     log_line(Level::kWarning) << "another start has this router's name, " << self_.name
                               << ": this one does no owned work";
@@ -185,9 +186,9 @@
   turn_soon();
 }
 
-// ---- The desk's orders ----
+// ---- The manager's orders ----
 
-void Steward::turn_soon() {
+void TaskRunner::turn_soon() {
   if (!std::exchange(soon_, true)) {
     scheduler_.post([this, alive = alive_] {
       if (*alive) {
@@ -198,7 +199,7 @@
   }
 }
 
-void Steward::turn() {
+void TaskRunner::turn() {
   if (std::exchange(turning_, true)) {
     return;
   }
@@ -207,16 +208,16 @@
     told();
   }
   step_session();
-  for (const ownership::DeskOrder& order : desk_.due(at)) {
+  for (const ownership::LeaseManagerOrder& order : lease_manager_.due(at)) {
     std::visit([this](const auto& one) { carry_out(one); }, order);
   }
   turning_ = false;
   set_timer();
 }
 
-void Steward::set_timer() {
+void TaskRunner::set_timer() {
   const Micros at = now();
-  std::optional<Micros> due = desk_.next(at);
+  std::optional<Micros> due = lease_manager_.next(at);
   for (const auto& other : {session_.next(at), view_.next(at)}) {
     if (other) {
       due = std::min(due.value_or(*other), *other);
@@ -229,7 +230,7 @@
   timer_.set(when);
 }
 
-void Steward::carry_out(const ownership::AskLease& ask) {
+void TaskRunner::carry_out(const ownership::AskLease& ask) {
   const ShardId id = ask.id;
   const std::uint64_t number = ask.order.number;
   if (ask.order.ask == Ask::kAcquire) {
@@ -243,9 +244,9 @@
         return;
       }
       if (reply.done()) {
-        desk_.renewed(now(), id, number, reply.value.ttl > Micros(0));
+        lease_manager_.renewed(now(), id, number, reply.value.ttl > Micros(0));
       } else {
-        desk_.lost(now(), id, number);
+        lease_manager_.lost(now(), id, number);
       }
       turn_soon();
     });
@@ -256,21 +257,21 @@
       return;
     }
     if (reply.done()) {
-      desk_.released(now(), id, number);
+      lease_manager_.released(now(), id, number);
     } else {
-      desk_.lost(now(), id, number);
+      lease_manager_.lost(now(), id, number);
     }
     turn_soon();
   });
 }
 
-void Steward::acquire(const ShardId& id, std::uint64_t number) {
+void TaskRunner::acquire(const ShardId& id, std::uint64_t number) {
   store_.grant(milliseconds(options_.ttl_ms), [this, alive = alive_, id, number](const auto& reply) {
     if (!*alive) {
       return;
     }
     if (!reply.done()) {
-      desk_.lost(now(), id, number);
+      lease_manager_.lost(now(), id, number);
       turn_soon();
       return;
     }
@@ -278,7 +279,7 @@
   });
 }
 
-void Steward::own(const ShardId& id, std::uint64_t number, LeaseId lease) {
+void TaskRunner::own(const ShardId& id, std::uint64_t number, LeaseId lease) {
   const ownership::Owner owner{self_.name, self_.incarnation, 0};
   store_.commit(ownership::acquire(prefix_, id, owner, lease), [this, alive = alive_, id, number,
                                                                 lease](const Reply<Outcome>& reply) {
@@ -288,7 +289,7 @@
     if (!reply.done()) {
       // Whether it was done or not: without a renewal it ends, and sooner so.
       give_up(lease);
-      desk_.lost(now(), id, number);
+      lease_manager_.lost(now(), id, number);
     } else {
       const ownership::Acquired acquired = ownership::read_acquired(reply.value);
       if (acquired.term == 0) {
@@ -297,17 +298,17 @@
         leases_[id] = lease;
         log_line(Level::kInfo) << "owner of " << to_string(id) << " under term " << acquired.term;
       }
-      desk_.acquired(now(), id, number, acquired);
+      lease_manager_.acquired(now(), id, number, acquired);
     }
     turn_soon();
   });
 }
 
-void Steward::give_up(LeaseId lease) {
+void TaskRunner::give_up(LeaseId lease) {
   store_.revoke(lease, [](const auto&) {});
 }
 
-void Steward::carry_out(const ownership::Write& write) {
+void TaskRunner::carry_out(const ownership::Write& write) {
   const ShardId id = write.id;
   store_.commit(ownership::record(prefix_, id, write.term, write.modified, write.progress),
                 [this, alive = alive_, write](const Reply<Outcome>& reply) {
@@ -315,31 +316,32 @@
                     return;
                   }
                   if (reply.done()) {
-                    desk_.recorded(now(), write.id, write.number,
-                                   ownership::read_recorded(reply.value, write.term, write.progress));
+                    lease_manager_.recorded(
+                        now(), write.id, write.number,
+                        ownership::read_recorded(reply.value, write.term, write.progress));
                   } else {
-                    desk_.record_lost(now(), write.id, write.number);
+                    lease_manager_.record_lost(now(), write.id, write.number);
                   }
                   turn_soon();
                 });
 }
 
-Charge Steward::charge(const ownership::Begin& begin, const ownership::Work& work) {
+TaskContext TaskRunner::context(const ownership::Begin& begin, const ownership::Work& work) {
   const ShardId id = begin.id;
   const ownership::Term term = begin.term;
-  Charge out;
+  TaskContext out;
   out.work = work;
   out.id = id;
   out.term = term;
   out.checkpoint = begin.checkpoint;
   out.fence = std::to_string(store_.id()) + ":" + to_string(id) + ":" + std::to_string(term);
-  out.may_act = [this, id, term] { return desk_.may_act(now(), id, term); };
+  out.may_act = [this, id, term] { return lease_manager_.may_act(now(), id, term); };
   out.checkpoint_at = [this, id, term](std::string checkpoint, bool done) {
-    desk_.checkpoint(now(), id, term, std::move(checkpoint), done);
+    lease_manager_.checkpoint(now(), id, term, std::move(checkpoint), done);
     turn_soon();
   };
   out.finished = [this, id, term] {
-    desk_.finished(now(), id, term);
+    lease_manager_.finished(now(), id, term);
     drop(id, term);
     turn_soon();
   };
@@ -370,7 +372,7 @@
   return out;
 }
 
-void Steward::carry_out(const ownership::Begin& begin) {
+void TaskRunner::carry_out(const ownership::Begin& begin) {
   const auto work = works_.find(begin.id.work);
   const auto maker = work == works_.end() ? makers_.end() : makers_.find(work->second.kind);
   if (maker == makers_.end()) {
@@ -380,29 +382,29 @@
                          << (begin.checkpoint.empty() ? "" : ", from " + begin.checkpoint);
   Running& running = running_[begin.id];
   running.term = begin.term;
-  running.duty = maker->second(charge(begin, work->second));
-  running.duty->begin();
+  running.task = maker->second(context(begin, work->second));
+  running.task->begin();
 }
 
-void Steward::carry_out(const ownership::Finish& finish) {
+void TaskRunner::carry_out(const ownership::Finish& finish) {
   const auto found = running_.find(finish.id);
   if (found != running_.end() && found->second.term == finish.term) {
     log_line(Level::kInfo) << "lets go of " << to_string(finish.id) << " under term " << finish.term;
-    found->second.duty->finish();
+    found->second.task->finish();
   } else {
-    desk_.finished(now(), finish.id, finish.term);
+    lease_manager_.finished(now(), finish.id, finish.term);
     turn_soon();
   }
 }
 
-void Steward::carry_out(const ownership::Abandon& abandon) {
+void TaskRunner::carry_out(const ownership::Abandon& abandon) {
   log_line(Level::kWarning) << "stops " << to_string(abandon.id) << " under term " << abandon.term
                             << ": it is another's, or nobody knows";
   running_.erase(abandon.id);
 }
 
-// Later: a duty may say its end from within its own call.
-void Steward::drop(const ShardId& id, ownership::Term term) {
+// Later: a task may say its end from within its own call.
+void TaskRunner::drop(const ShardId& id, ownership::Term term) {
   scheduler_.post([this, alive = alive_, id, term] {
     const auto found = *alive ? running_.find(id) : running_.end();
     if (*alive && found != running_.end() && found->second.term == term) {
@@ -413,7 +415,7 @@
 
 // ---- The session ----
 
-std::string Steward::member_value() const {
+std::string TaskRunner::member_value() const {
   membership::Member member;
   member.zone = self_.zone;
   member.address = self_.address;
@@ -424,9 +426,9 @@
   return membership::write_member(member);
 }
 
-void Steward::step_session() {
+void TaskRunner::step_session() {
   const Micros at = now();
-  if (draining_ && desk_.drained() && session_.phase(at) != ownership::Phase::kStopped) {
+  if (draining_ && lease_manager_.drained() && session_.phase(at) != ownership::Phase::kStopped) {
     session_.stop(at);
   }
   const std::optional<ownership::Order> order = session_.due(at);
@@ -476,7 +478,7 @@
   }
 }
 
-void Steward::join(std::uint64_t number) {
+void TaskRunner::join(std::uint64_t number) {
   coordination::Transaction transaction;
   transaction.then.push_back(coordination::Put{
       prefix_ + membership::member_key(self_.name, self_.incarnation), member_value(), session_lease_});
@@ -498,7 +500,7 @@
   });
 }
 
-void Steward::keep(const std::string& key, const std::string& value) {
+void TaskRunner::keep(const std::string& key, const std::string& value) {
   const auto found = kept_.find(key);
   if (value.empty() ? found == kept_.end() : found != kept_.end() && found->second == value) {
     return;
@@ -511,7 +513,7 @@
   put_kept(key);
 }
 
-void Steward::put_kept(const std::string& key) {
+void TaskRunner::put_kept(const std::string& key) {
   if (session_.term() == 0) {
     return;  // it goes with the next session
   }
@@ -541,15 +543,15 @@
   });
 }
 
-// ---- Neighbours ----
+// ---- Peers ----
 
-class Steward::Knock : public transport::Connection::Handler {
+class TaskRunner::Knock : public transport::Connection::Handler {
  public:
   void on_bytes(std::string_view) override {}
   void on_end(transport::ConnectionEnd) override {}
 };
 
-transport::Task<void> Steward::try_neighbours() {
+transport::Task<void> TaskRunner::try_peers() {
   const std::shared_ptr<bool> alive = alive_;
   transport::Scheduler& scheduler = scheduler_;
   const milliseconds pause(options_.neighbour_ms);
@@ -568,8 +570,8 @@
         addresses[seen.member.name] = *address;
       }
     }
-    names = neighbours_.to_try(names);
-    neighbours_.watch(names);
+    names = peers_.to_try(names);
+    peers_.watch(names);
     std::map<std::string, std::shared_ptr<transport::Connection>> knocks;
     for (const std::string& name : names) {
       transport::Connection::Bounds bounds;
@@ -581,7 +583,7 @@
     co_await scheduler.sleep(timeout);
     for (const auto& [name, knock] : knocks) {
       if (*alive) {
-        neighbours_.tried(name, knock->up());
+        peers_.tried(name, knock->up());
       }
       knock->close(transport::ConnectionEnd::kIdle);
     }
@@ -589,7 +591,7 @@
     if (!*alive) {
       co_return;
     }
-    const auto doubts = neighbours_.doubts();
+    const auto doubts = peers_.doubts();
     for (const auto& [name, doubt] : doubts) {
       keep(membership::doubt_key(name, self_.name), membership::write_doubt(doubt));
       doubts_told_[name] = 1;
@@ -605,13 +607,13 @@
   }
 }
 
-std::string Steward::status() const {
+std::string TaskRunner::status() const {
   const Micros at = now();
   std::size_t owned = 0;
-  for (const ownership::ShardSeen& seen : desk_.all(at)) {
+  for (const ownership::ShardSeen& seen : lease_manager_.all(at)) {
     owned += seen.lease == ownership::Phase::kOwner || seen.lease == ownership::Phase::kRenewing ? 1 : 0;
   }
-  const ownership::DeskCounts& counts = desk_.counts();
+  const ownership::LeaseManagerCounts& counts = lease_manager_.counts();
   return nlohmann::json{{"store", heard_ ? "heard" : "silent"},
                         {"members", view_.all(at).size()},
                         {"owned", owned},
@@ -624,4 +626,4 @@
       .dump();
 }
 
-}  // namespace trailcourse::duties
+}  // namespace trailcourse::tasks
--- a/src/duties/steward.h
+++ b/src/tasks/task_runner.h
@@ -1,7 +1,7 @@
 // One router's part in the fleet's work, carried out: its session in the store, what it sees of the others,
-// and the orders of its desk as calls and duties. It decides nothing by itself; desk, view and lease do.
+// and the orders of its manager as calls and tasks. It decides nothing by itself; manager, view and lease do.
 //
-// Package `duties`, over `coordination`, `membership` and `ownership`. One thread. No request ever waits for
+// Package `tasks`, over `coordination`, `membership` and `ownership`. One thread. No request ever waits for
 // it.
 #pragma once
 
@@ -13,17 +13,17 @@
 #include <string>
 
 #include "coordination/shared_store.h"
-#include "duties/duty.h"
-#include "duties/options.h"
-#include "membership/neighbours.h"
+#include "membership/peers.h"
 #include "membership/view.h"
-#include "ownership/desk.h"
+#include "ownership/lease_manager.h"
+#include "tasks/options.h"
+#include "tasks/owned_task.h"
 #include "transport/alarm.h"
 #include "transport/connection.h"
 
-namespace trailcourse::duties {
+namespace trailcourse::tasks {
 
-class Steward : public coordination::Watcher {
+class TaskRunner : public coordination::Watcher {
  public:
   struct Self {
     std::string name;
@@ -33,12 +33,12 @@
     std::string version;
   };
 
-  Steward(transport::Scheduler& scheduler, coordination::SharedStore& store, const OwnershipOptions& options,
-          std::string prefix, Self self);
-  ~Steward() override;
+  TaskRunner(transport::Scheduler& scheduler, coordination::SharedStore& store,
+             const OwnershipOptions& options, std::string prefix, Self self);
+  ~TaskRunner() override;
 
   // Before start().
-  void add(const std::string& kind, DutyMaker maker) { makers_[kind] = std::move(maker); }
+  void add(const std::string& kind, OwnedTaskMaker maker) { makers_[kind] = std::move(maker); }
   // Keys under fleet/ that are neither members nor work; an empty value: gone.
   using KeyTaker = std::function<void(const std::string& key, const std::string& value)>;
   void tell_keys(const std::string& stem, KeyTaker taker) { takers_[stem] = std::move(taker); }
@@ -54,7 +54,7 @@
   void keep(const std::string& key, const std::string& value);
 
   const membership::View& view() const { return view_; }
-  const ownership::Desk& desk() const { return desk_; }
+  const ownership::LeaseManager& manager() const { return lease_manager_; }
   bool heard() const { return heard_; }
   // One object of JSON, for the health check.
   std::string status() const;
@@ -71,7 +71,7 @@
 
  private:
   struct Running {
-    std::unique_ptr<Duty> duty;
+    std::unique_ptr<OwnedTask> task;
     ownership::Term term = 0;
   };
 
@@ -89,7 +89,7 @@
   void acquire(const ownership::ShardId& id, std::uint64_t number);
   void own(const ownership::ShardId& id, std::uint64_t number, coordination::LeaseId lease);
   void give_up(coordination::LeaseId lease);
-  Charge charge(const ownership::Begin& begin, const ownership::Work& work);
+  TaskContext context(const ownership::Begin& begin, const ownership::Work& work);
   void drop(const ownership::ShardId& id, ownership::Term term);
 
   void step_session();
@@ -97,7 +97,7 @@
   std::string member_value() const;
   void put_kept(const std::string& key);
 
-  transport::Task<void> try_neighbours();
+  transport::Task<void> try_peers();
   class Knock;
 
   transport::Scheduler& scheduler_;
@@ -106,14 +106,14 @@
   std::string prefix_;
   Self self_;
   membership::View view_;
-  membership::Neighbours neighbours_;
-  ownership::Desk desk_;
+  membership::Peers peers_;
+  ownership::LeaseManager lease_manager_;
   ownership::Lease session_;
   coordination::LeaseId session_lease_ = 0;
   std::map<ownership::ShardId, coordination::LeaseId> leases_;
   std::map<ownership::ShardId, Running> running_;
   std::map<std::string, ownership::Work> works_;
-  std::map<std::string, DutyMaker> makers_;
+  std::map<std::string, OwnedTaskMaker> makers_;
   std::map<std::string, KeyTaker> takers_;
   std::map<std::string, std::string> kept_;
   std::map<std::string, bool> kept_out_;  // keys being written; true: changed meanwhile
@@ -129,4 +129,4 @@
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
-}  // namespace trailcourse::duties
+}  // namespace trailcourse::tasks
--- a/tests/capacity_test.cpp
+++ b/tests/capacity_test.cpp
@@ -15,7 +15,6 @@
 #include "aggregation/options.h"
 #include "board/board_core.h"
 #include "coordination/options.h"
-#include "duties/options.h"
 #include "policy/options.h"
 #include "program/configuration.h"
 #include "program/start_options.h"
@@ -23,6 +22,7 @@
 #include "scale/capacity_page_formula.h"
 #include "startup/rules.h"
 #include "store/options.h"
+#include "tasks/options.h"
 
 namespace trailcourse::scale {
 namespace {
@@ -357,7 +357,7 @@
       if (section == "policy") {
         expect_default(policy::policy_record(), key, target);
       } else if (section == "ownership") {
-        expect_default(duties::ownership_record(), key, target);
+        expect_default(tasks::ownership_record(), key, target);
       } else if (section == "startup") {
         expect_default(startup::start_record(), key, target);
       } else if (section == "relay") {
--- a/tests/fencing_test.cpp
+++ b/tests/fencing_test.cpp
@@ -9,7 +9,7 @@
 #include <random>
 
 #include "board/fenced_notice.h"
-#include "fencing/term_book.h"
+#include "fencing/token_store.h"
 #include "store/files.h"
 
 namespace trailcourse::fencing {
@@ -41,21 +41,21 @@
   std::deque<std::pair<std::function<void()>, std::function<void()>>> jobs_;
 };
 
-class TermBookTest : public testing::Test {
+class TokenStoreTest : public testing::Test {
  protected:
-  TermBookTest() {
+  TokenStoreTest() {
     folder_ = testing::TempDir() + "trailcourse-terms-" + std::to_string(::getpid());
     std::filesystem::remove_all(folder_);
     start();
   }
-  ~TermBookTest() override {
+  ~TokenStoreTest() override {
     book.reset();
     std::filesystem::remove_all(folder_);
   }
   void start() {
     book.reset();
     executor.lose();
-    book = std::make_unique<TermBook>(std::shared_ptr<store::Files>(store::open_folder(folder_)), executor);
+    book = std::make_unique<TokenStore>(std::shared_ptr<store::Files>(store::open_folder(folder_)), executor);
   }
   // What admit() says; "waits" while it says nothing.
   std::string admit(const std::string& token) {
@@ -74,11 +74,11 @@
 
   std::string folder_;
   SteppedExecutor executor;
-  std::unique_ptr<TermBook> book;
+  std::unique_ptr<TokenStore> book;
   std::shared_ptr<std::string> last;
 };
 
-TEST_F(TermBookTest, AHigherTermIsKeptBeforeItsFirstEffect) {
+TEST_F(TokenStoreTest, AHigherTermIsKeptBeforeItsFirstEffect) {
   EXPECT_EQ(admit("9:w/0:5"), "waits");
   const auto first = last;
   EXPECT_EQ(admit("9:w/0:5"), "waits") << "the second command of the same term waits for the same write";
@@ -91,14 +91,14 @@
   EXPECT_EQ(book->counts().refused, 1U);
 }
 
-TEST_F(TermBookTest, ATermThatIsBeingKeptFencesThoseBeforeItAlready) {
+TEST_F(TokenStoreTest, ATermThatIsBeingKeptFencesThoseBeforeItAlready) {
   ASSERT_EQ(admit_whole("9:w/0:5"), "");
   EXPECT_EQ(admit("9:w/0:7"), "waits");
   EXPECT_EQ(admit("9:w/0:6"), "fenced");
   EXPECT_EQ(admit("9:w/0:5"), "fenced");
 }
 
-TEST_F(TermBookTest, ARestartForgetsNothingThatWasAnswered) {
+TEST_F(TokenStoreTest, ARestartForgetsNothingThatWasAnswered) {
   ASSERT_EQ(admit_whole("9:w/0:5"), "");
   ASSERT_EQ(admit_whole("9:v/3:8"), "");
   EXPECT_EQ(admit("9:w/0:7"), "waits");
@@ -108,7 +108,7 @@
   EXPECT_EQ(admit("9:w/0:5"), "");
 }
 
-TEST_F(TermBookTest, AnotherStoresTermsAreNeverCompared) {
+TEST_F(TokenStoreTest, AnotherStoresTermsAreNeverCompared) {
   ASSERT_EQ(admit_whole("9:w/0:5"), "");
   EXPECT_EQ(admit("8:w/0:500"), "fence_other_store");
   EXPECT_EQ(admit("8:other/0:500"), "fence_other_store");
@@ -117,21 +117,21 @@
   EXPECT_EQ(book->counts().foreign, 1U);
 }
 
-TEST_F(TermBookTest, WithoutMemoryNothingIsAdmitted) {
-  TermBook none(nullptr, executor);
+TEST_F(TokenStoreTest, WithoutMemoryNothingIsAdmitted) {
+  TokenStore none(nullptr, executor);
   std::string said;
   none.admit("9:w/0:5", [&](const std::string& why) { said = why; });
   EXPECT_EQ(said, "fence_no_memory");
 }
 
-TEST_F(TermBookTest, ATermThatCannotBeKeptAdmitsNothing) {
+TEST_F(TokenStoreTest, ATermThatCannotBeKeptAdmitsNothing) {
   ASSERT_EQ(admit_whole("9:w/0:5"), "");
   std::filesystem::remove_all(folder_);
   EXPECT_EQ(admit_whole("9:w/0:7"), "fence_not_kept");
   EXPECT_EQ(admit("9:w/0:5"), "") << "the owner before goes on: nothing happened under the new term";
 }
 
-TEST_F(TermBookTest, ASpoiltFileStopsTheReceiver) {
+TEST_F(TokenStoreTest, ASpoiltFileStopsTheReceiver) {
   ASSERT_EQ(admit_whole("9:w/0:5"), "");
   std::fstream file(folder_ + "/terms", std::ios::in | std::ios::out);
   file.seekp(-2, std::ios::end);
@@ -140,7 +140,7 @@
   EXPECT_THROW(start(), std::runtime_error);
 }
 
-TEST_F(TermBookTest, TermsOfDrawnOrderWithDeathsNeverGoBack) {
+TEST_F(TokenStoreTest, TermsOfDrawnOrderWithDeathsNeverGoBack) {
   std::mt19937_64 random(11);
   std::map<std::string, std::uint64_t> highest;
   for (int round = 0; round < 3'000; ++round) {
--- a/tests/desk_test.cpp
+++ b/tests/lease_manager_test.cpp
@@ -1,6 +1,6 @@
 // One router's part in owned work, answer by answer: turns, starts that are written first, lost answers,
 // doubt, letting go, work that its owners die of.
-#include "ownership/desk.h"
+#include "ownership/lease_manager.h"
 
 #include <gtest/gtest.h>
 
@@ -15,33 +15,33 @@
 using std::chrono::seconds;
 
 // One router "a"; the test is the store.
-class DeskTest : public testing::Test {
+class LeaseManagerTest : public testing::Test {
  protected:
-  DeskTest() {
-    desk.heard(now, true);
+  LeaseManagerTest() {
+    manager.heard(now, true);
     Work work;
     work.name = "w";
     work.kind = "test";
-    desk.members(now, {{"a", "edge"}});
+    manager.members(now, {{"a", "edge"}});
     give(work);
   }
   void give(const Work& work) {
     given = work;
-    desk.work(now, work.name, work);
+    manager.work(now, work.name, work);
   }
   // Until nothing more is due now.
-  std::vector<DeskOrder> due() {
-    std::vector<DeskOrder> out;
+  std::vector<LeaseManagerOrder> due() {
+    std::vector<LeaseManagerOrder> out;
     for (int i = 0; i < 10; ++i) {
-      const auto more = desk.due(now);
+      const auto more = manager.due(now);
       out.insert(out.end(), more.begin(), more.end());
     }
     return out;
   }
   template <typename Kind>
-  static std::vector<Kind> of(const std::vector<DeskOrder>& orders) {
+  static std::vector<Kind> of(const std::vector<LeaseManagerOrder>& orders) {
     std::vector<Kind> out;
-    for (const DeskOrder& order : orders) {
+    for (const LeaseManagerOrder& order : orders) {
       if (const auto* one = std::get_if<Kind>(&order)) {
         out.push_back(*one);
       }
@@ -65,10 +65,10 @@
     Acquired acquired;
     acquired.term = term;
     acquired.kept = kept;
-    desk.acquired(now, id, order.number, acquired);
+    manager.acquired(now, id, order.number, acquired);
   }
   void keep(const Write& wrote, coordination::Revision revision) {
-    desk.recorded(now, id, wrote.number, Recorded{true, true, Kept{wrote.progress, revision}});
+    manager.recorded(now, id, wrote.number, Recorded{true, true, Kept{wrote.progress, revision}});
   }
   // Owned, written, running.
   void run(Term term, const Kept& kept = {}) {
@@ -78,18 +78,18 @@
     ASSERT_EQ(begun.size(), 1U);
     EXPECT_EQ(begun.front().term, term);
   }
-  ShardSeen seen() { return desk.all(now).at(0); }
+  ShardSeen seen() { return manager.all(now).at(0); }
 
-  DeskRules rules;
+  LeaseManagerRules rules;
   ShardId id{"w", 0};
   Work given;
   Micros now{1'000'000};
-  Desk desk{"a", "1", "edge", {"test"}, DeskRules{}};
+  LeaseManager manager{"a", "1", "edge", {"test"}, LeaseManagerRules{}};
 };
 
-TEST_F(DeskTest, NothingBeginsBeforeItsStartIsWritten) {
+TEST_F(LeaseManagerTest, NothingBeginsBeforeItsStartIsWritten) {
   acquire(7);
-  EXPECT_FALSE(desk.may_act(now, id, 7));
+  EXPECT_FALSE(manager.may_act(now, id, 7));
   const Write first = write();
   EXPECT_EQ(first.progress.starts, 1U);
   EXPECT_EQ(first.progress.term, 7U);
@@ -97,11 +97,11 @@
   keep(first, 8);
   const auto begun = of<Begin>(due());
   ASSERT_EQ(begun.size(), 1U);
-  EXPECT_TRUE(desk.may_act(now, id, 7));
-  EXPECT_FALSE(desk.may_act(now, id, 6)) << "another term's effects are not ours";
+  EXPECT_TRUE(manager.may_act(now, id, 7));
+  EXPECT_FALSE(manager.may_act(now, id, 6)) << "another term's effects are not ours";
 }
 
-TEST_F(DeskTest, ACandidateWaitsForThoseBeforeIt) {
+TEST_F(LeaseManagerTest, ACandidateWaitsForThoseBeforeIt) {
   std::map<std::string, std::string> members;
   for (const char* name : {"a", "b", "c", "d", "e"}) {
     members[name] = "edge";
@@ -110,10 +110,10 @@
   // A shard on which this one is not the first.
   given.shards = 20;
   give(given);
-  desk.members(now, members);
-  for (const ShardSeen& one : desk.all(now)) {
-    const std::size_t turn = turn_of("w", one.id.shard, "a", names);
-    Desk other("a", "1", "edge", {"test"}, DeskRules{});
+  manager.members(now, members);
+  for (const ShardSeen& one : manager.all(now)) {
+    const std::size_t turn = slot_of("w", one.id.shard, "a", names);
+    LeaseManager other("a", "1", "edge", {"test"}, LeaseManagerRules{});
     other.heard(now, true);
     other.members(now, members);
     other.work(now, "w", given);
@@ -124,26 +124,26 @@
     }
     if (turn > 0) {
       EXPECT_TRUE(of<AskLease>(other.due(now)).empty());
-      EXPECT_EQ(other.next(now), now + rules.turn * static_cast<int>(turn));
+      EXPECT_EQ(other.next(now), now + rules.slot * static_cast<int>(turn));
     }
-    EXPECT_EQ(of<AskLease>(other.due(now + rules.turn * static_cast<int>(turn))).size(), 1U);
+    EXPECT_EQ(of<AskLease>(other.due(now + rules.slot * static_cast<int>(turn))).size(), 1U);
   }
 }
 
-TEST_F(DeskTest, NobodyIsAskedWhileAnotherOwnsItOrTheStoreIsNotHeard) {
-  desk.owner(now, id, Owner{"b", "1", 5}, 5);
+TEST_F(LeaseManagerTest, NobodyIsAskedWhileAnotherOwnsItOrTheStoreIsNotHeard) {
+  manager.owner(now, id, Owner{"b", "1", 5}, 5);
   EXPECT_TRUE(due().empty());
-  desk.owner(now, id, std::nullopt, 9);
-  desk.heard(now, false);
+  manager.owner(now, id, std::nullopt, 9);
+  manager.heard(now, false);
   EXPECT_TRUE(due().empty());
-  desk.heard(now, true);
+  manager.heard(now, true);
   EXPECT_EQ(lease_call().ask, Ask::kAcquire);
 }
 
-TEST_F(DeskTest, ALostAnswerToTheStartIsFoundOutByWritingItAgain) {
+TEST_F(LeaseManagerTest, ALostAnswerToTheStartIsFoundOutByWritingItAgain) {
   acquire(7);
   const Write first = write();
-  desk.record_lost(now, id, first.number);
+  manager.record_lost(now, id, first.number);
   EXPECT_TRUE(of<Write>(due()).empty()) << "not at once";
   now += rules.lease.retry;
   const auto again = of<Write>(due());
@@ -151,121 +151,121 @@
   EXPECT_EQ(again.front().progress, first.progress);
   EXPECT_EQ(again.front().modified, first.modified);
   // An answer to the first that comes late counts for nothing.
-  desk.recorded(now, id, first.number, Recorded{true, true, Kept{first.progress, 8}});
+  manager.recorded(now, id, first.number, Recorded{true, true, Kept{first.progress, 8}});
   EXPECT_TRUE(of<Begin>(due()).empty());
   keep(again.front(), 8);
   EXPECT_EQ(of<Begin>(due()).size(), 1U);
 }
 
-TEST_F(DeskTest, WhoCannotKnowStopsAndGoesOnOnlyOnceItKnows) {
+TEST_F(LeaseManagerTest, WhoCannotKnowStopsAndGoesOnOnlyOnceItKnows) {
   run(7);
   now += rules.lease.renew_after;
   const Order renewal = lease_call();
   EXPECT_EQ(renewal.ask, Ask::kRenew);
   now += rules.lease.ttl;
-  EXPECT_FALSE(desk.may_act(now, id, 7));
+  EXPECT_FALSE(manager.may_act(now, id, 7));
   const auto stopped = of<Abandon>(due());
   ASSERT_EQ(stopped.size(), 1U);
   EXPECT_EQ(seen().lease, Phase::kDoubtful);
-  desk.lost(now, id, renewal.number);
+  manager.lost(now, id, renewal.number);
   now += rules.lease.retry;
   const Order second = lease_call();
-  desk.renewed(now, id, second.number, true);
+  manager.renewed(now, id, second.number, true);
   const auto begun = of<Begin>(due());
   ASSERT_EQ(begun.size(), 1U) << "under the same term, from the last checkpoint";
   EXPECT_EQ(begun.front().term, 7U);
   EXPECT_TRUE(of<Write>(due()).empty()) << "it is no new start";
 }
 
-TEST_F(DeskTest, ALeaseThatIsGoneEndsTheDutyAndItsWordsCountNoMore) {
+TEST_F(LeaseManagerTest, ALeaseThatIsGoneEndsTheTaskAndItsWordsCountNoMore) {
   run(7);
   now += rules.lease.renew_after;
-  desk.renewed(now, id, lease_call().number, false);
+  manager.renewed(now, id, lease_call().number, false);
   EXPECT_EQ(of<Abandon>(due()).size(), 1U);
-  EXPECT_FALSE(desk.may_act(now, id, 7));
-  desk.checkpoint(now, id, 7, "late", false);
+  EXPECT_FALSE(manager.may_act(now, id, 7));
+  manager.checkpoint(now, id, 7, "late", false);
   EXPECT_TRUE(of<Write>(due()).empty());
-  EXPECT_EQ(desk.counts().lost, 1U);
+  EXPECT_EQ(manager.counts().lost, 1U);
 }
 
-TEST_F(DeskTest, WhatTheStoreToldOfBeforeItsTermSaysNothing) {
+TEST_F(LeaseManagerTest, WhatTheStoreToldOfBeforeItsTermSaysNothing) {
   acquire(13);
-  desk.owner(now, id, Owner{"b", "1", 10}, 10);
-  desk.owner(now, id, std::nullopt, 12);
+  manager.owner(now, id, Owner{"b", "1", 10}, 10);
+  manager.owner(now, id, std::nullopt, 12);
   EXPECT_EQ(of<Write>(due()).size(), 1U) << "it owns the shard still";
-  desk.owner(now, id, Owner{"a", "1", 13}, 13);
-  desk.owner(now, id, std::nullopt, 20);
-  EXPECT_EQ(desk.counts().lost, 1U);
+  manager.owner(now, id, Owner{"a", "1", 13}, 13);
+  manager.owner(now, id, std::nullopt, 20);
+  EXPECT_EQ(manager.counts().lost, 1U);
   EXPECT_EQ(seen().phase, ShardPhase::kAway);
 }
 
-TEST_F(DeskTest, ACheckpointIsKeptUnderItsTermAndTakesTheStartBack) {
+TEST_F(LeaseManagerTest, ACheckpointIsKeptUnderItsTermAndTakesTheStartBack) {
   run(7);
-  desk.checkpoint(now, id, 7, "ten", false);
-  desk.checkpoint(now, id, 7, "eleven", false);
+  manager.checkpoint(now, id, 7, "ten", false);
+  manager.checkpoint(now, id, 7, "eleven", false);
   const Write kept = write();
   EXPECT_EQ(kept.progress.checkpoint, "eleven") << "the newest that is known when there is room";
   EXPECT_EQ(kept.progress.starts, 0U);
   EXPECT_EQ(kept.modified, 8U);
   keep(kept, 9);
-  EXPECT_EQ(desk.counts().checkpoints, 1U);
+  EXPECT_EQ(manager.counts().checkpoints, 1U);
 }
 
-TEST_F(DeskTest, AWriteThatFindsAnotherOwnerEndsIt) {
+TEST_F(LeaseManagerTest, AWriteThatFindsAnotherOwnerEndsIt) {
   run(7);
-  desk.checkpoint(now, id, 7, "ten", false);
+  manager.checkpoint(now, id, 7, "ten", false);
   const Write wrote = write();
-  desk.recorded(now, id, wrote.number, Recorded{false, false, {}});
+  manager.recorded(now, id, wrote.number, Recorded{false, false, {}});
   EXPECT_EQ(of<Abandon>(due()).size(), 1U);
-  EXPECT_EQ(desk.counts().refused_writes, 1U);
+  EXPECT_EQ(manager.counts().refused_writes, 1U);
   EXPECT_EQ(seen().phase, ShardPhase::kAway);
 }
 
-TEST_F(DeskTest, ADrainWaitsForTheLastCheckpointAndThenGivesTheLeaseBack) {
+TEST_F(LeaseManagerTest, ADrainWaitsForTheLastCheckpointAndThenGivesTheLeaseBack) {
   run(7);
-  desk.drain(now);
+  manager.drain(now);
   EXPECT_EQ(of<Finish>(due()).size(), 1U);
-  EXPECT_TRUE(desk.may_act(now, id, 7)) << "the step in hand may be ended";
-  desk.checkpoint(now, id, 7, "end", false);
-  desk.finished(now, id, 7);
+  EXPECT_TRUE(manager.may_act(now, id, 7)) << "the step in hand may be ended";
+  manager.checkpoint(now, id, 7, "end", false);
+  manager.finished(now, id, 7);
   const Write last = write();
   EXPECT_EQ(last.progress.checkpoint, "end");
-  EXPECT_FALSE(desk.drained());
+  EXPECT_FALSE(manager.drained());
   keep(last, 9);
   const Order release = lease_call();
   EXPECT_EQ(release.ask, Ask::kRelease);
-  desk.released(now, id, release.number);
-  EXPECT_TRUE(desk.drained());
+  manager.released(now, id, release.number);
+  EXPECT_TRUE(manager.drained());
   EXPECT_TRUE(due().empty()) << "nothing is taken on again";
 }
 
-TEST_F(DeskTest, ADutyThatDoesNotEndIsNotWaitedForBeyondTheBound) {
+TEST_F(LeaseManagerTest, ATaskThatDoesNotEndIsNotWaitedForBeyondTheBound) {
   run(7);
-  desk.drain(now);
+  manager.drain(now);
   EXPECT_EQ(of<Finish>(due()).size(), 1U);
   now += rules.yield_most;
   const auto orders = due();
   EXPECT_EQ(of<Abandon>(orders).size(), 1U);
   ASSERT_EQ(of<AskLease>(orders).size(), 1U);
   EXPECT_EQ(of<AskLease>(orders).front().order.ask, Ask::kRelease);
-  EXPECT_FALSE(desk.may_act(now, id, 7));
+  EXPECT_FALSE(manager.may_act(now, id, 7));
 }
 
-TEST_F(DeskTest, ADutyThatDidNotBeginLeavesNoStartBehind) {
+TEST_F(LeaseManagerTest, ATaskThatDidNotBeginLeavesNoStartBehind) {
   Kept kept;
   kept.progress.starts = 1;
   kept.modified = 5;
   acquire(7, kept);
   const Write first = write();
   EXPECT_EQ(first.progress.starts, 2U);
-  desk.drain(now);
+  manager.drain(now);
   due();
   keep(first, 8);
   const Write back = write();
   EXPECT_EQ(back.progress.starts, 1U);
 }
 
-TEST_F(DeskTest, WorkThatItsOwnersDieOfIsTriedLaterAndThenParked) {
+TEST_F(LeaseManagerTest, WorkThatItsOwnersDieOfIsTriedLaterAndThenParked) {
   Kept kept;
   std::vector<Micros> pauses;
   for (std::uint64_t start = 1; start <= rules.most_starts; ++start) {
@@ -278,18 +278,18 @@
     for (auto orders = due(); of<Begin>(orders).empty(); orders = due()) {
       // Renewals go on meanwhile.
       for (const AskLease& call : of<AskLease>(orders)) {
-        desk.renewed(now, id, call.order.number, true);
+        manager.renewed(now, id, call.order.number, true);
       }
-      now = *desk.next(now);
+      now = *manager.next(now);
       ASSERT_LT(now - from, seconds(200));
     }
     pauses.push_back(now - from);
     kept = Kept{wrote.progress, start * 10 + 1};
     // It dies: another router of the same kind takes over.
-    desk = Desk("a", std::to_string(start), "edge", {"test"}, DeskRules{});
-    desk.heard(now, true);
-    desk.members(now, {{"a", "edge"}});
-    desk.work(now, "w", given);
+    manager = LeaseManager("a", std::to_string(start), "edge", {"test"}, LeaseManagerRules{});
+    manager.heard(now, true);
+    manager.members(now, {{"a", "edge"}});
+    manager.work(now, "w", given);
   }
   EXPECT_EQ(pauses[0], Micros(0));
   EXPECT_GE(pauses[1], rules.poison_pause);
@@ -311,7 +311,7 @@
   EXPECT_EQ(of<Begin>(due()).size(), 1U);
 }
 
-TEST_F(DeskTest, WhoAcquiresWhatIsParkedLeavesItParked) {
+TEST_F(LeaseManagerTest, WhoAcquiresWhatIsParkedLeavesItParked) {
   Kept kept;
   kept.progress.parked = true;
   kept.progress.starts = 3;
@@ -321,23 +321,23 @@
   EXPECT_EQ(seen().phase, ShardPhase::kParked);
 }
 
-TEST_F(DeskTest, WhatIsDoneIsNotBegunAgain) {
+TEST_F(LeaseManagerTest, WhatIsDoneIsNotBegunAgain) {
   run(7);
-  desk.checkpoint(now, id, 7, "all", true);
+  manager.checkpoint(now, id, 7, "all", true);
   const Write last = write();
   EXPECT_TRUE(last.progress.done);
   keep(last, 9);
   EXPECT_EQ(of<Finish>(due()).size(), 1U);
-  desk.finished(now, id, 7);
+  manager.finished(now, id, 7);
   const Order release = lease_call();
   EXPECT_EQ(release.ask, Ask::kRelease);
-  desk.released(now, id, release.number);
-  desk.owner(now, id, std::nullopt, 11);
+  manager.released(now, id, release.number);
+  manager.owner(now, id, std::nullopt, 11);
   now += seconds(60);
   EXPECT_TRUE(due().empty());
 }
 
-TEST_F(DeskTest, ABetterOwnerGetsItOnceItHasStoodForAWhile) {
+TEST_F(LeaseManagerTest, ABetterOwnerGetsItOnceItHasStoodForAWhile) {
   run(7);
   std::map<std::string, std::string> members{{"a", "edge"}};
   std::vector<std::string> names{"a"};
@@ -345,50 +345,50 @@
     members["b" + std::to_string(i)] = "edge";
     names.push_back("b" + std::to_string(i));
   }
-  desk.members(now, members);
+  manager.members(now, members);
   EXPECT_TRUE(of<Finish>(due()).empty());
   now += rules.lease.renew_after;
-  desk.renewed(now, id, lease_call().number, true);
+  manager.renewed(now, id, lease_call().number, true);
   // It went: nothing happens, and its time begins anew when it returns.
-  desk.members(now, {{"a", "edge"}});
+  manager.members(now, {{"a", "edge"}});
   due();
-  desk.members(now, members);
+  manager.members(now, members);
   due();
   const Micros from = now;
   while (now < from + rules.settle) {
-    for (const AskLease& call : of<AskLease>(desk.due(now))) {
-      desk.renewed(now, id, call.order.number, true);
+    for (const AskLease& call : of<AskLease>(manager.due(now))) {
+      manager.renewed(now, id, call.order.number, true);
     }
     EXPECT_NE(seen().phase, ShardPhase::kYielding);
-    now = std::min(*desk.next(now), from + rules.settle);
+    now = std::min(*manager.next(now), from + rules.settle);
   }
   EXPECT_EQ(of<Finish>(due()).size(), 1U);
 }
 
-TEST_F(DeskTest, StaffCanHaveItLetGoAndItStandsBack) {
+TEST_F(LeaseManagerTest, StaffCanHaveItLetGoAndItStandsBack) {
   run(7);
-  desk.release_asked(now, id, "b");
+  manager.release_asked(now, id, "b");
   EXPECT_TRUE(of<Finish>(due()).empty()) << "not of this one";
-  desk.release_asked(now, id, "a");
+  manager.release_asked(now, id, "a");
   EXPECT_EQ(of<Finish>(due()).size(), 1U);
-  desk.finished(now, id, 7);
+  manager.finished(now, id, 7);
   keep(write(), 9);
-  desk.released(now, id, lease_call().number);
-  desk.owner(now, id, std::nullopt, 11);
+  manager.released(now, id, lease_call().number);
+  manager.owner(now, id, std::nullopt, 11);
   EXPECT_TRUE(of<AskLease>(due()).empty());
   now += rules.stand_back;
   EXPECT_EQ(lease_call().ask, Ask::kAcquire) << "nobody else took it";
 }
 
-TEST_F(DeskTest, PausedWorkIsLetGoAndNotTakenOn) {
+TEST_F(LeaseManagerTest, PausedWorkIsLetGoAndNotTakenOn) {
   run(7);
   given.paused = true;
   give(given);
   EXPECT_EQ(of<Finish>(due()).size(), 1U);
-  desk.finished(now, id, 7);
+  manager.finished(now, id, 7);
   keep(write(), 9);
-  desk.released(now, id, lease_call().number);
-  desk.owner(now, id, std::nullopt, 10);
+  manager.released(now, id, lease_call().number);
+  manager.owner(now, id, std::nullopt, 10);
   now += seconds(60);
   EXPECT_TRUE(due().empty());
   given.paused = false;
@@ -396,25 +396,25 @@
   EXPECT_EQ(lease_call().ask, Ask::kAcquire);
 }
 
-TEST_F(DeskTest, AShadowedRouterDoesNoOwnedWork) {
+TEST_F(LeaseManagerTest, AShadowedRouterDoesNoOwnedWork) {
   run(7);
-  desk.shadowed(now, true);
-  EXPECT_FALSE(desk.may_act(now, id, 7)) << "at once, not at the next step";
+  manager.shadowed(now, true);
+  EXPECT_FALSE(manager.may_act(now, id, 7)) << "at once, not at the next step";
   EXPECT_EQ(of<Finish>(due()).size(), 1U);
 }
 
-TEST_F(DeskTest, WorkThatIsTakenAwayIsLetGoAndForgotten) {
+TEST_F(LeaseManagerTest, WorkThatIsTakenAwayIsLetGoAndForgotten) {
   run(7);
-  desk.work(now, "w", std::nullopt);
+  manager.work(now, "w", std::nullopt);
   EXPECT_EQ(of<Finish>(due()).size(), 1U);
-  desk.finished(now, id, 7);
+  manager.finished(now, id, 7);
   keep(write(), 9);
-  desk.released(now, id, lease_call().number);
+  manager.released(now, id, lease_call().number);
   due();
-  EXPECT_TRUE(desk.all(now).empty());
+  EXPECT_TRUE(manager.all(now).empty());
 }
 
-TEST_F(DeskTest, OfAnotherZonesWorkAndOfUnknownKindsNothingIsAsked) {
+TEST_F(LeaseManagerTest, OfAnotherZonesWorkAndOfUnknownKindsNothingIsAsked) {
   Work other;
   other.name = "far";
   other.kind = "test";
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -5,7 +5,7 @@
 #include <chrono>
 #include <random>
 
-#include "membership/neighbours.h"
+#include "membership/peers.h"
 #include "membership/view.h"
 
 namespace trailcourse::membership {
@@ -115,7 +115,7 @@
   }
 }
 
-TEST_F(MembershipTest, TwoNeighboursDoubtsTakeOneOutAndOneDoesNot) {
+TEST_F(MembershipTest, TwoPeersDoubtsTakeOneOutAndOneDoesNot) {
   for (const char* name : {"a", "b", "c", "d"}) {
     come(name, "0");
   }
@@ -179,14 +179,14 @@
   }
 }
 
-TEST(NeighboursTest, EachIsTriedByAsManyAsItTries) {
+TEST(PeersTest, EachIsTriedByAsManyAsItTries) {
   std::vector<std::string> names;
   for (int i = 0; i < 50; ++i) {
     names.push_back("router" + std::to_string(i));
   }
   std::map<std::string, int> tried;
   for (const std::string& name : names) {
-    const auto whom = Neighbours(name, 3, 2).to_try(names);
+    const auto whom = Peers(name, 3, 2).to_try(names);
     EXPECT_EQ(whom.size(), 3U);
     for (const std::string& one : whom) {
       EXPECT_NE(one, name);
@@ -199,8 +199,8 @@
   EXPECT_EQ(tried.size(), names.size());
 }
 
-TEST(NeighboursTest, MissesInARowMakeADoubtAndOneSuccessEndsIt) {
-  Neighbours neighbours("a", 2, 2);
+TEST(PeersTest, MissesInARowMakeADoubtAndOneSuccessEndsIt) {
+  Peers neighbours("a", 2, 2);
   neighbours.watch({"b", "c"});
   neighbours.tried("b", false);
   EXPECT_TRUE(neighbours.doubts().empty());
--- a/tests/ownership_test.cpp
+++ b/tests/ownership_test.cpp
@@ -414,14 +414,14 @@
   EXPECT_EQ(owner_of("probe", 1, {}), "");
   std::vector<bool> turns(members.size(), false);
   for (const std::string& member : members) {
-    const std::size_t turn = turn_of("probe", 9, member, members);
+    const std::size_t turn = slot_of("probe", 9, member, members);
     ASSERT_LT(turn, members.size());
     EXPECT_FALSE(turns[turn]);
     turns[turn] = true;
     EXPECT_EQ(turn == 0, member == owner_of("probe", 9, members));
   }
-  EXPECT_EQ(wait_for_turn(3, milliseconds(200), seconds(2)), milliseconds(600));
-  EXPECT_EQ(wait_for_turn(299, milliseconds(200), seconds(2)), seconds(2));
+  EXPECT_EQ(wait_for_slot(3, milliseconds(200), seconds(2)), milliseconds(600));
+  EXPECT_EQ(wait_for_slot(299, milliseconds(200), seconds(2)), seconds(2));
 }
 
 }  // namespace
--- a/tests/ownership_world_test.cpp
+++ b/tests/ownership_world_test.cpp
@@ -10,8 +10,8 @@
 #include <random>
 
 #include "coordination/ledger.h"
-#include "ownership/desk.h"
 #include "ownership/fence.h"
+#include "ownership/lease_manager.h"
 
 namespace trailcourse::ownership {
 namespace {
@@ -86,7 +86,7 @@
 
  private:
   struct Router {
-    std::optional<Desk> desk;
+    std::optional<LeaseManager> manager;
     int incarnation = 0;
     double rate = 1.0;
     Micros offset{0};
@@ -94,11 +94,11 @@
     bool cut = false;
     std::vector<std::function<void()>> held;  // what came while it was stopped
     std::map<ShardId, LeaseId> leases;
-    std::map<ShardId, Term> terms;            // under which it began
-    std::map<ShardId, std::uint64_t> duties;  // run numbers: a duty that goes on knows its own
+    std::map<ShardId, Term> terms;           // under which it began
+    std::map<ShardId, std::uint64_t> tasks;  // run numbers: a task that goes on knows its own
     coordination::Revision seen = 0;
     bool following = false;
-    std::uint64_t last_duty = 0;
+    std::uint64_t last_task = 0;
   };
 
   void at(Micros when, std::function<void()> job) { events_.emplace(std::max(when, now_), std::move(job)); }
@@ -137,7 +137,7 @@
     const auto over = std::make_shared<bool>(false);
     const auto alive = [this, index, incarnation, over] {
       Router& one = routers_[static_cast<std::size_t>(index)];
-      return one.incarnation == incarnation && one.desk && !*over;
+      return one.incarnation == incarnation && one.manager && !*over;
     };
     const bool loses_call = !calm_ && (router.cut || chance(4));
     const bool loses_answer = !calm_ && chance(4);
@@ -191,10 +191,10 @@
       router.rate = 0.99;
     }
     router.offset = drawn(seconds(100)) + seconds(1);
-    router.desk.emplace(name(index), std::to_string(router.incarnation), "edge",
-                        std::set<std::string>{"test"}, rules_);
+    router.manager.emplace(name(index), std::to_string(router.incarnation), "edge",
+                           std::set<std::string>{"test"}, rules_);
     router.leases.clear();
-    router.duties.clear();
+    router.tasks.clear();
     router.terms.clear();
     router.held.clear();
     router.paused = false;
@@ -207,10 +207,10 @@
 
   void kill(int index) {
     Router& router = routers_[static_cast<std::size_t>(index)];
-    if (!router.desk) {
+    if (!router.manager) {
       return;
     }
-    router.desk.reset();
+    router.manager.reset();
     ++router.incarnation;
     router.paused = false;
     for (auto one = running_.begin(); one != running_.end();) {
@@ -221,7 +221,7 @@
   void read_all(int index, int incarnation) {
     at(now_ + drawn(milliseconds(30)), [this, index, incarnation] {
       Router& router = routers_[static_cast<std::size_t>(index)];
-      if (router.incarnation != incarnation || !router.desk) {
+      if (router.incarnation != incarnation || !router.manager) {
         return;
       }
       if (router.cut) {
@@ -235,7 +235,7 @@
       at(now_ + drawn(milliseconds(30)), [this, index, incarnation, entries, revision] {
         deliver(index, [this, index, incarnation, entries, revision] {
           Router& one = routers_[static_cast<std::size_t>(index)];
-          if (one.incarnation != incarnation || !one.desk) {
+          if (one.incarnation != incarnation || !one.manager) {
             return;
           }
           const Micros now = clock(one);
@@ -243,7 +243,7 @@
           for (int i = 0; i < 4; ++i) {
             members[name(i)] = "edge";
           }
-          one.desk->members(now, members);
+          one.manager->members(now, members);
           std::set<std::string> named;
           for (const coordination::Entry& entry : entries) {
             named.insert(entry.key);
@@ -252,10 +252,10 @@
           for (std::uint64_t shard = 0; shard < 3; ++shard) {
             const ShardId id{"w", shard};
             if (!named.contains(kOwn + to_string(id))) {
-              one.desk->owner(now, id, std::nullopt, revision);
+              one.manager->owner(now, id, std::nullopt, revision);
             }
           }
-          one.desk->heard(now, true);
+          one.manager->heard(now, true);
         });
       });
     });
@@ -265,11 +265,11 @@
     const Micros now = clock(router);
     const std::string& key = change.entry.key;
     if (const auto id = read_shard_key(key, kOwn)) {
-      router.desk->owner(now, *id,
-                         change.deleted ? std::nullopt : read_owner(change.entry.value, change.entry.created),
-                         change.entry.modified);
+      router.manager->owner(
+          now, *id, change.deleted ? std::nullopt : read_owner(change.entry.value, change.entry.created),
+          change.entry.modified);
     } else if (key.starts_with(kWork)) {
-      router.desk->work(now, key.substr(std::string(kWork).size()), read_work(key, change.entry.value));
+      router.manager->work(now, key.substr(std::string(kWork).size()), read_work(key, change.entry.value));
     }
   }
 
@@ -282,7 +282,7 @@
       }
       for (int i = 0; i < static_cast<int>(routers_.size()); ++i) {
         Router& router = routers_[static_cast<std::size_t>(i)];
-        if (!router.desk || !router.following) {
+        if (!router.manager || !router.following) {
           continue;
         }
         const int incarnation = router.incarnation;
@@ -291,7 +291,7 @@
         at(last, [this, i, incarnation, change] {
           deliver(i, [this, i, incarnation, change] {
             Router& one = routers_[static_cast<std::size_t>(i)];
-            if (one.incarnation == incarnation && one.desk && one.following) {
+            if (one.incarnation == incarnation && one.manager && one.following) {
               apply(one, change);
             }
           });
@@ -303,7 +303,7 @@
   void tick(int index, int incarnation) {
     at(now_ + milliseconds(50), [this, index, incarnation] {
       Router& router = routers_[static_cast<std::size_t>(index)];
-      if (router.incarnation != incarnation || !router.desk) {
+      if (router.incarnation != incarnation || !router.manager) {
         return;
       }
       if (!router.paused) {
@@ -315,22 +315,22 @@
 
   void turn(int index) {
     Router& router = routers_[static_cast<std::size_t>(index)];
-    if (!router.desk || router.paused) {
+    if (!router.manager || router.paused) {
       return;
     }
-    for (const DeskOrder& order : router.desk->due(clock(router))) {
+    for (const LeaseManagerOrder& order : router.manager->due(clock(router))) {
       std::visit([this, index](const auto& one) { carry_out(index, one); }, order);
     }
   }
 
-  Desk& desk(int index) { return *routers_[static_cast<std::size_t>(index)].desk; }
+  LeaseManager& manager(int index) { return *routers_[static_cast<std::size_t>(index)].manager; }
 
   void carry_out(int index, const AskLease& ask) {
     Router& router = routers_[static_cast<std::size_t>(index)];
     const ShardId id = ask.id;
     const std::uint64_t number = ask.order.number;
     const auto lost = [this, index, id, number] {
-      desk(index).lost(clock(routers_[static_cast<std::size_t>(index)]), id, number);
+      manager(index).lost(clock(routers_[static_cast<std::size_t>(index)]), id, number);
     };
     if (ask.order.ask == Ask::kAcquire) {
       const Owner owner{name(index), std::to_string(router.incarnation), 0};
@@ -350,8 +350,8 @@
                 },
                 [this, index, id, number](const Acquired& acquired) {
                   ++report_.owners;
-                  desk(index).acquired(clock(routers_[static_cast<std::size_t>(index)]), id, number,
-                                       acquired);
+                  manager(index).acquired(clock(routers_[static_cast<std::size_t>(index)]), id, number,
+                                          acquired);
                 },
                 lost);
           },
@@ -363,7 +363,7 @@
       call<bool>(
           index, [this, lease] { return ledger_.keep_alive(store_ms(), lease) > 0; },
           [this, index, id, number](const bool& alive) {
-            desk(index).renewed(clock(routers_[static_cast<std::size_t>(index)]), id, number, alive);
+            manager(index).renewed(clock(routers_[static_cast<std::size_t>(index)]), id, number, alive);
           },
           lost);
       return;
@@ -378,7 +378,7 @@
           return true;
         },
         [this, index, id, number](const bool&) {
-          desk(index).released(clock(routers_[static_cast<std::size_t>(index)]), id, number);
+          manager(index).released(clock(routers_[static_cast<std::size_t>(index)]), id, number);
         },
         lost);
   }
@@ -394,29 +394,30 @@
           return read_recorded(ledger_.commit(transaction), write.term, write.progress);
         },
         [this, index, write](const Recorded& recorded) {
-          desk(index).recorded(clock(routers_[static_cast<std::size_t>(index)]), write.id, write.number,
-                               recorded);
+          manager(index).recorded(clock(routers_[static_cast<std::size_t>(index)]), write.id, write.number,
+                                  recorded);
         },
         [this, index, write] {
-          desk(index).record_lost(clock(routers_[static_cast<std::size_t>(index)]), write.id, write.number);
+          manager(index).record_lost(clock(routers_[static_cast<std::size_t>(index)]), write.id,
+                                     write.number);
         });
   }
 
-  // A duty counts up; each number is an effect, then a checkpoint.
+  // A task counts up; each number is an effect, then a checkpoint.
   void carry_out(int index, const Begin& begin) {
     Router& router = routers_[static_cast<std::size_t>(index)];
-    const std::uint64_t run = ++router.last_duty;
-    router.duties[begin.id] = run;
+    const std::uint64_t run = ++router.last_task;
+    router.tasks[begin.id] = run;
     router.terms[begin.id] = begin.term;
     const std::uint64_t from = begin.checkpoint.empty() ? 0 : std::stoull(begin.checkpoint);
     work_on(index, router.incarnation, run, begin.id, begin.term, from + 1);
   }
   void carry_out(int index, const Finish& finish) {
-    routers_[static_cast<std::size_t>(index)].duties.erase(finish.id);
-    desk(index).finished(clock(routers_[static_cast<std::size_t>(index)]), finish.id, finish.term);
+    routers_[static_cast<std::size_t>(index)].tasks.erase(finish.id);
+    manager(index).finished(clock(routers_[static_cast<std::size_t>(index)]), finish.id, finish.term);
   }
   void carry_out(int index, const Abandon& abandon) {
-    routers_[static_cast<std::size_t>(index)].duties.erase(abandon.id);
+    routers_[static_cast<std::size_t>(index)].tasks.erase(abandon.id);
   }
 
   void work_on(int index, int incarnation, std::uint64_t run, const ShardId& id, Term term,
@@ -424,19 +425,19 @@
     at(now_ + milliseconds(100) + drawn(milliseconds(100)), [=, this] {
       deliver(index, [=, this] {
         Router& router = routers_[static_cast<std::size_t>(index)];
-        const auto duty = router.duties.find(id);
-        if (router.incarnation != incarnation || !router.desk || duty == router.duties.end() ||
-            duty->second != run) {
+        const auto task = router.tasks.find(id);
+        if (router.incarnation != incarnation || !router.manager || task == router.tasks.end() ||
+            task->second != run) {
           return;
         }
-        if (!router.desk->may_act(clock(router), id, term)) {
+        if (!router.manager->may_act(clock(router), id, term)) {
           work_on(index, incarnation, run, id, term, number);
           return;
         }
         // It may lie in a socket's buffer for longer than any lease.
         const Micros late = drawn(calm_ || chance(80) ? milliseconds(20) : seconds(15));
         at(now_ + late, [this, id, term, number] { arrive(id, term, number); });
-        router.desk->checkpoint(clock(router), id, term, std::to_string(number), false);
+        router.manager->checkpoint(clock(router), id, term, std::to_string(number), false);
         work_on(index, incarnation, run, id, term, number + 1);
       });
     });
@@ -464,12 +465,12 @@
     std::map<std::uint64_t, int> acting;
     for (int i = 0; i < static_cast<int>(routers_.size()); ++i) {
       const Router& router = routers_[static_cast<std::size_t>(i)];
-      if (!router.desk) {
+      if (!router.manager) {
         continue;
       }
       const Micros now = clock(router);
       for (const auto& [id, term] : router.terms) {
-        if (router.desk->may_act(now, id, term) && !acting.emplace(id.shard, i).second) {
+        if (router.manager->may_act(now, id, term) && !acting.emplace(id.shard, i).second) {
           fail("two routers may act on shard " + std::to_string(id.shard));
         }
       }
@@ -496,10 +497,10 @@
     std::string out;
     for (int i = 0; i < static_cast<int>(routers_.size()); ++i) {
       const Router& router = routers_[static_cast<std::size_t>(i)];
-      if (!router.desk) {
+      if (!router.manager) {
         continue;
       }
-      for (const ShardSeen& seen : router.desk->all(clock(router))) {
+      for (const ShardSeen& seen : router.manager->all(clock(router))) {
         out += "\n  " + name(i) + " " + to_string(seen.id) + ": " + to_string(seen.phase) + ", " +
                to_string(seen.lease) + ", owner " + seen.owner.member + " " + std::to_string(seen.owner.term);
       }
@@ -520,7 +521,7 @@
     switch (random_() % 6) {
       case 0:
       case 1:  // stopped and woken
-        if (router.desk && !router.paused) {
+        if (router.manager && !router.paused) {
           router.paused = true;
           at(now_ + drawn(seconds(10)), [this, index, incarnation] { wake(index, incarnation); });
         }
@@ -528,16 +529,16 @@
       case 2:
         kill(index);
         at(now_ + drawn(seconds(4)), [this, index] {
-          if (!routers_[static_cast<std::size_t>(index)].desk) {
+          if (!routers_[static_cast<std::size_t>(index)].manager) {
             start(index);
           }
         });
         break;
       case 3:  // cut off from the store
-        if (router.desk) {
+        if (router.manager) {
           router.cut = true;
           router.following = false;
-          router.desk->heard(clock(router), false);
+          router.manager->heard(clock(router), false);
           at(now_ + drawn(seconds(8)), [this, index, incarnation] { mend(index, incarnation); });
         }
         break;
@@ -547,8 +548,8 @@
         }
         break;
       default:  // the owner of a shard is asked to let it go
-        if (router.desk && !router.paused) {
-          router.desk->release_asked(clock(router), ShardId{"w", random_() % 3}, name(index));
+        if (router.manager && !router.paused) {
+          router.manager->release_asked(clock(router), ShardId{"w", random_() % 3}, name(index));
         }
     }
     at(now_ + drawn(milliseconds(2'500)), [this] { draw_fault(); });
@@ -576,7 +577,7 @@
     calm_ = true;
     for (int i = 0; i < static_cast<int>(routers_.size()); ++i) {
       Router& router = routers_[static_cast<std::size_t>(i)];
-      if (!router.desk) {
+      if (!router.manager) {
         start(i);
         continue;
       }
@@ -587,7 +588,7 @@
 
   std::mt19937_64 random_;
   Defect defect_;
-  DeskRules rules_;
+  LeaseManagerRules rules_;
   Ledger ledger_{coordination::Limits{}};
   std::vector<Router> routers_;
   std::multimap<Micros, std::function<void()>> events_;
--- a/tests/snapshot_test.cpp
+++ b/tests/snapshot_test.cpp
@@ -13,7 +13,7 @@
 #include <system_error>
 
 #include "snapshot/folder.h"
-#include "snapshot/keeper.h"
+#include "snapshot/writer.h"
 
 namespace trailcourse::snapshot {
 namespace {
@@ -114,40 +114,40 @@
   EXPECT_EQ(refusal(write_snapshot(odd)), Refusal::kForm);
 }
 
-TEST(KeeperTest, WritesSoonAfterAChangeThenNowAndThenAndRarelyWhileItFails) {
+TEST(WriterTest, WritesSoonAfterAChangeThenNowAndThenAndRarelyWhileItFails) {
   SnapshotOptions options;
   options.write_ms = 1'000;
   options.confirm_ms = 10'000;
-  Keeper keeper(options, 1);
-  EXPECT_EQ(keeper.due(), std::nullopt);
-  keeper.changed(100);
-  EXPECT_EQ(keeper.due(), 100);
-  keeper.begun(100);
-  EXPECT_EQ(keeper.due(), std::nullopt) << "one at a time";
-  keeper.changed(120);
-  EXPECT_FALSE(keeper.ended(130, true));
-  EXPECT_GE(*keeper.due(), 630);
-  EXPECT_LE(*keeper.due(), 1'130);
-  const std::int64_t second = *keeper.due();
-  keeper.begun(second);
-  EXPECT_FALSE(keeper.ended(second, true));
-  EXPECT_EQ(keeper.due(), std::nullopt);
-  keeper.confirmed(second + 1);
-  EXPECT_GE(*keeper.due(), second + 5'000);
+  Writer writer(options, 1);
+  EXPECT_EQ(writer.due(), std::nullopt);
+  writer.changed(100);
+  EXPECT_EQ(writer.due(), 100);
+  writer.begun(100);
+  EXPECT_EQ(writer.due(), std::nullopt) << "one at a time";
+  writer.changed(120);
+  EXPECT_FALSE(writer.ended(130, true));
+  EXPECT_GE(*writer.due(), 630);
+  EXPECT_LE(*writer.due(), 1'130);
+  const std::int64_t second = *writer.due();
+  writer.begun(second);
+  EXPECT_FALSE(writer.ended(second, true));
+  EXPECT_EQ(writer.due(), std::nullopt);
+  writer.confirmed(second + 1);
+  EXPECT_GE(*writer.due(), second + 5'000);
   // A full disk: told once, tried more and more rarely, told once when it is over.
-  std::int64_t now = *keeper.due();
+  std::int64_t now = *writer.due();
   std::int64_t pause = 0;
   for (int failure = 0; failure < 12; ++failure) {
-    keeper.begun(now);
-    EXPECT_EQ(keeper.ended(now, false), failure == 0);
-    const std::int64_t next = *keeper.due();
+    writer.begun(now);
+    EXPECT_EQ(writer.ended(now, false), failure == 0);
+    const std::int64_t next = *writer.due();
     EXPECT_LE(next - now, 300'000);
     pause = std::max(pause, next - now);
     now = next;
   }
   EXPECT_GT(pause, 100'000);
-  keeper.begun(now);
-  EXPECT_TRUE(keeper.ended(now, true));
+  writer.begun(now);
+  EXPECT_TRUE(writer.ended(now, true));
 }
 
 class FolderTest : public testing::Test {
--- a/tests/duties_test.cpp
+++ b/tests/tasks_test.cpp
@@ -6,12 +6,12 @@
 #include <random>
 
 #include "config/record.h"
-#include "duties/fill_plan.h"
-#include "duties/fleet_report.h"
-#include "duties/options.h"
-#include "duties/suspects.h"
+#include "tasks/fill_plan.h"
+#include "tasks/fleet_report.h"
+#include "tasks/options.h"
+#include "tasks/suspects.h"
 
-namespace trailcourse::duties {
+namespace trailcourse::tasks {
 namespace {
 
 using std::chrono::milliseconds;
@@ -365,4 +365,4 @@
 }
 
 }  // namespace
-}  // namespace trailcourse::duties
+}  // namespace trailcourse::tasks
