--- a/benchmarks/rest_measurement.cpp
+++ b/benchmarks/rest_measurement.cpp
@@ -88,6 +88,7 @@
   RestMeasurement(Row row, int routers, const Topology& topology, const std::string& program)
       : row_(row), bench_(shape_of(row, routers, topology), program, {}) {
     if (shares_tasks()) {
+      bench_.await("an answer of the store", [this] { return store_answers(); });
       bench_.fill("w", 10'000, 1.0);
       program::WorkCommand report;
       report.action = "add";
@@ -147,6 +148,13 @@
   bool has_store() const { return row_ != Row::kWithoutStore; }
   bool shares_tasks() const { return row_ == Row::kTasks || row_ == Row::kTasksAndPolicy; }
   Figures store_figures() { return has_store() ? bench_.figures("registry") : Figures{}; }
+  // While all routers join at once it may be too busy for staff.
+  bool store_answers() {
+    program::WorkCommand list;
+    list.action = "list";
+    std::string said;
+    return bench_.work(list, said) == 0;
+  }
   bool all_permitted() {
     bench_.run_for(milliseconds(100));
     return bench_.permitted_routers() >= bench_.layout().names(Kind::kRouter).size();
