A figure of a poorly fitted slope says so

Cause: times of a change are fitted with R squared down to 0.05, and the page showed them like counts that fit exactly. Change: below 0.9 the R squared stands beside the figure.

--- a/benchmarks/scale/capacity_page.cpp
+++ b/benchmarks/scale/capacity_page.cpp
@@ -24,6 +24,7 @@
 constexpr std::string_view kFigureEnd = "<!--.-->";
 constexpr const char* kNoSlope = "no slope";
 constexpr double kBeyondShown = 1.05;  // a little beyond what was measured is not worth saying
+constexpr double kPoorFit = 0.9;       // of R squared, below which the figure says so
 constexpr int kDigits = 3;
 constexpr double kWholeBelow = 999'500.0;  // beyond, "million" is said
 
@@ -201,6 +202,9 @@
   if (figure.beyond > kBeyondShown) {
     out += " (extrapolated ×" + show_plain(figure.beyond) + ")";
   }
+  if (figure.r_squared < kPoorFit) {
+    out += " (poor fit, R² " + show_plain(figure.r_squared) + ")";
+  }
   return out;
 }
 
--- a/benchmarks/scale/capacity_page_formula.cpp
+++ b/benchmarks/scale/capacity_page_formula.cpp
@@ -23,6 +23,7 @@
   out.missing.insert(right.missing.begin(), right.missing.end());
   out.slopes.insert(right.slopes.begin(), right.slopes.end());
   out.beyond = std::max(left.beyond, right.beyond);
+  out.r_squared = std::min(left.r_squared, right.r_squared);
   out.value = out.known() ? operation(left.value, right.value) : 0.0;
   return out;
 }
@@ -201,6 +202,7 @@
     const bool grows = slope != nullptr && slope->fit.form != Form::kConstant;
     if (grows && slope->bound > 0.0 && out.known()) {
       out.beyond = std::max(out.beyond, size.value / slope->bound);
+      out.r_squared = std::min(out.r_squared, slope->fit.r_squared);
     }
     return out;
   }
--- a/benchmarks/scale/capacity_page_formula.h
+++ b/benchmarks/scale/capacity_page_formula.h
@@ -32,6 +32,7 @@
   std::set<std::string> missing;  // slopes that were not measured
   std::set<std::string> slopes;   // that it was worked out from
   double beyond = 1.0;            // the largest size asked of a slope over the largest measured; 1 at least
+  double r_squared = 1.0;         // of the worst fit that it was worked out from
 
   bool known() const { return missing.empty(); }
 };
--- a/tests/capacity_test.cpp
+++ b/tests/capacity_test.cpp
@@ -131,6 +131,15 @@
   EXPECT_DOUBLE_EQ(evaluate("fit(store.calls, routers) + fit(store.calls, 1)", names).beyond, 10.0);
 }
 
+TEST(CapacityFormulaTest, AFigureOfAPoorFitSaysSo) {
+  FormulaNames names = sample_names();
+  names.slopes["store.calls"].fit.r_squared = 0.42;
+  const Figure figure = evaluate("fit(store.told, 1) + fit(store.calls, 10)", names);
+  EXPECT_DOUBLE_EQ(figure.r_squared, 0.42);
+  EXPECT_NE(show_figure(figure, "").find("poor fit, R² 0.42"), std::string::npos);
+  EXPECT_EQ(show_figure(evaluate("fit(store.told, 1)", names), "").find("fit"), std::string::npos);
+}
+
 TEST(CapacityFormulaTest, WithoutASlopeThereIsNoFigure) {
   FormulaNames names = sample_names();
   const Figure figure =
