Routers as real processes: traffic, processor time and memory, at rest and under purges

Cause: the figures known so far counted the health checks of the tool that measured. Change: process groups of role_costs in a network of their own, nobody asking the routers; the list is told once all are up, since a router drops log lines beyond 200 a second.

--- a/benchmarks/scale/process_costs.cpp
+++ b/benchmarks/scale/process_costs.cpp
@@ -27,7 +27,7 @@
 using transport::Clock;
 
 constexpr std::array<int, 3> kRouters{10, 30, 100};
-constexpr std::array<int, 4> kPurgeRates{0, 30, 90, 180};
+constexpr std::array<int, 4> kPurgeRates{30, 60, 90, 180};
 constexpr std::array<int, 5> kObjectSizesKb{1, 20, 60, 120, 200};
 constexpr int kWarmRequests = 400;
 constexpr int kCountedRequests = 3'000;
@@ -99,11 +99,12 @@
     const std::vector<std::string> proxied =
         kind.proxies ? std::vector<std::string>{"router*>board"} : std::vector<std::string>{};
     scenario_ = std::make_unique<fleet::Scenario>(scheduler_, *layout_, ports_, context.program, proxied);
-    page_ = list_page(kind.listed_caches, 1);
-    write_page();
+    page_ = json::parse(layout_->first_page().dump());
     for (const Kind one : {Kind::kRegistry, Kind::kBoard, Kind::kOrigin, Kind::kRouter}) {
       start(one);
     }
+    // Told once all run: a router logs no more than some lines a second, and that it listens must be seen.
+    tell_list(kind.listed_caches);
     run_for(kSettle);
   }
   ~QuietFleet() {
@@ -175,6 +176,14 @@
       }
     }
   }
+  void tell_list(int caches) {
+    json event = list_page(caches, 1)["notices"][0];
+    const std::uint64_t number = page_["rev"].get<std::uint64_t>() + 1;
+    event["rev"] = number;
+    page_["rev"] = number;
+    page_["notices"].push_back(std::move(event));
+    write_page();
+  }
   void add_purges(int count) {
     const json added = purge_page(page_["rev"].get<std::uint64_t>(), count, unix_ms_now());
     page_["rev"] = added["rev"];
@@ -424,15 +433,24 @@
   measure_idle(context, sink, "store", "each asking the board, one store and its policy", kind);
 }
 
-void measure_purge_processes(const CostContext& context, const CostSink& sink) {
+void measure_purges_by_board(const CostContext& context, const CostSink& sink) {
+  measure_wire_bytes(context, sink, "board", "a list of 40 caches", FleetKind());
+}
+
+void measure_purges_by_board_long(const CostContext& context, const CostSink& sink) {
   FleetKind kind;
-  measure_wire_bytes(context, sink, "board", "a list of 40 caches", kind);
   kind.listed_caches = 2'100;
   measure_wire_bytes(context, sink, "board.2100", "a list of 2,100 caches", kind);
-  kind.listed_caches = 40;
+}
+
+void measure_purges_by_relays(const CostContext& context, const CostSink& sink) {
+  FleetKind kind;
   kind.relays = true;
   kind.routers = 30;
   measure_wire_bytes(context, sink, "relays", "30 routers, relays of degree 8", kind);
+}
+
+void measure_purges_http(const CostContext& context, const CostSink& sink) {
   measure_http_bytes(context, sink);
 }
 
--- a/benchmarks/scale/role_costs.cpp
+++ b/benchmarks/scale/role_costs.cpp
@@ -3,6 +3,11 @@
 //
 //     role_costs --write docs/capacity/slopes.json
 //     role_costs --only process --program build/trailcourse --json
+//
+// The groups `process.idle` and `process.purges` count all that passes over loopback: on a machine that does
+// other work too, in a network of their own:
+//
+//     unshare -n sh -c 'ip link set lo up; role_costs --only process.idle --write docs/capacity/slopes.json'
 #include "role_costs.h"
 
 #include <unistd.h>
@@ -39,7 +44,10 @@
                                          {"aggregator", measure_aggregator},
                                          {"process.idle", measure_idle_processes},
                                          {"process.requests", measure_request_processes},
-                                         {"process.purges", measure_purge_processes}};
+                                         {"process.purges.board", measure_purges_by_board},
+                                         {"process.purges.long", measure_purges_by_board_long},
+                                         {"process.purges.relays", measure_purges_by_relays},
+                                         {"process.purges.http", measure_purges_http}};
 
 // A folder of this process, gone with it.
 class OwnFolder {
--- a/benchmarks/scale/role_costs.h
+++ b/benchmarks/scale/role_costs.h
@@ -28,6 +28,9 @@
 void measure_aggregator(const CostContext& context, const CostSink& sink);
 void measure_idle_processes(const CostContext& context, const CostSink& sink);
 void measure_request_processes(const CostContext& context, const CostSink& sink);
-void measure_purge_processes(const CostContext& context, const CostSink& sink);
+void measure_purges_by_board(const CostContext& context, const CostSink& sink);
+void measure_purges_by_board_long(const CostContext& context, const CostSink& sink);
+void measure_purges_by_relays(const CostContext& context, const CostSink& sink);
+void measure_purges_http(const CostContext& context, const CostSink& sink);
 
 }  // namespace trailcourse::scale
