The loop that accepts ends before its listener does, also where a server ends first

Cause: EtcdServer freed its watch while the accept loop waited on it; woken by the close, the loop read the freed watch (accept_loop.cpp:16, scheduler.h:107). In the program a server ends with its scheduler, so it does not come up there.

Change: listener and watch are shared with the loop; what it accepts after the server's end is closed.

--- a/src/coordination/etcd_server.h
+++ b/src/coordination/etcd_server.h
@@ -73,7 +73,10 @@
  private:
   class Session;
   class News;
+  struct Listener;
 
+  static transport::Task<void> accept(transport::Scheduler& scheduler, std::shared_ptr<Listener> listener,
+                                      std::function<void(transport::Descriptor)> take);
   void take_in(transport::Descriptor socket);
   transport::Task<void> heartbeat();
   void beat();
@@ -81,8 +84,7 @@
   transport::Scheduler& scheduler_;
   EtcdService& service_;
   std::size_t most_connections_;
-  transport::Descriptor listener_;
-  std::unique_ptr<transport::Watch> watch_;
+  std::shared_ptr<Listener> listener_;  // shared with the loop that accepts, which ends after this
   std::set<std::shared_ptr<Session>> sessions_;
   Revision told_ = 0;
   EtcdServerCounts counts_;
