One object that listens and accepts, which may end while its loop waits

Cause: the mend of EtcdServer held listener and watch beside accept_loop, whose contract (both outlive it) the board's pages and the fault proxy broke in the same way where they end before their scheduler; three classes kept the same two members for it.

Change: transport::AcceptLoop owns listener and watch together with its coroutine and calls nobody after its end. EtcdServer, PageServer and FaultProxy hold one each. Nothing else changes in what they do.

--- a/src/board/page_server.cpp
+++ b/src/board/page_server.cpp
@@ -7,7 +7,6 @@
 
 #include "protocol/http_request.h"
 #include "protocol/numbers.h"
-#include "transport/accept_loop.h"
 #include "transport/log.h"
 
 namespace trailcourse::board {
@@ -143,11 +142,8 @@
 }
 
 void PageServer::listen(const transport::Address& address) {
-  listener_ = transport::listen_or_throw(address, bounds_.backlog);
-  watch_ = std::make_unique<transport::Watch>(scheduler_, listener_.get());
-  scheduler_.spawn(
-      transport::accept_loop(scheduler_, listener_.get(), *watch_, kAcceptPause,
-                             [this](transport::Descriptor socket) { take_in(std::move(socket)); }));
+  listener_.emplace(scheduler_, address, bounds_.backlog, kAcceptPause,
+                    [this](transport::Descriptor socket) { take_in(std::move(socket)); });
   scheduler_.spawn(reap());
 }
 
--- a/src/board/page_server.h
+++ b/src/board/page_server.h
@@ -16,6 +16,7 @@
 
 #include "board/board_core.h"
 #include "board/page_log.h"
+#include "transport/accept_loop.h"
 #include "transport/alarm.h"
 #include "transport/connection.h"
 
@@ -70,8 +71,7 @@
   Bounds bounds_;
   Answering answering_;
   BoardCore core_;
-  transport::Descriptor listener_;
-  std::unique_ptr<transport::Watch> watch_;
+  std::optional<transport::AcceptLoop> listener_;
   std::set<std::shared_ptr<Session>> sessions_;
   std::map<CallNumber, Session*> calls_;
   CallNumber last_call_ = 0;
--- a/src/coordination/etcd_server.cpp
+++ b/src/coordination/etcd_server.cpp
@@ -5,7 +5,6 @@
 #include <vector>
 
 #include "protocol/http_request.h"
-#include "transport/accept_loop.h"
 #include "transport/connection.h"
 #include "transport/log.h"
 
@@ -46,14 +45,6 @@
 
 }  // namespace
 
-struct EtcdServer::Listener {
-  Listener(transport::Scheduler& scheduler, transport::Descriptor socket)
-      : descriptor(std::move(socket)), watch(scheduler, descriptor.get()) {}
-
-  transport::Descriptor descriptor;
-  transport::Watch watch;
-};
-
 // What is new for watches at one revision: written once for all that follow the same range from the same
 // place.
 class EtcdServer::News {
@@ -212,32 +203,17 @@
 
 EtcdServer::~EtcdServer() {
   *alive_ = false;
-  if (listener_) {
-    listener_->watch.close();
-  }
   for (const std::shared_ptr<Session>& session : std::exchange(sessions_, {})) {
     session->close();
   }
 }
 
 void EtcdServer::listen(const transport::Address& address) {
-  listener_ = std::make_shared<Listener>(scheduler_, transport::listen_or_throw(address, kBacklog));
-  scheduler_.spawn(accept(scheduler_, listener_, [this, alive = alive_](transport::Descriptor socket) {
-    if (*alive) {
-      take_in(std::move(socket));
-    }
-  }));
+  listener_.emplace(scheduler_, address, kBacklog, kAcceptPause,
+                    [this](transport::Descriptor socket) { take_in(std::move(socket)); });
   scheduler_.spawn(heartbeat());
 }
 
-// The loop is woken by the close of its watch and ends in a later job: until then listener and watch live on.
-transport::Task<void> EtcdServer::accept(transport::Scheduler& scheduler, std::shared_ptr<Listener> listener,
-                                         std::function<void(transport::Descriptor)> take) {
-  transport::Task<void> loop = transport::accept_loop(scheduler, listener->descriptor.get(), listener->watch,
-                                                      kAcceptPause, std::move(take));
-  co_await loop;
-}
-
 void EtcdServer::take_in(transport::Descriptor socket) {
   if (sessions_.size() >= most_connections_) {
     ++counts_.refused;
--- a/src/coordination/etcd_server.h
+++ b/src/coordination/etcd_server.h
@@ -15,6 +15,7 @@
 
 #include "coordination/etcd_json.h"
 #include "coordination/ledger.h"
+#include "transport/accept_loop.h"
 #include "transport/scheduler.h"
 #include "transport/socket.h"
 
@@ -73,10 +74,7 @@
  private:
   class Session;
   class News;
-  struct Listener;
 
-  static transport::Task<void> accept(transport::Scheduler& scheduler, std::shared_ptr<Listener> listener,
-                                      std::function<void(transport::Descriptor)> take);
   void take_in(transport::Descriptor socket);
   transport::Task<void> heartbeat();
   void beat();
@@ -84,7 +82,7 @@
   transport::Scheduler& scheduler_;
   EtcdService& service_;
   std::size_t most_connections_;
-  std::shared_ptr<Listener> listener_;  // shared with the loop that accepts, which ends after this
+  std::optional<transport::AcceptLoop> listener_;
   std::set<std::shared_ptr<Session>> sessions_;
   Revision told_ = 0;
   EtcdServerCounts counts_;
--- a/src/fleet/fault_proxy.cpp
+++ b/src/fleet/fault_proxy.cpp
@@ -7,8 +7,6 @@
 #include <deque>
 #include <utility>
 
-#include "transport/accept_loop.h"
-
 namespace trailcourse::fleet {
 
 using std::chrono::milliseconds;
@@ -19,6 +17,7 @@
 namespace {
 
 constexpr milliseconds kPump{5};
+constexpr int kBacklog = 1'024;
 
 // Closing such a socket resets its connection.
 void reset_on_close(int descriptor) {
@@ -187,11 +186,8 @@
     : scheduler_(scheduler),
       name_(std::move(name)),
       target_(target),
-      listener_(transport::listen_or_throw(listen, 1'024)),
-      watch_(std::make_unique<transport::Watch>(scheduler, listener_.get())) {
-  scheduler_.spawn(
-      transport::accept_loop(scheduler_, listener_.get(), *watch_, kPump,
-                             [this](transport::Descriptor socket) { take_in(std::move(socket)); }));
+      listener_(scheduler, listen, kBacklog, kPump,
+                [this](transport::Descriptor socket) { take_in(std::move(socket)); }) {
   scheduler_.spawn(pump_loop());
 }
 
--- a/src/fleet/fault_proxy.h
+++ b/src/fleet/fault_proxy.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "fleet/fault_script.h"
+#include "transport/accept_loop.h"
 #include "transport/connection.h"
 
 namespace trailcourse::fleet {
@@ -58,11 +59,10 @@
   transport::Scheduler& scheduler_;
   std::string name_;
   transport::Address target_;
-  transport::Descriptor listener_;
-  std::unique_ptr<transport::Watch> watch_;
   State state_;
   Seen seen_;
   std::set<std::shared_ptr<Pair>> pairs_;
+  transport::AcceptLoop listener_;  // goes first
 };
 
 }  // namespace trailcourse::fleet
