A job that is posted once however often it is asked for, in one place

Cause: task runner, policy follower and the aggregator's service each had the same turn_soon() with a flag and a guard.

Change: transport::Deferred; the three post it. Tests of it and of AcceptLoop's end.

--- a/src/aggregation/service.cpp
+++ b/src/aggregation/service.cpp
@@ -61,7 +61,8 @@
       core_(aggregator_rules(options),
             AggregatorIdentity{options.name, incarnation_of(seed), options.zones, prefix}, seed),
       server_(scheduler, *this, static_cast<std::size_t>(options.connections)),
-      timer_(scheduler, [this] { turn(); }) {}
+      timer_(scheduler, [this] { turn(); }),
+      next_turn_(scheduler, [this] { turn(); }) {}
 
 Service::~Service() {
   *alive_ = false;
@@ -118,17 +119,6 @@
 
 // ---- Upward ----
 
-void Service::turn_soon() {
-  if (!std::exchange(soon_, true)) {
-    scheduler_.post([this, alive = alive_] {
-      if (*alive) {
-        soon_ = false;
-        turn();
-      }
-    });
-  }
-}
-
 void Service::turn() {
   if (std::exchange(turning_, true)) {
     return;
--- a/src/aggregation/service.h
+++ b/src/aggregation/service.h
@@ -13,6 +13,7 @@
 #include "coordination/etcd_server.h"
 #include "coordination/shared_store.h"
 #include "transport/alarm.h"
+#include "transport/deferred.h"
 
 namespace trailcourse::aggregation {
 
@@ -54,7 +55,7 @@
   nlohmann::json grant(const nlohmann::json& body);
 
   void turn();
-  void turn_soon();
+  void turn_soon() { next_turn_.post(); }
   void records_changed();
   void carry_out(const AskPermission& ask);
   void carry_out(const SaySummaries& say);
@@ -68,12 +69,12 @@
   Aggregator core_;
   coordination::EtcdServer server_;
   transport::Alarm timer_;
+  transport::Deferred next_turn_;
   coordination::SharedStore::WatchId watch_ = 0;
   coordination::LeaseId lease_ = 0;  // of its own permission
   Micros longest_ttl_{0};
   bool heard_ = false;
   bool turning_ = false;
-  bool soon_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/tasks/policy_follower.cpp
+++ b/src/tasks/policy_follower.cpp
@@ -43,7 +43,8 @@
       holder_(self_.incarnation, self_.zone, policy::holder_rules(options),
               [this](std::uint64_t version) { return judge(version); }),
       names_(profile.settings.classes.size()),
-      timer_(scheduler, [this] { turn(); }) {
+      timer_(scheduler, [this] { turn(); }),
+      next_turn_(scheduler, [this] { turn(); }) {
   for (const auto& [name, place] : profile.class_index) {
     names_.at(static_cast<std::size_t>(place)) = name;
   }
@@ -171,17 +172,6 @@
 
 // ---- Orders ----
 
-void PolicyFollower::turn_soon() {
-  if (!std::exchange(soon_, true)) {
-    scheduler_.post([this, alive = alive_] {
-      if (*alive) {
-        soon_ = false;
-        turn();
-      }
-    });
-  }
-}
-
 void PolicyFollower::turn() {
   if (std::exchange(turning_, true)) {
     return;
--- a/src/tasks/policy_follower.h
+++ b/src/tasks/policy_follower.h
@@ -18,6 +18,7 @@
 #include "routing/router.h"
 #include "store/executor.h"
 #include "transport/alarm.h"
+#include "transport/deferred.h"
 #include "transport/mailbox.h"
 
 namespace trailcourse::tasks {
@@ -57,7 +58,7 @@
   void apply(const std::string& key, const std::string& value, coordination::Revision modified);
   void tell();
   void turn();
-  void turn_soon();
+  void turn_soon() { next_turn_.post(); }
   void carry_out(const policy::AskPermission& ask);
   void carry_out(const policy::SayPermit& say);
   void carry_out(const policy::KeepDocument& keep);
@@ -95,8 +96,8 @@
   std::uint64_t told_version_ = UINT64_MAX;
   policy::Standing told_standing_ = policy::Standing::kOutside;
   transport::Alarm timer_;
+  transport::Deferred next_turn_;
   bool stopping_ = false;
-  bool soon_ = false;
   bool turning_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/tasks/task_runner.cpp
+++ b/src/tasks/task_runner.cpp
@@ -40,7 +40,8 @@
       lease_manager_(self_.name, self_.incarnation, self_.zone, set_of(options.kinds),
                      lease_manager_rules(options)),
       session_(session_rules(options)),
-      timer_(scheduler, [this] { turn(); }) {}
+      timer_(scheduler, [this] { turn(); }),
+      next_turn_(scheduler, [this] { turn(); }) {}
 
 TaskRunner::~TaskRunner() {
   *alive_ = false;
@@ -188,17 +189,6 @@
 
 // ---- The manager's orders ----
 
-void TaskRunner::turn_soon() {
-  if (!std::exchange(soon_, true)) {
-    scheduler_.post([this, alive = alive_] {
-      if (*alive) {
-        soon_ = false;
-        turn();
-      }
-    });
-  }
-}
-
 void TaskRunner::turn() {
   if (std::exchange(turning_, true)) {
     return;
--- a/src/tasks/task_runner.h
+++ b/src/tasks/task_runner.h
@@ -20,6 +20,7 @@
 #include "tasks/owned_task.h"
 #include "transport/alarm.h"
 #include "transport/connection.h"
+#include "transport/deferred.h"
 
 namespace trailcourse::tasks {
 
@@ -77,7 +78,7 @@
 
   static Micros now();
   void turn();
-  void turn_soon();
+  void turn_soon() { next_turn_.post(); }
   void set_timer();
   void apply(const coordination::Change& change);
   void told();
@@ -121,10 +122,10 @@
   std::map<std::string, int> doubts_told_;
   coordination::SharedStore::WatchId watch_ = 0;
   transport::Alarm timer_;
+  transport::Deferred next_turn_;
   bool heard_ = false;
   bool draining_ = false;
   bool turning_ = false;
-  bool soon_ = false;
   std::uint64_t view_told_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/tests/transport_test.cpp
+++ b/tests/transport_test.cpp
@@ -10,8 +10,11 @@
 #include <string>
 #include <vector>
 
+#include "fleet/ports.h"
+#include "transport/accept_loop.h"
 #include "transport/connection.h"
 #include "transport/connection_pool.h"
+#include "transport/deferred.h"
 #include "transport/log.h"
 #include "transport/scheduler.h"
 #include "transport/socket.h"
@@ -105,6 +108,39 @@
   out += notified ? 'n' : 't';
 }
 
+// The loop waits, is woken by its end, and finds what it needs; a connection that waits goes unheard.
+TEST(AcceptLoop, MayEndWhileItWaitsAndWhileAConnectionDoes) {
+  Scheduler scheduler;
+  fleet::PortBook ports;
+  const Address address = *parse_address(ports.take_text());
+  int taken = 0;
+  auto loop =
+      std::make_unique<AcceptLoop>(scheduler, address, 8, milliseconds(1), [&taken](Descriptor) { ++taken; });
+  const auto first = Connection::connect(scheduler, address, {});
+  turn_until(scheduler, [&] { return taken == 1; });
+  const auto second = Connection::connect(scheduler, address, {});
+  loop.reset();
+  bool turned = false;
+  scheduler.at(Clock::now() + milliseconds(5), [&] { turned = true; });
+  turn_until(scheduler, [&] { return turned; });
+  EXPECT_EQ(taken, 1);
+}
+
+TEST(Deferred, RunsOnceHoweverOftenItIsAskedForAndNotAfterItsEnd) {
+  Scheduler scheduler;
+  int runs = 0;
+  auto deferred = std::make_unique<Deferred>(scheduler, [&runs] { ++runs; });
+  deferred->post();
+  deferred->post();
+  EXPECT_EQ(runs, 0);
+  turn_until(scheduler, [&] { return runs > 0; });
+  EXPECT_EQ(runs, 1);
+  deferred->post();
+  deferred.reset();
+  scheduler.turn(milliseconds(0));
+  EXPECT_EQ(runs, 1);
+}
+
 TEST(Signal, IsNotifiedBeforeOrDuringTheWaitOrTimesOut) {
   Scheduler scheduler;
   Signal signal(scheduler);
