How long a lease surely holds is worked out in one place; a counter that nobody read is gone

Cause: Lease and the checks of three sections each computed ttl less drift and margin; RouterLeases counted changes for a cache that was never made.

Change: ownership::surely_held; the messages and bounds of the checks are as before.

--- a/src/aggregation/options.cpp
+++ b/src/aggregation/options.cpp
@@ -11,6 +11,7 @@
 using config::RealRange;
 using config::WholeRange;
 using config::Words;
+using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
 namespace {
@@ -71,9 +72,8 @@
       throw KeyError("aggregator.zones", "'" + zone + "' stands twice");
     }
   }
-  const auto sure =
-      static_cast<std::int64_t>(static_cast<double>(options.ttl_ms) * (1.0 - options.drift_percent / 100.0)) -
-      options.margin_ms;
+  const std::int64_t sure =
+      duration_cast<milliseconds>(ownership::surely_held(aggregator_rules(options).lease)).count();
   if (2 * options.renew_ms > sure) {
     throw KeyError("aggregator.renew_ms", std::to_string(options.renew_ms) + " is over half of the " +
                                               std::to_string(sure) + " ms that its permission surely holds");
--- a/src/aggregation/router_leases.cpp
+++ b/src/aggregation/router_leases.cpp
@@ -60,7 +60,6 @@
   ends_.erase({lease.ends, id});
   if (!lease.zone.empty()) {
     permits_[lease.zone].erase(id);
-    ++changes_;
   }
   leases_.erase(id);
 }
@@ -78,7 +77,6 @@
   const auto [place, fresh] = zone.try_emplace(id, RouterPermit{router, permit});
   if (fresh) {
     lease.zone = permit.zone;
-    ++changes_;
     return;
   }
   if (place->second.router != router) {
@@ -91,7 +89,6 @@
   }
   count(permit.zone, before, permit);
   before = permit;
-  ++changes_;
 }
 
 void RouterLeases::count(const std::string& zone, const Permit& before, const Permit& after) {
--- a/src/aggregation/router_leases.h
+++ b/src/aggregation/router_leases.h
@@ -72,8 +72,6 @@
   bool holds(coordination::LeaseId id) const { return leases_.contains(id); }
   const RouterPermits& permits(const std::string& zone) const;
   RequestCounts requests(const std::string& zone) const;
-  // Grows whenever a summary may have changed.
-  std::uint64_t changes() const { return changes_; }
   std::size_t size() const { return leases_.size(); }
 
  private:
@@ -92,7 +90,6 @@
   std::set<std::pair<Micros, coordination::LeaseId>> ends_;
   std::map<std::string, RouterPermits> permits_;  // by zone
   std::map<std::string, RequestCounts> requests_;
-  std::uint64_t changes_ = 0;
 };
 
 }  // namespace trailcourse::aggregation
--- a/src/ownership/lease.cpp
+++ b/src/ownership/lease.cpp
@@ -21,6 +21,11 @@
   return "stopped";
 }
 
+Micros surely_held(const LeaseRules& rules) {
+  const double ttl = static_cast<double>(rules.ttl.count());
+  return Micros(static_cast<Micros::rep>(ttl * (1.0 - rules.drift))) - rules.margin;
+}
+
 std::optional<Order> Lease::due(Micros now) {
   if (out_ || released_ || now < not_before_) {
     return std::nullopt;
@@ -65,9 +70,7 @@
   }
   term_ = out.order.ask == Ask::kRenew ? out.order.term : term;
   // Timed from its sending: the store began to count then at the earliest.
-  const auto sure =
-      Micros(static_cast<Micros::rep>(static_cast<double>(rules_.ttl.count()) * (1.0 - rules_.drift)));
-  until_ = std::max(until_, out.sent + sure - rules_.margin);
+  until_ = std::max(until_, out.sent + surely_held(rules_));
   last_sent_ = out.sent;
 }
 
--- a/src/ownership/lease.h
+++ b/src/ownership/lease.h
@@ -31,6 +31,9 @@
   Micros retry{500'000};          // after a call that was not answered, or found another owner
 };
 
+// For how long a grant surely holds by this router's clock, counted from the sending of its call.
+Micros surely_held(const LeaseRules& rules);
+
 // | phase     | what it may do                                                       |
 // | --------- | -------------------------------------------------------------------- |
 // | candidate | ask for the work; no effect                                          |
--- a/src/policy/options.cpp
+++ b/src/policy/options.cpp
@@ -5,6 +5,7 @@
 using config::RealRange;
 using config::WholeRange;
 using config::Words;
+using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
 const config::Record<PolicyOptions>& policy_record() {
@@ -44,9 +45,8 @@
 }
 
 void check_policy(const PolicyOptions& options) {
-  const auto sure =
-      static_cast<std::int64_t>(static_cast<double>(options.ttl_ms) * (1.0 - options.drift_percent / 100.0)) -
-      options.margin_ms;
+  const std::int64_t sure =
+      duration_cast<milliseconds>(ownership::surely_held(holder_rules(options).lease)).count();
   if (2 * options.renew_ms > sure) {
     throw config::KeyError("policy.renew_ms", std::to_string(options.renew_ms) + " is over half of the " +
                                                   std::to_string(sure) +
--- a/src/tasks/options.cpp
+++ b/src/tasks/options.cpp
@@ -74,18 +74,16 @@
 }
 
 void check_ownership(const OwnershipOptions& options) {
-  const auto lease = [](const char* key, std::int64_t ttl_ms, std::int64_t renew_ms, double drift,
-                        std::int64_t margin_ms) {
-    const auto sure =
-        static_cast<std::int64_t>(static_cast<double>(ttl_ms) * (1.0 - drift / 100.0)) - margin_ms;
+  const auto lease = [](const char* key, std::int64_t renew_ms, const ownership::LeaseRules& rules) {
+    const std::int64_t sure = std::chrono::duration_cast<milliseconds>(ownership::surely_held(rules)).count();
     if (2 * renew_ms > sure) {
       throw config::KeyError(std::string("ownership.") + key,
                              std::to_string(renew_ms) + " is over half of the " + std::to_string(sure) +
                                  " ms that a lease surely holds: one lost renewal would end it");
     }
   };
-  lease("renew_ms", options.ttl_ms, options.renew_ms, options.drift_percent, options.margin_ms);
-  lease("member_renew_ms", options.member_ttl_ms, options.member_renew_ms, options.drift_percent, 0);
+  lease("renew_ms", options.renew_ms, lease_manager_rules(options).lease);
+  lease("member_renew_ms", options.member_renew_ms, session_rules(options));
   if (options.flap_reuse >= options.flap_suppress) {
     throw config::KeyError("ownership.flap_reuse", "not below flap_suppress");
   }
