The worst stretch of a list of moments is found by one function

Cause: the hollow start wrote most_within again, which stood in fleet/figures, the cold start's model and its test already.

Change: one template in fleet/most_within.h for all four.

--- a/benchmarks/cold_start_model.cpp
+++ b/benchmarks/cold_start_model.cpp
@@ -9,12 +9,14 @@
 #include <queue>
 #include <vector>
 
+#include "fleet/most_within.h"
 #include "startup/asking.h"
 #include "startup/opening.h"
 
 namespace {
 
 using trailcourse::Micros;
+using trailcourse::fleet::most_within;
 using namespace trailcourse::startup;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
@@ -26,19 +28,6 @@
   double last_s = 0.0;
 };
 
-std::size_t most_within(std::vector<Micros>& moments, Micros stretch) {
-  std::sort(moments.begin(), moments.end());
-  std::size_t most = 0;
-  std::size_t first = 0;
-  for (std::size_t last = 0; last < moments.size(); ++last) {
-    while (moments[last] - moments[first] >= stretch) {
-      ++first;
-    }
-    most = std::max(most, last - first + 1);
-  }
-  return most;
-}
-
 // All begin within 3 ms; the board refuses until `back`. Only calls until the first list count.
 Sums start(const AskingRules& rules, int routers, Micros back) {
   struct At {
--- a/benchmarks/scale/hollow_start.cpp
+++ b/benchmarks/scale/hollow_start.cpp
@@ -6,6 +6,7 @@
 #include <random>
 #include <vector>
 
+#include "fleet/most_within.h"
 #include "startup/asking.h"
 
 namespace trailcourse::scale {
@@ -21,19 +22,6 @@
   bool operator>(const Asked& other) const { return at > other.at; }
 };
 
-// `moments` in order.
-std::size_t most_within(const std::vector<Micros>& moments, Micros stretch) {
-  std::size_t most = 0;
-  std::size_t first = 0;
-  for (std::size_t last = 0; last < moments.size(); ++last) {
-    while (moments[last] - moments[first] >= stretch) {
-      ++first;
-    }
-    most = std::max(most, last - first + 1);
-  }
-  return most;
-}
-
 }  // namespace
 
 BoardCalls measure_board(const startup::AskingRules& rules, int routers, Micros back, std::uint64_t seed) {
@@ -60,8 +48,8 @@
   }
   BoardCalls out;
   out.calls = answered.size();
-  out.most_in_100_ms = most_within(answered, Micros(100'000));
-  out.most_in_second = most_within(answered, Micros(1'000'000));
+  out.most_in_100_ms = fleet::most_within(answered, Micros(100'000));
+  out.most_in_second = fleet::most_within(answered, Micros(1'000'000));
   out.last_list_s = static_cast<double>((answered.back() - back).count()) / 1e6;
   return out;
 }
--- a/src/fleet/figures.cpp
+++ b/src/fleet/figures.cpp
@@ -12,19 +12,6 @@
 
 namespace trailcourse::fleet {
 
-std::size_t most_within(std::vector<transport::Clock::time_point> moments, std::chrono::milliseconds window) {
-  std::sort(moments.begin(), moments.end());
-  std::size_t most = 0;
-  std::size_t first = 0;
-  for (std::size_t last = 0; last < moments.size(); ++last) {
-    while (moments[last] - moments[first] >= window) {
-      ++first;
-    }
-    most = std::max(most, last - first + 1);
-  }
-  return most;
-}
-
 double quantile(std::vector<double> values, double share) {
   if (values.empty()) {
     return 0.0;
--- a/src/fleet/figures.h
+++ b/src/fleet/figures.h
@@ -5,17 +5,12 @@
 
 #include <sys/types.h>
 
-#include <chrono>
-#include <cstddef>
 #include <vector>
 
-#include "transport/scheduler.h"
+#include "fleet/most_within.h"
 
 namespace trailcourse::fleet {
 
-// The most moments within any stretch of `window`. The moments may come in any order.
-std::size_t most_within(std::vector<transport::Clock::time_point> moments, std::chrono::milliseconds window);
-
 // The value below which `share` of them lie; 0 of none.
 double quantile(std::vector<double> values, double share);
 
--- a/tests/startup_test.cpp
+++ b/tests/startup_test.cpp
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "fleet/most_within.h"
 #include "startup/asking.h"
 #include "startup/fleet_size.h"
 #include "startup/gate.h"
@@ -43,19 +44,6 @@
   return mean + 6.0 * std::sqrt(mean) + 12.0;
 }
 
-std::size_t most_within(std::vector<Micros> moments, Micros stretch) {
-  std::sort(moments.begin(), moments.end());
-  std::size_t most = 0;
-  std::size_t first = 0;
-  for (std::size_t last = 0; last < moments.size(); ++last) {
-    while (moments[last] - moments[first] >= stretch) {
-      ++first;
-    }
-    most = std::max(most, last - first + 1);
-  }
-  return most;
-}
-
 // A fleet that asks one board in virtual time.
 struct AskingWorld {
   AskingRules rules = spread_rules();
@@ -161,8 +149,8 @@
     const AskingWorld::Seen seen = world.run();
     ++fleets;
     calls += seen.unsettled.size();
-    ASSERT_LE(most_within(seen.unsettled, seconds(1)), allowed(kRate, seconds(1))) << "seed " << seed;
-    ASSERT_LE(most_within(seen.unsettled, milliseconds(100)), allowed(kRate, milliseconds(100)))
+    ASSERT_LE(fleet::most_within(seen.unsettled, seconds(1)), allowed(kRate, seconds(1))) << "seed " << seed;
+    ASSERT_LE(fleet::most_within(seen.unsettled, milliseconds(100)), allowed(kRate, milliseconds(100)))
         << "seed " << seed;
     ASSERT_FALSE(seen.early) << "seed " << seed << ": sooner than the board asked for";
   }
@@ -197,16 +185,17 @@
 }
 
 TEST(AskingDefects, WithoutJitterAllAskAtOnce) {
-  EXPECT_LE(most_within(crowd().run().unsettled, milliseconds(100)), allowed(kRate, milliseconds(100)));
+  EXPECT_LE(fleet::most_within(crowd().run().unsettled, milliseconds(100)),
+            allowed(kRate, milliseconds(100)));
   AskingWorld world = crowd();
   world.rules.most_window = Micros(0);
-  EXPECT_GT(most_within(world.run().unsettled, milliseconds(100)), allowed(kRate, milliseconds(100)));
+  EXPECT_GT(fleet::most_within(world.run().unsettled, milliseconds(100)), allowed(kRate, milliseconds(100)));
 }
 
 TEST(AskingDefects, ABudgetOfEachRouterAndNotOfTheFleetIsPassed) {
   AskingWorld world = crowd();
   world.told_routers = 1;
-  EXPECT_GT(most_within(world.run().unsettled, seconds(1)), allowed(kRate, seconds(1)));
+  EXPECT_GT(fleet::most_within(world.run().unsettled, seconds(1)), allowed(kRate, seconds(1)));
 }
 
 // A row of restarts whose order happens to undo a jitter that only depends on the name.
@@ -223,7 +212,7 @@
     world.seed_of = [by_name, name_seed](int i) {
       return by_name ? name_seed(i) : name_seed(i) ^ 0x5bd1e995ULL;
     };
-    return most_within(world.run().unsettled, milliseconds(100));
+    return fleet::most_within(world.run().unsettled, milliseconds(100));
   };
   EXPECT_LE(worst(false), allowed(kRate, milliseconds(100)));
   EXPECT_GT(worst(true), allowed(kRate, milliseconds(100)));
@@ -305,7 +294,7 @@
         EXPECT_TRUE(opening.open("cache"));
       }
     }
-    EXPECT_LE(most_within(moments, seconds(1)), allowed(200.0, seconds(1))) << routers;
+    EXPECT_LE(fleet::most_within(moments, seconds(1)), allowed(200.0, seconds(1))) << routers;
     EXPECT_LE(*std::max_element(moments.begin(), moments.end()), seconds(1) + Micros(routers * 10'000));
   }
 }
