--- a/src/coordination/ledger_file.cpp
+++ b/src/coordination/ledger_file.cpp
@@ -4,8 +4,10 @@
 #include <time.h>
 
 #include <cerrno>
+#include <chrono>
 #include <fstream>
 #include <random>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -13,6 +15,7 @@
 namespace {
 
 constexpr int kBusyMs = 2'000;
+constexpr std::chrono::milliseconds kBusyPause{2};
 constexpr std::uint64_t kIdMask = 0xffff'ffff'ffffU;
 constexpr const char* kFileName = "/ledger.sqlite";
 
@@ -73,6 +76,24 @@
   bool done_ = false;
 };
 
+// SQLite answers SQLITE_BUSY at once, without its busy time, where another connection is switching a new file
+// to this mode in the same moment: that is waited for here.
+void use_write_ahead_log(const Database& database) {
+  const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(kBusyMs);
+  for (;;) {
+    try {
+      database.run("PRAGMA journal_mode = WAL");
+      return;
+    } catch (const SqliteError&) {
+      const bool busy = sqlite3_errcode(database.get()) == SQLITE_BUSY;
+      if (!busy || std::chrono::steady_clock::now() >= end) {
+        throw;
+      }
+    }
+    std::this_thread::sleep_for(kBusyPause);
+  }
+}
+
 }  // namespace
 
 std::int64_t LedgerFile::machine_ms() {
@@ -87,7 +108,7 @@
     database_.run("PRAGMA locking_mode = EXCLUSIVE");
   }
   try {
-    database_.run("PRAGMA journal_mode = WAL");
+    use_write_ahead_log(database_);
     database_.run("PRAGMA synchronous = FULL");
     Write write(database_);
     database_.run(
--- a/tests/coordination_test.cpp
+++ b/tests/coordination_test.cpp
@@ -3,10 +3,12 @@
 #include <gtest/gtest.h>
 #include <unistd.h>
 
+#include <barrier>
 #include <filesystem>
 #include <fstream>
 #include <memory>
 #include <random>
+#include <thread>
 
 #include "coordination/embedded_store.h"
 #include "coordination/etcd_store.h"
@@ -291,6 +293,38 @@
   std::vector<std::unique_ptr<SharedStore>> stores_;
 };
 
+// Processes that open a new file in the same moment: SQLite tells all but one of them that it is busy, at
+// once.
+TEST(LedgerFileTest, ManyThatOpenANewOneInTheSameMomentAllGetIt) {
+  constexpr int kRounds = 20;
+  constexpr int kOpeners = 6;
+  const std::string stem = testing::TempDir() + "trailcourse-opened-" + std::to_string(::getpid()) + "-";
+  for (int round = 0; round < kRounds; ++round) {
+    const std::string folder = stem + std::to_string(round);
+    std::filesystem::remove_all(folder);
+    std::vector<std::string> whys(kOpeners);
+    std::vector<std::uint64_t> ids(kOpeners);
+    std::barrier together(kOpeners);
+    std::vector<std::thread> openers;
+    for (int i = 0; i < kOpeners; ++i) {
+      openers.emplace_back([&, place = static_cast<std::size_t>(i)] {
+        together.arrive_and_wait();
+        try {
+          ids[place] = LedgerFile(folder, Limits{}, LedgerFile::Sharing::kShared).id();
+        } catch (const std::exception& error) {
+          whys[place] = error.what();
+        }
+      });
+    }
+    for (std::thread& opener : openers) {
+      opener.join();
+    }
+    EXPECT_EQ(whys, std::vector<std::string>(kOpeners)) << "round " << round;
+    EXPECT_EQ(ids, std::vector<std::uint64_t>(kOpeners, ids[0])) << "one store";
+    std::filesystem::remove_all(folder);
+  }
+}
+
 class ConformanceTest : public testing::TestWithParam<Backend> {};
 INSTANTIATE_TEST_SUITE_P(Stores, ConformanceTest, testing::Values(Backend::kEtcd, Backend::kEmbedded),
                          [](const auto& one) { return one.param == Backend::kEtcd ? "Etcd" : "Embedded"; });
