A fetch that is stopped while its answer comes in does not end the cache node

Cause: SourceLink looked up whether an answer is wanted when its head came, and finish() took the call for still there at its end. A stop between the two reads (client cancelled or left) erased it, and finish() read behind the map's end. Change: finish() passes over an answer whose call is gone.

--- a/src/cache_node/source_client.cpp
+++ b/src/cache_node/source_client.cpp
@@ -74,6 +74,9 @@
 
 void SourceLink::finish(const std::string& id, const FetchResult& result) {
   const auto found = calls_.find(id);
+  if (found == calls_.end()) {
+    return;  // stopped since its answer began to come
+  }
   const FillNumber fill = found->second.fill;
   calls_.erase(found);
   client_.places_.erase(fill);
--- a/tests/cache_node_test.cpp
+++ b/tests/cache_node_test.cpp
@@ -687,9 +687,11 @@
     Peer peer(node.port());
     peer.send(bytes);
   }
-  EXPECT_TRUE(node.alive());
   Peer peer(node.port());
-  expect_right(*peer.ask("after", fields(item_of(2))), item_of(2));
+  const std::optional<Got> got = peer.ask("after", fields(item_of(2)));
+  ASSERT_TRUE(got.has_value()) << "alive: " << node.alive() << "\n" << node.log();
+  expect_right(*got, item_of(2));
+  EXPECT_TRUE(node.alive());
 }
 
 TEST_F(CacheNodeTest, CrowdedItShedsAtOnceAndServesOn) {
