--- a/benchmarks/ownership_bench.cpp
+++ b/benchmarks/ownership_bench.cpp
@@ -6,10 +6,11 @@
 //     ownership_bench --program build/trailcourse --rest 10,100,300
 //     ownership_bench --program build/trailcourse --policy 10,100,300
 //     ownership_bench --program build/trailcourse --policy 10,100,300 --flat
+//     ownership_bench --program build/trailcourse --acknowledge 30,100,300
 //     ownership_bench --program build/trailcourse --schedules 50 --seed 1
 //
-// With --policy and --rest routers reach the store by way of aggregators; with --flat each by itself. What
-// cannot be measured is said in its row; the tool goes on, and ends with a status of its own.
+// With --policy, --rest and --acknowledge routers reach the store by way of aggregators; with --flat each by
+// itself. What cannot be measured is said in its row; the tool goes on, and ends with a status of its own.
 #include <algorithm>
 #include <csignal>
 #include <cstdio>
@@ -23,6 +24,7 @@
 #include <string>
 #include <vector>
 
+#include "acknowledgement_measurement.h"
 #include "fleet/fault_script.h"
 #include "fleet/term_check.h"
 #include "fleet_bench.h"
@@ -280,6 +282,10 @@
   if (parsed.count("policy") > 0) {
     missing += bench::measure_policy(program, parsed["policy"].as<std::vector<int>>(), topology);
   }
+  if (parsed.count("acknowledge") > 0) {
+    const auto sizes = parsed["acknowledge"].as<std::vector<int>>();
+    missing += bench::measure_acknowledgements(program, sizes, topology);
+  }
   const int failed =
       run_schedules(program, parsed["seed"].as<std::uint64_t>(), parsed["schedules"].as<int>());
   return failed > 0 ? kScheduleFailed : missing > 0 ? kRowMissing : 0;
@@ -293,7 +299,9 @@
       "candidates", "routers of --takeover", cxxopts::value<int>()->default_value("30"))(
       "rest", "sizes of the fleet", cxxopts::value<std::vector<int>>())("moves", "shards that move")(
       "policy", "sizes of the fleet", cxxopts::value<std::vector<int>>())(
-      "flat", "of --rest and --policy: no aggregators, each router asks the store")(
+      "acknowledge", "sizes of the fleet: until a purge is known to be taken in everywhere",
+      cxxopts::value<std::vector<int>>())(
+      "flat", "of --rest, --policy and --acknowledge: no aggregators, each router asks the store")(
       "regions", "of --rest and --policy, an aggregator each; 0: one for each 50 routers, two at least",
       cxxopts::value<int>()->default_value("0"))("schedules", "so many drawn ones",
                                                  cxxopts::value<int>()->default_value("0"))(
--- a/benchmarks/scale/fleet_model.cpp
+++ b/benchmarks/scale/fleet_model.cpp
@@ -45,12 +45,32 @@
   }
 }
 
+void RulingCheck::check_event(const HollowRouter& router, Micros now) {
+  const bool decides = router.runs() && router.ruling().kind != policy::Ruling::Kind::kRefuse;
+  if (decides && router.event() < done_event_) {
+    fail(now, router,
+         "decides at event " + std::to_string(router.event()) + " though " + std::to_string(done_event_) +
+             " was told to be done everywhere");
+  }
+}
+
+void RulingCheck::done(std::uint64_t event, Micros now) {
+  if (event <= done_event_) {
+    return;
+  }
+  done_event_ = event;
+  for (const auto& router : *routers_) {
+    check_event(*router, now);
+  }
+}
+
 void RulingCheck::ruled(HollowRouter& router, Micros now) {
   if (!router.runs()) {
     return;
   }
   const policy::Ruling ruling = router.ruling();
   ++rulings_;
+  check_event(router, now);
   if (ruling.kind != policy::Ruling::Kind::kVersion || ruling.version == newest_) {
     return;
   }
@@ -96,6 +116,12 @@
   driver_ =
       std::make_unique<HollowDriver>(*simulation_, *store_, policy::driver_rules(policy::PolicyOptions{}),
                                      [this](const policy::Step& step) { stepped(step); });
+  board_ = std::make_unique<HollowBoard>(*simulation_);
+  acknowledgements_ = std::make_unique<HollowAcknowledgementDriver>(
+      *simulation_, *store_, shape_.least_round,
+      [this](const policy::Acknowledgement& record) { recorded(record); });
+  board_->add(*acknowledgements_,
+              [this](const policy::BoardPosition& position) { acknowledgements_->took_in(position); });
   check_ = std::make_unique<RulingCheck>(*store_);
   std::vector<std::vector<std::string>> zones(static_cast<std::size_t>(shape_.regions));
   for (int i = 0; i < shape_.zones; ++i) {
@@ -122,13 +148,16 @@
     routers_.push_back(std::make_unique<HollowRouter>(*simulation_, "router" + std::to_string(i), region,
                                                       zone, servers[static_cast<std::size_t>(region)],
                                                       shape_.router, ruled));
+    routers_.back()->follow(*board_);
   }
   check_->watch(routers_);
 }
 
 void FleetModel::start(Micros spread) {
   store_->begin();
+  board_->begin();
   driver_->begin();
+  acknowledgements_->begin();
   for (const auto& aggregator : aggregators_) {
     simulation_->events.after(simulation_->drawn(spread), [one = aggregator.get()] { one->begin(); });
   }
@@ -196,6 +225,14 @@
   }
 }
 
+void FleetModel::recorded(const policy::Acknowledgement& record) {
+  ++rounds_;
+  done_event_ = std::max(done_event_, record.done.event);
+  check_->done(done_event_, now());
+}
+
+void FleetModel::publish(std::uint64_t events) { board_->publish(events); }
+
 void FleetModel::propose(bool urgent) {
   driver_->propose(
       urgent,
@@ -229,6 +266,7 @@
   for (const auto& router : routers_) {
     if (router->region() == region) {
       router->check_watch();
+      board_->catch_up(*router);
     }
   }
   for (const auto& aggregator : aggregators_) {
@@ -278,7 +316,8 @@
 }
 
 std::string FleetModel::describe() {
-  std::string out = "version in force " + std::to_string(store_->version_in_force());
+  std::string out = "version in force " + std::to_string(store_->version_in_force()) + ", event " +
+                    std::to_string(done_event_) + " of " + std::to_string(published()) + " done";
   const policy::Seen seen = store_->seen();
   if (seen.change) {
     out += "\n  " + policy::write_change(*seen.change);
--- a/benchmarks/scale/fleet_model.h
+++ b/benchmarks/scale/fleet_model.h
@@ -18,6 +18,8 @@
 #include <vector>
 
 #include "scale/hollow_aggregator.h"
+#include "scale/hollow_board.h"
+#include "scale/hollow_driver.h"
 #include "scale/hollow_router.h"
 #include "scale/hollow_store.h"
 
@@ -34,6 +36,7 @@
   CostRules costs;
   HollowRouter::Rules router;
   aggregation::AggregatorRules aggregator;
+  Micros least_round{250'000};  // OwnershipOptions::acknowledge_ms
 };
 // As in the fleet ahead, 53 at 19,000 routers; at least 2.
 int regions_of(int routers);
@@ -41,7 +44,8 @@
 FleetShape shape_of(int routers, bool flat, std::uint64_t seed);
 
 // No request is decided under a version once one was decided under a later one, nor under one that is not in
-// force or was aborted. Exact: rulings are looked at whenever they may change.
+// force or was aborted; nor by a router that has not taken in an event that was told to be done everywhere.
+// Exact: rulings are looked at whenever they may change.
 class RulingCheck {
  public:
   explicit RulingCheck(const HollowStore& store) : store_(store) {}
@@ -49,6 +53,8 @@
   void watch(const std::vector<std::unique_ptr<HollowRouter>>& routers) { routers_ = &routers; }
   void ruled(HollowRouter& router, Micros now);
   void aborted(std::uint64_t version) { aborted_.insert(version); }
+  // Told: every router has taken in this event of the board.
+  void done(std::uint64_t event, Micros now);
   // Empty, or the first thing that broke the rule.
   const std::string& broken() const { return broken_; }
   std::uint64_t newest() const { return newest_; }
@@ -56,11 +62,13 @@
 
  private:
   void fail(Micros now, const HollowRouter& router, const std::string& what);
+  void check_event(const HollowRouter& router, Micros now);
 
   const HollowStore& store_;
   const std::vector<std::unique_ptr<HollowRouter>>* routers_ = nullptr;
   std::set<std::uint64_t> aborted_;
   std::uint64_t newest_ = 0;
+  std::uint64_t done_event_ = 0;
   std::uint64_t rulings_ = 0;
   std::string broken_;
 };
@@ -89,6 +97,12 @@
   ChangeFigures change(Micros limit);
   // Proposes and goes on; refused where another one is open.
   void propose(bool urgent);
+  // The board tells a page of so many events; rounds of acknowledgement begin with the first one.
+  void publish(std::uint64_t events);
+  std::uint64_t published() const { return board_->position().event; }
+  // The last event that every router is known to have taken in.
+  std::uint64_t done_event() const { return done_event_; }
+  std::uint64_t rounds() const { return rounds_; }
 
   // Faults. Whoever watches over what they concern finds out in its time.
   void cut_region(int region, bool cut);
@@ -119,18 +133,23 @@
  private:
   void build();
   void stepped(const policy::Step& step);
+  void recorded(const policy::Acknowledgement& record);
   void check_watches(int region);
   bool settled() const;
 
   FleetShape shape_;
   std::unique_ptr<Simulation> simulation_;
   std::unique_ptr<HollowStore> store_;
+  std::unique_ptr<HollowBoard> board_;
   std::unique_ptr<HollowDriver> driver_;
+  std::unique_ptr<HollowAcknowledgementDriver> acknowledgements_;
   std::unique_ptr<RulingCheck> check_;
   std::vector<std::unique_ptr<HollowAggregator>> aggregators_;
   std::vector<std::unique_ptr<HollowRouter>> routers_;
   std::uint64_t begun_ = 0, refused_ = 0, finished_ = 0, aborted_ = 0;
   std::uint64_t open_version_ = 0;  // not committed, done or aborted
+  std::uint64_t done_event_ = 0;
+  std::uint64_t rounds_ = 0;
   Micros committed_at_{0};
   Micros finished_at_{0};
 };
--- a/benchmarks/scale/fleet_model_runs.h
+++ b/benchmarks/scale/fleet_model_runs.h
@@ -71,6 +71,23 @@
 void measure_changes(FleetModel& model, Condition condition, const SeriesOptions& options,
                      ChangeSeries& series);
 
+// Purges that come without pause, and how long it takes until each is known to be taken in everywhere.
+struct AcknowledgementSeries {
+  Samples ms;                // from a page of the board until it is told to be done
+  int unfinished = 0;        // pages, within the time
+  double rounds = 0.0;       // a second
+  double store_calls = 0.0;  // a second, renewals among them
+  std::string broken;
+};
+struct AcknowledgementOptions {
+  double events_per_second = 180.0;
+  Micros between_pages{100'000};
+  Micros time{20'000'000};  // of pages; as long is waited for the last of them
+};
+// The model has been started and has settled.
+void measure_acknowledgements(FleetModel& model, Condition condition, const AcknowledgementOptions& options,
+                              AcknowledgementSeries& series);
+
 // Proposals that come at drawn times wait for the change before them: one is open at a time.
 struct QueueFigures {
   Samples ms;  // from the proposal's time until it is done
@@ -88,6 +105,7 @@
   Micros time{60'000'000};
   Micros mean_between{500'000};  // two faults
   Micros region_cut{0};          // one region is cut for so long, from the beginning; 0: none
+  bool publish = false;          // events of the board come all the while, and are acknowledged
 };
 FaultFigures run_faults(FleetModel& model, const FaultOptions& options);
 
--- /dev/null
+++ b/benchmarks/scale/hollow_driver.cpp
@@ -0,0 +1,217 @@
+#include "scale/hollow_driver.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "scale/hollow_wire.h"
+
+namespace trailcourse::scale {
+
+using coordination::Transaction;
+
+namespace {
+
+// Of tasks::StoreDriverTask.
+constexpr Micros kIdleLook{5'000'000};
+constexpr Micros kLostLook{200'000};
+
+constexpr const char* kDocument =
+    R"({"schema":1,"author":"ops","content":{"classes":{"media":{"objective_ms":2000,"give_up_ms":6000}}}})";
+
+}  // namespace
+
+// ---- What all drivers do ----
+
+HollowStoreDriver::HollowStoreDriver(Simulation& simulation, HollowStore& store, std::string name)
+    : Node(simulation, std::move(name), kNoRegion), store_(store) {
+  store.tell_changes_to(*this);
+}
+
+void HollowStoreDriver::started() {
+  looking_ = false;
+  again_ = false;
+  look();
+}
+
+void HollowStoreDriver::look_after(Micros time) {
+  const std::uint64_t timer = ++timer_;
+  simulation().events.after(time, [this, incarnation = incarnation(), timer] {
+    deliver(incarnation, [this, timer] {
+      if (timer == timer_) {
+        look();
+      }
+    });
+  });
+}
+
+void HollowStoreDriver::read(std::function<void(const Reply&)> answered, std::function<void()> lost) {
+  const Transaction looked_at = looks_at();
+  Call call;
+  call.bytes_asked = transaction_bytes(looked_at);
+  call.work = [this, looked_at] {
+    const Reply out = store_.commit(looked_at);
+    const auto& permits = out.outcome.steps.back().found;
+    // All permits are of about one size.
+    const std::size_t one =
+        permits.empty() ? 0 : answer_bytes(coordination::etcd::write_entries({}, {permits.front()}));
+    counted().bytes_in += one * permits.size();
+    store_.counted_answer(one * permits.size());
+    return out;
+  };
+  call.answered = std::move(answered);
+  call.lost = std::move(lost);
+  Node::call(store_, std::move(call));
+}
+
+void HollowStoreDriver::write(Transaction transaction, std::function<void(const Reply&)> answered,
+                              std::function<void()> lost) {
+  Call call;
+  call.bytes_asked = transaction_bytes(transaction);
+  call.bytes_answered = call_sizes().written;
+  call.work = [this, transaction = std::move(transaction)] { return store_.commit(transaction); };
+  call.answered = std::move(answered);
+  call.lost = std::move(lost);
+  Node::call(store_, std::move(call));
+}
+
+void HollowStoreDriver::look() {
+  if (std::exchange(looking_, true)) {
+    again_ = true;
+    return;
+  }
+  look_after(kIdleLook);
+  read(
+      [this](const Reply& reply) {
+        // What it read is parsed first.
+        const auto entries = static_cast<double>(reply.outcome.steps.back().found.size());
+        simulation().events.after(micros(simulation().costs.entry_parsed * entries),
+                                  [this, incarnation = incarnation(), reply] {
+                                    deliver(incarnation, [this, reply] { looked(reply); });
+                                  });
+      },
+      [this] {
+        looking_ = false;
+        look_after(kLostLook);
+      });
+}
+
+void HollowStoreDriver::looked(const Reply& reply) {
+  looking_ = false;
+  const Micros now = clock();
+  Decision decision = decide(now, reply.outcome);
+  if (decision.look_at) {
+    look_after(std::min<Micros>(*decision.look_at - now, kIdleLook));
+  }
+  if (decision.write) {
+    write(
+        std::move(*decision.write),
+        [this, told = std::move(decision.written)](const Reply& written) {
+          if (!written.done || !written.succeeded) {
+            look_after(kLostLook);
+            return;
+          }
+          told();
+          look();
+        },
+        [this] { look_after(kLostLook); });
+  }
+  if (std::exchange(again_, false)) {
+    look();
+  }
+}
+
+// ---- Changes of policy ----
+
+HollowDriver::HollowDriver(Simulation& simulation, HollowStore& store, const policy::DriverRules& rules,
+                           Stepped stepped)
+    : HollowStoreDriver(simulation, store, "driver"),
+      rules_(rules),
+      driver_(rules),
+      stepped_(std::move(stepped)) {}
+
+void HollowDriver::started() {
+  replace();
+  HollowStoreDriver::started();
+}
+
+void HollowDriver::replace() {
+  driver_ = policy::Driver(rules_);
+  change_open_ = true;
+}
+
+bool HollowDriver::concerns(const std::string& key) const {
+  return key == policy::kChangeKey || (change_open_ && key.starts_with(policy::kPermits));
+}
+
+HollowStoreDriver::Decision HollowDriver::decide(Micros now, const coordination::Outcome& outcome) {
+  const policy::Seen seen = policy::read_seen("", outcome);
+  change_open_ = seen.change && seen.change->open();
+  Decision out;
+  if (const std::optional<policy::Step> step = driver_.next(now, seen)) {
+    out.write = policy::carry_out("", seen, *step);
+    out.written = [this, step = *step] { stepped_(step); };
+  } else {
+    out.look_at = driver_.due();
+  }
+  return out;
+}
+
+void HollowDriver::propose(bool urgent, std::function<void(std::uint64_t)> begun,
+                           std::function<void()> refused) {
+  const std::uint64_t version = ++last_version_;
+  read(
+      [this, urgent, begun, refused, version](const Reply& reply) {
+        const policy::Seen seen = policy::read_seen("", reply.outcome);
+        bool superseded = false;
+        if (!policy::may_begin(seen, urgent, superseded).empty()) {
+          refused();
+          return;
+        }
+        policy::Change change;
+        change.id = seen.change ? seen.change->id + 1 : 1;
+        change.version = version;
+        change.before = seen.current;
+        change.urgent = urgent;
+        write(
+            policy::begin("", seen, change, kDocument, "begun"),
+            [begun, refused, version](const Reply& written) {
+              written.done&& written.succeeded ? begun(version) : refused();
+            },
+            refused);
+      },
+      refused);
+}
+
+// ---- Acknowledged events ----
+
+HollowAcknowledgementDriver::HollowAcknowledgementDriver(Simulation& simulation, HollowStore& store,
+                                                         Micros least_round, Written written)
+    : HollowStoreDriver(simulation, store, "acknowledgements"),
+      driver_(least_round),
+      written_(std::move(written)) {}
+
+void HollowAcknowledgementDriver::took_in(const policy::BoardPosition& position) {
+  position_ = position;
+  if (!round_open_) {
+    look();
+  }
+}
+
+bool HollowAcknowledgementDriver::concerns(const std::string& key) const {
+  return key == policy::kAcknowledgedKey || (round_open_ && key.starts_with(policy::kPermits));
+}
+
+HollowStoreDriver::Decision HollowAcknowledgementDriver::decide(Micros now,
+                                                                const coordination::Outcome& outcome) {
+  const policy::AcknowledgementsSeen seen = policy::read_acknowledgements_seen("", outcome);
+  round_open_ = seen.record.round > 0 && seen.record.done != seen.record.asked;
+  Decision out;
+  if (const auto next = driver_.next(now, seen, position_)) {
+    out.write = policy::write_record("", seen, *next);
+    out.written = [this, record = *next] { written_(record); };
+  }
+  out.look_at = driver_.due();
+  return out;
+}
+
+}  // namespace trailcourse::scale
--- a/benchmarks/scale/hollow_router.h
+++ b/benchmarks/scale/hollow_router.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "policy/holder.h"
+#include "scale/hollow_board.h"
 #include "scale/hollow_client.h"
 
 namespace trailcourse::scale {
@@ -25,6 +26,10 @@
   HollowRouter(Simulation& simulation, std::string name, int region, const std::string& zone,
                std::vector<PermitServer*> servers, const Rules& rules, Ruled ruled);
 
+  // Takes in what this board tells, from its next start on.
+  void follow(HollowBoard& board);
+  // The number of the last event that it has taken in.
+  std::uint64_t event() const { return position_.event; }
   policy::Ruling ruling() const { return holder_ ? holder_->ruling(clock()) : policy::Ruling{}; }
   bool ready() const { return holder_ && holder_->ready(clock()); }
   std::string describe() const;
@@ -50,6 +55,8 @@
   std::optional<policy::Holder> holder_;
   coordination::LeaseId lease_ = 0;
   std::uint64_t last_document_ = 0;
+  HollowBoard* board_ = nullptr;
+  policy::BoardPosition position_;
 };
 
 }  // namespace trailcourse::scale
--- a/src/aggregation/aggregator.cpp
+++ b/src/aggregation/aggregator.cpp
@@ -223,7 +223,11 @@
   if (!mirrored_) {
     return {};
   }
-  return uplink_.due(now, heard_, known_, summaries());
+  const std::map<std::string, Permit> said = summaries();
+  for (const auto& [zone, summary] : said) {
+    leases_.claim(zone, summary.acknowledged);
+  }
+  return uplink_.due(now, heard_, known_, said);
 }
 
 std::optional<Micros> Aggregator::next(Micros now) const {
--- a/src/aggregation/options.cpp
+++ b/src/aggregation/options.cpp
@@ -38,6 +38,8 @@
         .text("name", &O::name, "-", Words{{}, true},
               "of this aggregator; summaries stand in the store under NAME.ZONE")
         .texts("zones", &O::zones, "-", "whose routers it takes; 1 to 64")
+        .text("board", &O::board, "IP:PORT", Words{},
+              "the notice board; with it this aggregator may own the fleet's work of kind acknowledge")
         .whole("ttl_ms", &O::ttl_ms, "ms", WholeRange{200, 600'000},
                "of its own permission at the store: a change waits so long for an aggregator that is lost")
         .whole("renew_ms", &O::renew_ms, "ms", ms,
@@ -58,6 +60,9 @@
 
 void check_aggregator(const AggregatorOptions& options, std::int64_t router_ttl_ms) {
   check_address("aggregator.listen", options.listen);
+  if (!options.board.empty()) {
+    check_address("aggregator.board", options.board);
+  }
   if (options.zones.empty() || options.zones.size() > kMostZones) {
     throw KeyError("aggregator.zones", std::to_string(options.zones.size()) + " are named, 1 to " +
                                            std::to_string(kMostZones) + " are allowed");
--- a/src/aggregation/options.h
+++ b/src/aggregation/options.h
@@ -18,6 +18,7 @@
   std::string listen;
   std::string name;
   std::vector<std::string> zones;
+  std::string board;  // the notice board; empty: it drives no acknowledgements
   std::int64_t ttl_ms = 4'000;
   std::int64_t renew_ms = 500;
   double drift_percent = 1.0;
--- a/src/aggregation/permit_summary.cpp
+++ b/src/aggregation/permit_summary.cpp
@@ -87,7 +87,9 @@
 
 Permit summarize(const Known& known, const std::string& zone, const RouterPermits& routers) {
   const Permit wanted = fulfilled(known, zone);
+  const std::uint64_t round = known.acknowledgement.round;
   Permit out = wanted;
+  out.acknowledged = round;
   const Decision decision = decision_of_all(known, wanted, routers);
   out.version = decision.version;
   out.held = decision.held;
@@ -99,7 +101,8 @@
       out.no = one.permit.no;
       out.why = one.router + ": " + one.permit.why;
     }
-    if (out.awaits.empty() && !fulfils(one.permit, wanted)) {
+    out.acknowledged = std::min(out.acknowledged, one.permit.acknowledged);
+    if (out.awaits.empty() && (!fulfils(one.permit, wanted) || one.permit.acknowledged < round)) {
       out.awaits = one.router;
     }
   }
--- a/src/aggregation/permit_summary.h
+++ b/src/aggregation/permit_summary.h
@@ -1,6 +1,7 @@
 // What all routers below an aggregator say together of a change of policy. A summary never claims more than
 // each of them said: it is ready, holds or has switched only once every one is, does or has. Nor does it
-// claim more than the aggregator has heard itself, for a router that joins later goes by that.
+// claim more than the aggregator has heard itself, for a router that joins later goes by that. It has
+// acknowledged a round once every router has.
 //
 // Package `aggregation`: no I/O, no clock.
 #pragma once
--- a/src/aggregation/router_leases.cpp
+++ b/src/aggregation/router_leases.cpp
@@ -1,5 +1,7 @@
 #include "aggregation/router_leases.h"
 
+#include <algorithm>
+
 namespace trailcourse::aggregation {
 
 using coordination::LeaseId;
@@ -74,8 +76,10 @@
     throw Refused(Refused::Why::kMalformed, "zone: another than before under this lease");
   }
   RouterPermits& zone = permits_[permit.zone];
-  const auto [place, fresh] = zone.try_emplace(id, RouterPermit{router, permit});
-  if (fresh) {
+  const auto place = zone.find(id);
+  if (place == zone.end()) {
+    check_acknowledged(permit, claimed_[permit.zone]);
+    zone.emplace(id, RouterPermit{router, permit});
     lease.zone = permit.zone;
     return;
   }
@@ -87,10 +91,23 @@
     throw Refused(Refused::Why::kBackwards,
                   "number: " + std::to_string(permit.number) + " after " + std::to_string(before.number));
   }
+  check_acknowledged(permit, before.acknowledged);
   count(permit.zone, before, permit);
   before = permit;
 }
 
+void RouterLeases::check_acknowledged(const Permit& permit, std::uint64_t least) {
+  if (permit.acknowledged < least) {
+    throw Refused(Refused::Why::kBackwards, "acknowledged: round " + std::to_string(permit.acknowledged) +
+                                                " where " + std::to_string(least) + " was said");
+  }
+}
+
+void RouterLeases::claim(const std::string& zone, std::uint64_t acknowledged) {
+  std::uint64_t& claimed = claimed_[zone];
+  claimed = std::max(claimed, acknowledged);
+}
+
 void RouterLeases::count(const std::string& zone, const Permit& before, const Permit& after) {
   RequestCounts& counts = requests_[zone];
   counts.requests += after.requests > before.requests ? after.requests - before.requests : 0;
--- a/src/aggregation/router_leases.h
+++ b/src/aggregation/router_leases.h
@@ -30,7 +30,7 @@
     kNoPermission,  // the aggregator's own would not last as long: ask another one
     kFull,          // as many routers as it may have
     kUnknownLease,
-    kBackwards,  // numbered no higher than what was said before
+    kBackwards,  // numbered no higher than what was said before, or acknowledging less
     kMalformed,
     kTooLarge,
     kUnknownZone,
@@ -66,6 +66,8 @@
   void revoke(coordination::LeaseId id);
   // What a router says under its lease. Throws Refused.
   void say(const std::string& router, coordination::LeaseId id, const policy::Permit& permit);
+  // The rounds up to this one were acknowledged in the name of the zone's routers: none joins behind it.
+  void claim(const std::string& zone, std::uint64_t acknowledged);
   void expire(Micros now);
   std::optional<Micros> next_expiry() const;
 
@@ -82,6 +84,7 @@
   };
 
   void end(coordination::LeaseId id);
+  static void check_acknowledged(const policy::Permit& permit, std::uint64_t least);
   void count(const std::string& zone, const policy::Permit& before, const policy::Permit& after);
 
   RouterLeaseRules rules_;
@@ -90,6 +93,7 @@
   std::set<std::pair<Micros, coordination::LeaseId>> ends_;
   std::map<std::string, RouterPermits> permits_;  // by zone
   std::map<std::string, RequestCounts> requests_;
+  std::map<std::string, std::uint64_t> claimed_;  // rounds, by zone
 };
 
 }  // namespace trailcourse::aggregation
--- a/src/aggregation/uplink.cpp
+++ b/src/aggregation/uplink.cpp
@@ -19,7 +19,10 @@
 
 namespace {
 
-// What staff read beside: no reason for a write of its own.
+// For so long another router has to be awaited than is said, before staff are told of it.
+constexpr Micros kAwaitsToldAfter{1'000'000};
+
+// What staff read beside is no reason for a write of its own.
 bool same_statement(Permit one, const Permit& other) {
   one.number = other.number;
   one.awaits = other.awaits;
@@ -81,6 +84,19 @@
   return ask;
 }
 
+// Rounds and changes go by in a moment as a rule: who is awaited is said only where that lasts.
+bool Uplink::worth_saying(Micros now, Said& said, const Permit& permit) {
+  if (!said.permit || !same_statement(*said.permit, permit)) {
+    return true;
+  }
+  if (permit.awaits == said.permit->awaits) {
+    said.awaits_since.reset();
+    return false;
+  }
+  said.awaits_since = said.awaits_since.value_or(now);
+  return now - *said.awaits_since >= kAwaitsToldAfter;
+}
+
 std::optional<UplinkOrder> Uplink::summaries_due(Micros now, const std::map<std::string, Permit>& summaries) {
   if (!joined_ || say_out_ || now < say_after_ || !lease_.may_act(now)) {
     return std::nullopt;
@@ -88,7 +104,7 @@
   SaySummaries say;
   for (const auto& [zone, permit] : summaries) {
     const auto said = said_.find(zone);
-    if (said == said_.end() || (said->second.permit && same_statement(*said->second.permit, permit))) {
+    if (said == said_.end() || !worth_saying(now, said->second, permit)) {
       continue;
     }
     say.summaries.push_back(ZoneSummary{zone, permit, said->second.modified});
@@ -110,6 +126,13 @@
   if (say_after_ > now) {
     out = std::min(out.value_or(say_after_), say_after_);
   }
+  const bool may_say = joined_ && !say_out_ && lease_.may_act(now);
+  for (const auto& [zone, said] : said_) {
+    if (may_say && said.awaits_since) {
+      const Micros told = *said.awaits_since + kAwaitsToldAfter;
+      out = std::min(out.value_or(told), told);
+    }
+  }
   return out;
 }
 
@@ -134,7 +157,7 @@
   }
   joined_ = true;
   for (const ZoneSummary& one : std::exchange(saying_, {})) {
-    said_[one.zone] = Said{one.permit, modified};
+    said_[one.zone] = Said{one.permit, modified, std::nullopt};
   }
 }
 
@@ -172,6 +195,7 @@
     Said& said = said_[one.zone];
     const auto modified = reply.modified.find(one.zone);
     said.modified = modified == reply.modified.end() ? said.modified : modified->second;
+    said.awaits_since.reset();
     if (reply.result == SaidReply::Result::kWritten) {
       said.permit = one.permit;
     } else {
@@ -194,7 +218,8 @@
   if (!ask.known.empty()) {
     const Known& any = ask.known.begin()->second;
     out.when = {coordination::unchanged(prefix + policy::kChangeKey, any.change_modified),
-                coordination::unchanged(prefix + policy::kCurrentKey, any.current_modified)};
+                coordination::unchanged(prefix + policy::kCurrentKey, any.current_modified),
+                coordination::unchanged(prefix + policy::kAcknowledgedKey, any.acknowledgement_modified)};
   }
   for (const auto& [zone, known] : ask.known) {
     out.when.push_back(coordination::unchanged(prefix + policy::kZones + zone, known.zone_modified));
--- a/src/aggregation/uplink.h
+++ b/src/aggregation/uplink.h
@@ -84,6 +84,7 @@
   struct Said {
     std::optional<policy::Permit> permit;  // as it stands there; none: not known
     coordination::Revision modified = 0;
+    std::optional<Micros> awaits_since;  // since when another router is awaited than it says there
   };
 
   void leave();
@@ -92,6 +93,7 @@
                                             const std::map<std::string, policy::Permit>& summaries);
   std::optional<UplinkOrder> summaries_due(Micros now,
                                            const std::map<std::string, policy::Permit>& summaries);
+  static bool worth_saying(Micros now, Said& said, const policy::Permit& permit);
 
   ownership::LeaseRules rules_;
   ownership::Lease lease_;
--- a/src/fleet/layout.cpp
+++ b/src/fleet/layout.cpp
@@ -288,7 +288,10 @@
 }
 
 json Layout::aggregator_config(const Member& member) const {
-  json section{{"listen", member.address}, {"name", member.name}, {"zones", served_zones(member.name)}};
+  json section{{"listen", member.address},
+               {"name", member.name},
+               {"zones", served_zones(member.name)},
+               {"board", member.board}};
   section.update(shape_.aggregator);
   json coordination{{"store", "etcd"}, {"endpoints", {member.registry}}};
   coordination.update(shape_.coordination);
--- a/src/policy/change.cpp
+++ b/src/policy/change.cpp
@@ -129,6 +129,9 @@
   if (!permit.awaits.empty()) {
     out["awaits"] = permit.awaits;
   }
+  if (permit.acknowledged > 0) {
+    out["acknowledged"] = permit.acknowledged;
+  }
   return out.dump();
 }
 
@@ -150,6 +153,29 @@
   out.number = number_of(from, "number");
   out.routers = number_of(from, "routers");
   out.awaits = text_of(from, "awaits");
+  out.acknowledged = number_of(from, "acknowledged");
+  return out;
+}
+
+// One that cannot be read is there all the same: it is awaited until its permission runs out.
+std::map<std::string, Permit> read_permits(const std::string& prefix,
+                                           const std::vector<coordination::Entry>& entries) {
+  const std::size_t stem = prefix.size() + std::string(kPermits).size();
+  std::map<std::string, Permit> out;
+  for (const coordination::Entry& entry : entries) {
+    out[entry.key.substr(stem)] = read_permit(entry.value).value_or(Permit{});
+  }
+  return out;
+}
+
+std::string described_writer(const std::string& key, const Permit& permit) {
+  std::string out = router_of(key);
+  if (permit.routers > 0) {
+    out += " for " + std::to_string(permit.routers) + " routers";
+  }
+  if (!permit.awaits.empty()) {
+    out += ", among them " + permit.awaits + ",";
+  }
   return out;
 }
 
@@ -315,22 +341,6 @@
   return out;
 }
 
-namespace {
-
-// A router, or an aggregator's summary with the routers that it stood for when it was written.
-std::string described(const std::string& key, const Permit& permit) {
-  std::string out = router_of(key);
-  if (permit.routers > 0) {
-    out += " for " + std::to_string(permit.routers) + " routers";
-  }
-  if (!permit.awaits.empty()) {
-    out += ", among them " + permit.awaits + ",";
-  }
-  return out;
-}
-
-}  // namespace
-
 std::vector<std::string> awaited(const Seen& seen) {
   std::vector<std::string> out;
   if (!seen.change || !seen.change->open()) {
@@ -339,12 +349,12 @@
   const Change& change = *seen.change;
   for (const auto& [name, permit] : concerned(seen)) {
     if (change.state == ChangeState::kPreparing && permit.ready != step_of(change)) {
-      out.push_back(described(name, permit) + " is to say that it is ready");
+      out.push_back(described_writer(name, permit) + " is to say that it is ready");
     } else if (change.state == ChangeState::kHolding && permit.held != step_of(change)) {
-      out.push_back(described(name, permit) + " is to hold, or its permission to run out");
+      out.push_back(described_writer(name, permit) + " is to hold, or its permission to run out");
     } else if (change.state == ChangeState::kCommitted &&
                (permit.version != change.version || permit.held != 0)) {
-      out.push_back(described(name, permit) + " is to switch, or its permission to run out; it holds");
+      out.push_back(described_writer(name, permit) + " is to switch, or its permission to run out; it holds");
     }
   }
   return out;
@@ -422,11 +432,7 @@
   for (const coordination::Entry& entry : outcome.steps.at(2).found) {
     out.zones[entry.key.substr(prefix.size() + std::string(kZones).size())] = number(entry.value);
   }
-  for (const coordination::Entry& entry : outcome.steps.at(3).found) {
-    // One that cannot be read is there all the same: it is awaited until its permission runs out.
-    out.permits[entry.key.substr(prefix.size() + std::string(kPermits).size())] =
-        read_permit(entry.value).value_or(Permit{});
-  }
+  out.permits = read_permits(prefix, outcome.steps.at(3).found);
   return out;
 }
 
--- a/src/policy/change.h
+++ b/src/policy/change.h
@@ -63,8 +63,9 @@
   std::string why;
   std::uint64_t requests = 0, refused = 0;  // since its start; refused or failed
   std::uint64_t number = 0;                 // grows with each statement under one lease; 0: not numbered
-  std::uint64_t routers = 0;  // that it stands for, of an aggregator's summary; 0: for its writer alone
-  std::string awaits;         // of a summary: a router that has not done what is asked for; for staff
+  std::uint64_t routers = 0;       // that it stands for, of an aggregator's summary; 0: for its writer alone
+  std::string awaits;              // of a summary: a router that has not done what is asked for; for staff
+  std::uint64_t acknowledged = 0;  // the last round of acknowledgement.h in which it said yes; only grows
 
   friend bool operator==(const Permit&, const Permit&) = default;
 };
@@ -87,6 +88,11 @@
 std::optional<Change> read_change(const std::string& text);
 std::string write_permit(const Permit& permit);
 std::optional<Permit> read_permit(const std::string& text);
+// Permits as the store has them, by "ROUTER/LEASE".
+std::map<std::string, Permit> read_permits(const std::string& prefix,
+                                           const std::vector<coordination::Entry>& entries);
+// Who wrote a permit, for staff: a router, or an aggregator with the routers that it stood for then.
+std::string described_writer(const std::string& key, const Permit& permit);
 
 // All that the driver goes by, as it stands in the store at one revision.
 struct Seen {
--- a/src/policy/holder.cpp
+++ b/src/policy/holder.cpp
@@ -40,6 +40,9 @@
   out.change_modified = change.modified;
   out.version = version_of(current.value);
   out.current_modified = current.modified;
+  const coordination::Entry acknowledgement = entry_of(kAcknowledgedKey);
+  out.acknowledgement = read_acknowledgement(acknowledgement.value).value_or(Acknowledgement{});
+  out.acknowledgement_modified = acknowledgement.modified;
   return out;
 }
 
@@ -50,6 +53,14 @@
   return known;
 }
 
+std::vector<coordination::Compare> join_conditions(const std::string& prefix, const Known& known,
+                                                   const std::string& zone) {
+  return {coordination::unchanged(prefix + kChangeKey, known.change_modified),
+          coordination::unchanged(prefix + kCurrentKey, known.current_modified),
+          coordination::unchanged(prefix + kAcknowledgedKey, known.acknowledgement_modified),
+          coordination::unchanged(prefix + kZones + zone, known.zone_modified)};
+}
+
 Holder::Holder(std::string incarnation, std::string zone, const HolderRules& rules, Judge judge)
     : incarnation_(std::move(incarnation)),
       zone_(std::move(zone)),
@@ -65,7 +76,8 @@
 void Holder::told(Micros now, const Known& known) {
   // Answers and watches may overtake each other: what is older than what is known says nothing.
   const auto newest = [](const Known& one) {
-    return std::max({one.change_modified, one.current_modified, one.zone_modified});
+    return std::max(
+        {one.change_modified, one.current_modified, one.zone_modified, one.acknowledgement_modified});
   };
   if (is_told_ && newest(known) < newest(known_)) {
     return;
@@ -93,13 +105,22 @@
   consider(now);
 }
 
+void Holder::took_in(Micros now, const BoardPosition& position) {
+  position_ = position;
+  consider(now);
+}
+
 void Holder::count(std::uint64_t requests, std::uint64_t refused) {
   requests_ = requests;
   refused_ = refused;
 }
 
-// Texts that nothing refers to any more are forgotten, so that a long life does not gather them.
 void Holder::consider(Micros) {
+  const Acknowledgement& asked = known_.acknowledgement;
+  if (asked.round > acknowledged_ && position_.covers(asked.asked)) {
+    acknowledged_ = asked.round;
+  }
+  // Texts that nothing refers to any more are forgotten, so that a long life does not gather them.
   const auto needed = [this](std::uint64_t version) {
     return version == 0 || version == known_.version || version == last_version_ ||
            (known_.change && (version == known_.change->version || version == known_.change->before));
@@ -130,6 +151,7 @@
   out.version = known_.version;
   out.requests = requests_;
   out.refused = refused_;
+  out.acknowledged = acknowledged_;
   const std::optional<Change>& change = known_.change;
   if (!change || !change->open() || !change->concerns(zone_)) {
     return out;
@@ -272,8 +294,10 @@
     }
   }
   const bool candidate = lease_.phase(now) == Phase::kCandidate;
+  // Nobody comes in behind the events that are asked for.
+  const bool is_up_to_date = has(known_.version) && acknowledged_ >= known_.acknowledgement.round;
   const bool may_ask =
-      candidate ? is_told_ && heard_ && has(known_.version) : heard_ || lease_.phase(now) == Phase::kStopped;
+      candidate ? is_told_ && heard_ && is_up_to_date : heard_ || lease_.phase(now) == Phase::kStopped;
   if (may_ask) {
     if (const std::optional<Order> order = lease_.due(now)) {
       AskPermission ask;
--- a/src/policy/holder.h
+++ b/src/policy/holder.h
@@ -30,6 +30,7 @@
 #include <vector>
 
 #include "ownership/lease.h"
+#include "policy/acknowledgement.h"
 #include "policy/change.h"
 #include "policy/document.h"
 
@@ -64,6 +65,8 @@
   std::uint64_t version = 0;  // in force in this router's zone
   Revision current_modified = 0;
   Revision zone_modified = 0;  // of the zone's own version; 0: it has none
+  Acknowledgement acknowledgement;
+  Revision acknowledgement_modified = 0;
 };
 
 // An entry of the store; an empty one where there is none of that key.
@@ -72,6 +75,9 @@
 Known read_known(const EntryOf& entry_of);
 // The same for a zone that may have one.
 Known known_in_zone(Known known, const EntryOf& entry_of, const std::string& zone);
+// What must still stand for whoever joins: all that is known, so that nobody joins behind what was decided.
+std::vector<coordination::Compare> join_conditions(const std::string& prefix, const Known& known,
+                                                   const std::string& zone);
 
 // What is to be done.
 struct AskPermission {  // acquire: join, with this permit where all is as `known` says; renew; release
@@ -115,6 +121,8 @@
 
   // Requests and refusals since the start, for whoever watches a stage.
   void count(std::uint64_t requests, std::uint64_t refused);
+  // All events of the notice board up to here are taken in: what is decided from now on goes by them.
+  void took_in(Micros now, const BoardPosition& position);
 
   // ---- What it decides ----
   Ruling ruling(Micros now) const;
@@ -154,6 +162,8 @@
   std::map<std::uint64_t, std::string> unkept_;     // why
   std::uint64_t requests_ = 0, refused_ = 0;
   std::uint64_t last_version_ = 0;  // that was decided under
+  BoardPosition position_;          // of the notice board
+  std::uint64_t acknowledged_ = 0;  // the last round whose events are taken in
 };
 
 }  // namespace trailcourse::policy
--- a/src/program/aggregator_command.cpp
+++ b/src/program/aggregator_command.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <random>
 #include <utility>
 
@@ -10,6 +11,9 @@
 #include "program/descriptors.h"
 #include "program/fleet_work.h"
 #include "program/signals.h"
+#include "routing/board_watcher.h"
+#include "tasks/acknowledgement_task.h"
+#include "tasks/board_follower.h"
 #include "tasks/policy_change_task.h"
 #include "tasks/task_runner.h"
 #include "transport/log.h"
@@ -26,21 +30,68 @@
 namespace {
 
 constexpr milliseconds kDrainCheck{10};
-constexpr milliseconds kDrainMore{1'000};          // beyond the last permission of a router
-constexpr std::int64_t kReservedDescriptors = 64;  // standard streams, epoll, listener, calls to the store
+constexpr milliseconds kDrainMore{1'000};            // beyond the last permission of a router
+constexpr std::size_t kMostBoardBytes = 64U << 20U;  // of one page
+constexpr std::int64_t kReservedDescriptors = 64;    // standard streams, epoll, listener, calls to the store
 
-// An aggregator drives changes of policy, and does no other work of the fleet.
+// An aggregator drives changes of policy and, where it hears the notice board, acknowledgements; it does no
+// other work of the fleet.
 tasks::OwnershipOptions own_work(const OperatorFile& file) {
   tasks::OwnershipOptions out = file.ownership;
-  const auto is_other = [](const std::string& kind) { return kind != tasks::kPolicyWork; };
+  const bool has_board = !file.aggregator.board.empty();
+  const auto is_other = [has_board](const std::string& kind) {
+    return kind != tasks::kPolicyWork && !(has_board && kind == tasks::kAcknowledgeWork);
+  };
   const bool told = out.kinds != tasks::OwnershipOptions{}.kinds;
   if (told && std::any_of(out.kinds.begin(), out.kinds.end(), is_other)) {
-    log_line(Level::kWarning) << "ownership.kinds: an aggregator takes on the kind policy alone";
+    log_line(Level::kWarning) << "ownership.kinds: an aggregator takes on the kind policy alone, and "
+                                 "acknowledge where aggregator.board is named";
   }
   std::erase_if(out.kinds, is_other);
   return out;
 }
 
+// How far the notice board tells, and nothing else of it.
+class BoardNumbers : public routing::NoticeSink {
+ public:
+  void take(const protocol::NoticePage& page) override { last_ = std::max(last_, page.highest); }
+  std::uint64_t last() const override { return last_; }
+  void forget_numbers() override { last_ = 0; }
+
+ private:
+  std::uint64_t last_ = 0;
+};
+
+// Follows the notice board for its numbers, and tells them on.
+class BoardListener {
+ public:
+  BoardListener(transport::Scheduler& scheduler, const transport::Address& address, std::uint64_t seed,
+                tasks::BoardFollower& follower)
+      : watcher_(scheduler, address, numbers_, profile_, seed, bounds(), hooks(follower), {}) {
+    watcher_.start();
+  }
+
+ private:
+  static routing::BoardWatcher::Bounds bounds() {
+    routing::BoardWatcher::Bounds out;
+    out.anew_after = Micros(0);  // numbers alone: taking all again changes nothing
+    out.answers.body_bytes = kMostBoardBytes;
+    out.first_at_once = true;
+    return out;
+  }
+  static routing::BoardWatcher::Hooks hooks(tasks::BoardFollower& follower) {
+    routing::BoardWatcher::Hooks out;
+    out.taken = [&follower](const std::string& board, std::uint64_t last) {
+      follower.took_in({board, last});
+    };
+    return out;
+  }
+
+  BoardNumbers numbers_;
+  protocol::Profile profile_;  // of lists, which are not read here
+  routing::BoardWatcher watcher_;
+};
+
 // Waits until no router has permission from here, and the policy's work has gone to another.
 transport::Task<void> end_aggregator(transport::Scheduler& scheduler, Service& service, TaskRunner& runner) {
   service.drain();
@@ -81,6 +132,7 @@
   const std::uint64_t seed = (std::uint64_t{entropy()} << 32U) | entropy();
   const std::unique_ptr<coordination::SharedStore> store = open_store(scheduler, file.coordination, seed);
   Service service(scheduler, *store, options, prefix, seed);
+  tasks::BoardFollower board;
   // Of no zone: work that is bound to a zone is its routers'.
   TaskRunner runner(
       scheduler, *store, own_work(file), prefix,
@@ -89,6 +141,14 @@
     return std::make_unique<tasks::PolicyChangeTask>(scheduler, *store, prefix, file.policy,
                                                      std::move(context));
   });
+  std::optional<BoardListener> listener;
+  if (const auto address = transport::parse_address(options.board)) {
+    listener.emplace(scheduler, *address, seed, board);
+    runner.add(tasks::kAcknowledgeWork, [&](tasks::TaskContext context) {
+      return std::make_unique<tasks::AcknowledgementTask>(
+          scheduler, *store, prefix, board, milliseconds(file.ownership.acknowledge_ms), std::move(context));
+    });
+  }
   service.start();
   runner.start();
   scheduler.spawn(heed(scheduler, signals, service, runner));
--- a/src/program/command_line.cpp
+++ b/src/program/command_line.cpp
@@ -479,23 +479,24 @@
   options.add_options()("author", "propose: who", cxxopts::value<std::string>()->default_value(""), "NAME")(
       "reason", "propose, abort: why", cxxopts::value<std::string>()->default_value(""), "TEXT")(
       "content-of", "propose: the content of an earlier version",
-      cxxopts::value<std::string>()->default_value(""), "VERSION")(
-      "urgent", "propose: before a change that has not committed")("wait", "propose: until it is done")(
+      cxxopts::value<std::string>()->default_value(""),
+      "VERSION")("urgent", "propose: before a change that has not committed")(
+      "wait", "propose, acknowledged: until it is done")(
       "stages", "propose: these zones first, one after the other", cxxopts::value<std::vector<std::string>>(),
       "A,B")("watch", "propose: for which a stage is watched", cxxopts::value<double>()->default_value("60"),
              "SECONDS")("most-refused", "propose: share refused or failed that turns a stage back",
                         cxxopts::value<double>()->default_value("0.05"), "SHARE")(
-      "for", "wait: at most", cxxopts::value<double>()->default_value("120"), "SECONDS");
+      "for", "wait, --wait: at most", cxxopts::value<double>()->default_value("120"), "SECONDS");
 }
 
 int run_policy(const cxxopts::ParseResult& parsed, const Output& output) {
   PolicyCommand command;
-  command.action = word(parsed, 0, "check, diff, propose, status, wait, abort, history or show");
-  const std::vector<std::string> known{"check", "diff",  "propose", "status",
-                                       "wait",  "abort", "history", "show"};
+  constexpr const char* kActions = "check, diff, propose, status, wait, abort, history, show or acknowledged";
+  command.action = word(parsed, 0, kActions);
+  const std::vector<std::string> known{"check", "diff",    "propose", "status",      "wait",
+                                       "abort", "history", "show",    "acknowledged"};
   if (std::find(known.begin(), known.end(), command.action) == known.end()) {
-    throw WrongUse("no action '" + command.action +
-                   "': check, diff, propose, status, wait, abort, history or show");
+    throw WrongUse("no action '" + command.action + "': " + kActions);
   }
   command.version = parsed["content-of"].as<std::string>();
   const bool takes_file = command.action == "check" || command.action == "diff" ||
@@ -504,6 +505,12 @@
     command.file = word(parsed, 1, "FILE");
   } else if (command.action == "show" && words_of(parsed).size() > 1) {
     command.version = words_of(parsed)[1];
+  } else if (command.action == "acknowledged" && words_of(parsed).size() > 1) {
+    const auto event = protocol::read_number<std::uint64_t>(words_of(parsed)[1]);
+    if (!event) {
+      throw WrongUse("acknowledged: '" + words_of(parsed)[1] + "' is no number of an event");
+    }
+    command.event = *event;
   }
   if (command.action != "check") {
     command.store = store_of(parsed);
@@ -561,7 +568,8 @@
        "the work that one router does for all: what there is, who owns it, and what staff do to it",
        "trailcourse work add evening --store 127.0.0.1:2379 --objects list.txt --shards 4 --at 600",
        add_work_options, run_work},
-      {"policy", "check|diff|propose|status|wait|abort|history|show [FILE|VERSION] --store IP:PORT",
+      {"policy",
+       "check|diff|propose|status|wait|abort|history|show|acknowledged [FILE|VERSION|EVENT] --store IP:PORT",
        "the fleet's policy: what is in force, and changes that take hold everywhere or nowhere",
        "trailcourse policy propose evening.json --store 127.0.0.1:2379 --author kim --wait",
        add_policy_options, run_policy},
--- a/src/program/fleet_work.cpp
+++ b/src/program/fleet_work.cpp
@@ -5,6 +5,7 @@
 
 #include "coordination/embedded_store.h"
 #include "coordination/etcd_store.h"
+#include "tasks/acknowledgement_task.h"
 #include "tasks/filler.h"
 #include "tasks/policy_change_task.h"
 #include "tasks/prober.h"
@@ -86,6 +87,10 @@
     return std::make_unique<tasks::PolicyChangeTask>(scheduler_, *store_, prefix, configuration_.start.policy,
                                                      std::move(context));
   });
+  task_runner_->add(tasks::kAcknowledgeWork, [this, prefix, options](tasks::TaskContext context) {
+    return std::make_unique<tasks::AcknowledgementTask>(
+        scheduler_, *store_, prefix, board_, milliseconds(options.acknowledge_ms), std::move(context));
+  });
   task_runner_->tell_keys(tasks::kVerdicts, [this](const std::string& key, const std::string& value) {
     hear_verdict(key, value);
   });
@@ -100,6 +105,7 @@
   policy_.emplace(scheduler_, policy_store_ ? *policy_store_ : *store_, configuration_.start.policy,
                   configuration_.start.coordination.prefix, self, configuration_.profile, router_,
                   [this](std::optional<std::set<std::string>> kinds) { allow(std::move(kinds)); });
+  board_.listen([this](const policy::BoardPosition& position) { policy_->took_in(position); });
 }
 
 // What work the policy in force lets this router own.
--- a/src/program/fleet_work.h
+++ b/src/program/fleet_work.h
@@ -12,6 +12,7 @@
 #include "program/configuration.h"
 #include "routing/directory.h"
 #include "routing/router.h"
+#include "tasks/board_follower.h"
 #include "tasks/policy_follower.h"
 #include "tasks/suspects.h"
 #include "tasks/task_runner.h"
@@ -38,6 +39,8 @@
   bool drained() const { return !task_runner_ || task_runner_->drained(); }
   // Whether requests may be taken, as far as the fleet's policy goes.
   bool ready() const { return !policy_ || policy_->ready(); }
+  // This router has taken in the notice board up to here.
+  void took_in(const policy::BoardPosition& position) { board_.took_in(position); }
   // Gives the permission of the policy back: nothing arrives any more.
   void leave();
   bool left() const { return !policy_ || policy_->stopped(); }
@@ -58,6 +61,7 @@
   const Configuration& configuration_;
   routing::Router& router_;
   const routing::Directory& directory_;
+  tasks::BoardFollower board_;
   std::unique_ptr<coordination::SharedStore> store_;         // null for none
   std::unique_ptr<coordination::SharedStore> policy_store_;  // through aggregators; null for none
   std::optional<tasks::TaskRunner> task_runner_;
--- a/src/program/policy_command.cpp
+++ b/src/program/policy_command.cpp
@@ -9,6 +9,7 @@
 #include <ostream>
 
 #include "ownership/work.h"
+#include "policy/acknowledgement.h"
 #include "policy/change.h"
 #include "policy/document.h"
 #include "program/store_client.h"
@@ -303,6 +304,45 @@
   return 0;
 }
 
+policy::AcknowledgementsSeen look_at_acknowledgements(StoreClient& client) {
+  return policy::read_acknowledgements_seen(client.prefix(),
+                                            client.commit(policy::look_at_acknowledgements(client.prefix())));
+}
+
+void print_acknowledgements(const policy::AcknowledgementsSeen& seen, bool as_json, std::ostream& out) {
+  const policy::Acknowledgement& record = seen.record;
+  const std::vector<std::string> awaited = policy::unacknowledged(seen);
+  if (as_json) {
+    json shown = json::parse(policy::write_acknowledgement(record));
+    shown["awaited"] = awaited;
+    out << shown.dump(1) << '\n';
+    return;
+  }
+  if (record.round == 0) {
+    out << "nobody has asked yet: is there work of kind acknowledge, and an owner?\n";
+    return;
+  }
+  out << "board " << record.asked.board << ": every router has taken in events up to " << record.done.event
+      << "; round " << record.round << " asks for those up to " << record.asked.event << '\n';
+  for (const std::string& line : awaited) {
+    out << "  " << line << '\n';
+  }
+}
+
+int acknowledged(StoreClient& client, const PolicyCommand& command, std::ostream& out) {
+  const Clock::time_point end = Clock::now() + std::chrono::duration_cast<Clock::duration>(
+                                                   std::chrono::duration<double>(command.longest_s));
+  for (;;) {
+    const policy::AcknowledgementsSeen seen = look_at_acknowledgements(client);
+    const bool done = seen.record.done.event >= command.event;
+    if (done || !command.wait || Clock::now() >= end) {
+      print_acknowledgements(seen, command.json, out);
+      return done ? 0 : kChangeAwaited;
+    }
+    client.pause(kLook);
+  }
+}
+
 int check(const PolicyCommand& command, std::ostream& out) {
   const policy::Document draft = policy::read_draft(text_of(command.file));
   if (command.json) {
@@ -337,6 +377,9 @@
     if (command.action == "show") {
       return show(client, command, out, errors);
     }
+    if (command.action == "acknowledged") {
+      return acknowledged(client, command, out);
+    }
     const policy::Seen seen = look(client);
     if (command.action == "wait") {
       return wait_for(client, command, seen.change ? seen.change->id : 0, out);
--- a/src/program/policy_command.h
+++ b/src/program/policy_command.h
@@ -1,6 +1,7 @@
 // `trailcourse policy`: the fleet's policy as staff see and change it. Speaks to the store alone.
 #pragma once
 
+#include <cstdint>
 #include <iosfwd>
 #include <string>
 #include <vector>
@@ -13,13 +14,14 @@
 constexpr int kBadPolicy = 3;      // the document cannot be used
 constexpr int kChangeOpen = 4;     // another change is open, or things changed meanwhile
 constexpr int kChangeAborted = 5;  // what was waited for was aborted
-constexpr int kChangeAwaited = 6;  // and is still open after the time given
+constexpr int kChangeAwaited = 6;  // and is still open, or not done, after the time given
 
 struct PolicyCommand {
   coordination::CoordinationOptions store;
-  std::string action;   // check, diff, propose, status, wait, abort, history, show
-  std::string file;     // of check, diff, propose
-  std::string version;  // of show; of propose: whose content is taken
+  std::string action;       // check, diff, propose, status, wait, abort, history, show, acknowledged
+  std::string file;         // of check, diff, propose
+  std::string version;      // of show; of propose: whose content is taken
+  std::uint64_t event = 0;  // of acknowledged: that is to be done; 0: none is named
   std::string author;
   std::string reason;
   bool urgent = false;
--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -241,8 +241,10 @@
   front.tell_status([&start, &work] { return status_of(start.status(), work); });
   front.listen(configuration.listen);
   start.listen();
+  routing::BoardWatcher::Hooks hooks = start.hooks();
+  hooks.taken = [&work](const std::string& id, std::uint64_t last) { work.took_in({id, last}); };
   routing::BoardWatcher board(scheduler, configuration.board, taker, profile, configuration.seed,
-                              start.watcher_bounds(), start.hooks(), start.relays());
+                              start.watcher_bounds(), std::move(hooks), start.relays());
   start.use(board);
   board.start();
   work.start();
--- a/src/program/start_support.cpp
+++ b/src/program/start_support.cpp
@@ -204,6 +204,7 @@
 routing::BoardWatcher::Bounds StartSupport::watcher_bounds() const {
   const Tuning& tuning = configuration_.tuning;
   routing::BoardWatcher::Bounds bounds;
+  bounds.first_at_once = configuration_.start.policy.follow;
   bounds.asking =
       startup::asking_rules(configuration_.start.startup, milliseconds(tuning.board_pause_ms),
                             milliseconds(tuning.board_most_pause_ms), milliseconds(tuning.board_linger_ms));
--- a/src/routing/board_watcher.cpp
+++ b/src/routing/board_watcher.cpp
@@ -92,6 +92,13 @@
 
 // The board itself is asked only when asking.h says so; a relay, which has few askers, as soon as one may be
 // asked.
+Micros BoardWatcher::linger_of(const std::optional<std::string>& relay, Micros at_board) const {
+  if (relay) {
+    return std::chrono::duration_cast<Micros>(bounds_.relay_linger);
+  }
+  return bounds_.first_at_once && !answered_ ? Micros(0) : at_board;
+}
+
 transport::Task<void> BoardWatcher::watch() {
   constexpr Micros kRelayLook = milliseconds(50);  // whether a relay may be asked again
   const bool relays = relays_.choice != nullptr;
@@ -121,7 +128,7 @@
         continue;
       }
     }
-    const Micros linger = relay ? std::chrono::duration_cast<Micros>(bounds_.relay_linger) : board.linger;
+    const Micros linger = linger_of(relay, board.linger);
     const Ended ended = co_await call(relay, linger);
     if (at != board_) {
       board = asking_.first(now());  // the call was broken off to ask elsewhere: no failure
@@ -306,6 +313,7 @@
       case startup::PageVerdict::kTake:
         break;
     }
+    answered_ = true;
     taker_.take(notices);
     const bool news = taker_.last() > before;
     out.end = news ? CallEnd::kNews : CallEnd::kNothing;
@@ -315,6 +323,9 @@
     if (hooks_.page) {
       hooks_.page(page, known - (relay ? said.age : Micros(0)), response.header("x-path"));
     }
+    if (hooks_.taken) {
+      hooks_.taken(numbering_.id(), taker_.last());
+    }
     if (const auto askers = protocol::read_number<std::int64_t>(response.header("x-askers"));
         askers && !relay && hooks_.askers) {
       hooks_.askers(*askers);
--- a/src/routing/board_watcher.h
+++ b/src/routing/board_watcher.h
@@ -30,6 +30,7 @@
     transport::Clock::duration relay_linger = std::chrono::milliseconds(100);
     transport::Clock::duration relay_grace = std::chrono::milliseconds(100);
     Micros anew_after = Micros::max();  // a board without a name that says lower numbers for so long
+    bool first_at_once = false;  // the board is not to hold calls before its first answer, which names it
     transport::Connection::Bounds connection;
     protocol::http::Bounds answers;
   };
@@ -37,6 +38,8 @@
   struct Hooks {
     // A page was taken in. `known_at`: steady time at which all that the board had was surely in it.
     std::function<void(const nlohmann::json& page, Micros known_at, const std::string& path)> page;
+    // The same, with the name of the board and the number of the last event that was taken in.
+    std::function<void(const std::string& board, std::uint64_t last)> taken;
     // The board began anew; what it tells from now on is numbered from its start.
     std::function<void()> anew;
     // How many ask the board, by its own word.
@@ -89,6 +92,7 @@
   Ended take(const protocol::http::Response& response, const std::optional<std::string>& relay, Micros asked,
              Micros linger);
   static Micros now();
+  Micros linger_of(const std::optional<std::string>& relay, Micros at_board) const;
   void note(const Ended& ended, const std::optional<std::string>& relay);
 
   transport::Scheduler& scheduler_;
@@ -103,6 +107,7 @@
   startup::Numbering numbering_;
   Counts counts_;
   std::string why_;
+  bool answered_ = false;
   std::shared_ptr<Link> link_;
 };
 
--- a/src/tasks/options.cpp
+++ b/src/tasks/options.cpp
@@ -1,6 +1,7 @@
 #include "tasks/options.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace trailcourse::tasks {
 
@@ -8,6 +9,12 @@
 using config::WholeRange;
 using std::chrono::milliseconds;
 
+namespace {
+
+constexpr const char* kKinds[] = {"probe", "fill", "report", "policy", "acknowledge"};
+
+}  // namespace
+
 const config::Record<OwnershipOptions>& ownership_record() {
   static const config::Record<OwnershipOptions> kRecord = [] {
     using O = OwnershipOptions;
@@ -15,7 +22,9 @@
                              "Work that one router does for all, one owner at a time; needs the section "
                              "coordination.");
     const WholeRange ms{1, 600'000};
-    record.texts("kinds", &O::kinds, "-", "of work that this router takes on: probe, fill, report, policy")
+    record
+        .texts("kinds", &O::kinds, "-",
+               "of work that this router takes on: probe, fill, report, policy, acknowledge")
         .whole("ttl_ms", &O::ttl_ms, "ms", WholeRange{200, 600'000},
                "for which the store gives a shard to its owner; so long it may be without one after a death")
         .real("drift_percent", &O::drift_percent, "%", RealRange{0.0, 20.0},
@@ -63,6 +72,8 @@
                "for which a verdict counts; the prober says it again in half of that")
         .whole("report_ms", &O::report_ms, "ms", WholeRange{100, 600'000},
                "between two counts of a router, and two reports of the fleet")
+        .whole("acknowledge_ms", &O::acknowledge_ms, "ms", WholeRange{10, 600'000},
+               "at least between two rounds in which all routers acknowledge events of the notice board")
         .whole("fill_open", &O::fill_open, "requests", WholeRange{1, 1'000},
                "of announced filling open at once, of each shard")
         .whole("fill_tries", &O::fill_tries, "tries", WholeRange{1, 1'000}, "of one object")
@@ -88,8 +99,9 @@
     throw config::KeyError("ownership.flap_reuse", "not below flap_suppress");
   }
   for (const std::string& kind : options.kinds) {
-    if (kind != "probe" && kind != "fill" && kind != "report" && kind != "policy") {
-      throw config::KeyError("ownership.kinds", "'" + kind + "' is none of probe, fill, report, policy");
+    if (std::find(std::begin(kKinds), std::end(kKinds), kind) == std::end(kKinds)) {
+      throw config::KeyError("ownership.kinds",
+                             "'" + kind + "' is none of probe, fill, report, policy, acknowledge");
     }
   }
 }
--- a/src/tasks/options.h
+++ b/src/tasks/options.h
@@ -14,7 +14,7 @@
 namespace trailcourse::tasks {
 
 struct OwnershipOptions {
-  std::vector<std::string> kinds{"probe", "fill", "report", "policy"};
+  std::vector<std::string> kinds{"probe", "fill", "report", "policy", "acknowledge"};
   std::int64_t ttl_ms = 6'000;
   double drift_percent = 1.0;
   std::int64_t margin_ms = 50;
@@ -42,6 +42,7 @@
   std::int64_t probe_timeout_ms = 400;
   std::int64_t verdict_ms = 5'000;
   std::int64_t report_ms = 10'000;
+  std::int64_t acknowledge_ms = 250;
   std::int64_t fill_open = 4;
   std::int64_t fill_tries = 5;
   std::int64_t fill_retry_ms = 500;
--- a/src/tasks/policy_change_task.h
+++ b/src/tasks/policy_change_task.h
@@ -1,53 +1,33 @@
-// The task of driving changes of policy: looks at what stands in the store, asks the driver for the next
-// step, and writes it where record and version are as they were seen and this router still owns the work.
-// Nothing is known beside what stands in the store, so that a successor goes on from there.
+// The task of driving changes of policy, by policy::Driver.
 //
 // Package `tasks`, over `policy`. One thread.
 #pragma once
 
-#include <memory>
 #include <string>
+#include <vector>
 
 #include "policy/change.h"
 #include "policy/options.h"
-#include "tasks/owned_task.h"
-#include "transport/alarm.h"
+#include "tasks/store_driver_task.h"
 
 namespace trailcourse::tasks {
 
 constexpr const char* kPolicyWork = "policy";  // name and kind of the work
 
-class PolicyChangeTask : public OwnedTask, public coordination::Watcher {
+class PolicyChangeTask : public StoreDriverTask {
  public:
   PolicyChangeTask(transport::Scheduler& scheduler, coordination::SharedStore& store, std::string prefix,
                    const policy::PolicyOptions& options, TaskContext context);
-  ~PolicyChangeTask() override;
 
-  void begin() override;
-  void finish() override;
-
-  // Any news of permits or of the change is a reason to look.
-  void current(coordination::Revision, const std::vector<coordination::Entry>&) override { look(); }
-  void changed(coordination::Revision, const std::vector<coordination::Change>&) override { look(); }
-  void silent(const std::string&) override {}
+ protected:
+  coordination::Transaction looks_at() const override;
+  std::vector<coordination::Range> follows() const override;
+  Decision decide(Micros now, const coordination::Outcome& seen) override;
+  bool concerns(const std::string& key) const override;
 
  private:
-  void look();
-  void looked(const policy::Seen& seen);
-  void wait(Micros longest);
-
-  transport::Scheduler& scheduler_;
-  coordination::SharedStore& store_;
-  std::string prefix_;
-  TaskContext context_;
   policy::Driver driver_;
-  transport::Alarm timer_;
-  coordination::SharedStore::WatchId permits_ = 0;
-  coordination::SharedStore::WatchId policy_ = 0;
-  bool looking_ = false;
-  bool again_ = false;
-  bool finishing_ = false;
-  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  bool change_open_ = true;  // as it was seen last; true before
 };
 
 }  // namespace trailcourse::tasks
--- a/src/tasks/policy_follower.cpp
+++ b/src/tasks/policy_follower.cpp
@@ -139,6 +139,11 @@
   turn_soon();
 }
 
+void PolicyFollower::took_in(const policy::BoardPosition& position) {
+  holder_.took_in(now(), position);
+  turn_soon();
+}
+
 void PolicyFollower::tell() {
   const auto entry_of = [this](const std::string& key) {
     const auto found = keys_.find(key);
@@ -252,9 +257,7 @@
 void PolicyFollower::join(const policy::AskPermission& ask, coordination::LeaseId lease) {
   lease_ = lease;
   coordination::Transaction write;
-  write.when = {coordination::unchanged(prefix_ + policy::kChangeKey, ask.known.change_modified),
-                coordination::unchanged(prefix_ + policy::kCurrentKey, ask.known.current_modified),
-                coordination::unchanged(prefix_ + policy::kZones + self_.zone, ask.known.zone_modified)};
+  write.when = policy::join_conditions(prefix_, ask.known, self_.zone);
   write.then = {coordination::Put{prefix_ + policy::permit_key(self_.name, lease),
                                   policy::write_permit(ask.permit), lease}};
   const std::uint64_t number = ask.order.number;
@@ -403,7 +406,8 @@
       {"serves", ruling.kind == Ruling::Kind::kVersion ? "version"
                  : ruling.kind == Ruling::Kind::kBoth  ? "both"
                                                        : "nothing"},
-      {"change", holder_.known().change ? policy::to_string(holder_.known().change->state) : "none"}}
+      {"change", holder_.known().change ? policy::to_string(holder_.known().change->state) : "none"},
+      {"events_done", holder_.known().acknowledgement.done.event}}
       .dump();
 }
 
--- a/src/tasks/policy_follower.h
+++ b/src/tasks/policy_follower.h
@@ -40,6 +40,8 @@
   ~PolicyFollower() override;
 
   void start();
+  // All events of the notice board up to here are taken in.
+  void took_in(const policy::BoardPosition& position);
   // Gives its permission back: a change need not wait for this router. It decides under none from then on.
   void stop();
   bool stopped() const { return !stopping_ || holder_.stopped(); }
--- /dev/null
+++ b/src/tasks/store_driver_task.cpp
@@ -0,0 +1,123 @@
+#include "tasks/store_driver_task.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace trailcourse::tasks {
+
+using coordination::Outcome;
+using coordination::Reply;
+using coordination::Transaction;
+using std::chrono::milliseconds;
+using transport::Clock;
+
+namespace {
+
+constexpr milliseconds kIdleLook{5'000};  // also without news
+constexpr milliseconds kLostLook{200};
+constexpr Micros kLeastPause{1'000};
+
+Micros now() { return std::chrono::duration_cast<Micros>(Clock::now().time_since_epoch()); }
+
+}  // namespace
+
+StoreDriverTask::StoreDriverTask(transport::Scheduler& scheduler, coordination::SharedStore& store,
+                                 std::string prefix, TaskContext context)
+    : scheduler_(scheduler),
+      store_(store),
+      prefix_(std::move(prefix)),
+      context_(std::move(context)),
+      timer_(scheduler, [this] { look(); }) {}
+
+StoreDriverTask::~StoreDriverTask() {
+  *alive_ = false;
+  for (const auto watch : watches_) {
+    store_.unwatch(watch);
+  }
+}
+
+void StoreDriverTask::begin() {
+  context_.checkpoint_at("driving", false);
+  for (const coordination::Range& range : follows()) {
+    watches_.push_back(store_.watch(range, *this));
+  }
+}
+
+void StoreDriverTask::finish() {
+  finishing_ = true;
+  timer_.set(std::nullopt);
+  context_.finished();
+}
+
+void StoreDriverTask::changed(coordination::Revision, const std::vector<coordination::Change>& changes) {
+  const bool may_matter = std::any_of(changes.begin(), changes.end(), [this](const auto& change) {
+    return concerns(change.entry.key.substr(prefix_.size()));
+  });
+  if (may_matter) {
+    look();
+  }
+}
+
+void StoreDriverTask::look_after(Micros time) {
+  timer_.set(Clock::now() + std::chrono::duration_cast<Clock::duration>(std::max(time, kLeastPause)));
+}
+
+void StoreDriverTask::look() {
+  if (finishing_) {
+    return;
+  }
+  if (std::exchange(looking_, true)) {
+    again_ = true;
+    return;
+  }
+  look_after(kIdleLook);
+  store_.commit(looks_at(), [this, alive = alive_](const Reply<Outcome>& reply) {
+    if (!*alive) {
+      return;
+    }
+    looking_ = false;
+    if (!reply.done()) {
+      look_after(kLostLook);
+      return;
+    }
+    looked(reply.value);
+    if (std::exchange(again_, false)) {
+      look();
+    }
+  });
+}
+
+void StoreDriverTask::looked(const Outcome& seen) {
+  const Micros at = now();
+  Decision decision = decide(at, seen);
+  if (decision.look_at) {
+    look_after(std::min<Micros>(*decision.look_at - at, kIdleLook));
+  }
+  if (!decision.write) {
+    return;
+  }
+  if (!context_.may_act()) {
+    look_after(kLostLook);
+    return;
+  }
+  write(std::move(*decision.write));
+}
+
+// The driver of the past is refused by the store, whatever it believes.
+void StoreDriverTask::write(Transaction transaction) {
+  transaction.when.push_back(
+      coordination::created_at(prefix_ + ownership::kOwn + to_string(context_.id), context_.term));
+  store_.commit(std::move(transaction), [this, alive = alive_](const Reply<Outcome>& reply) {
+    if (!*alive) {
+      return;
+    }
+    // Refused, or nobody knows: what stands is looked at again.
+    if (!reply.done() || !reply.value.succeeded) {
+      look_after(kLostLook);
+    } else {
+      look();
+    }
+  });
+}
+
+}  // namespace trailcourse::tasks
--- a/tests/fleet/aggregation_test.cpp
+++ b/tests/fleet/aggregation_test.cpp
@@ -92,6 +92,97 @@
   EXPECT_FALSE(fleet.decided().contains("1")) << "nobody decided under what was refused";
 }
 
+// ---- Acknowledged events of the notice board ----
+
+json purge_of(const std::string& object) { return {{"flush", {{"asset", object}, {"ms", 1}}}}; }
+
+class AcknowledgingFleet : public AggregatedFleet {
+ public:
+  explicit AcknowledgingFleet(int routers, int regions, const std::vector<std::string>& proxied = {})
+      : AggregatedFleet(aggregated_shape(routers, regions, regions), proxied) {
+    acknowledge_events();
+  }
+  std::uint64_t purge() { return rig.post(purge_of(fleet::object_name(7))); }
+};
+
+TEST(AcknowledgementFleetTest, APurgeOfThirtyRoutersIsKnownToBeTakenInEverywhere) {
+  AcknowledgingFleet fleet(30, 3);
+  ASSERT_FALSE(testing::Test::HasFailure());
+  for (int i = 0; i < 3; ++i) {
+    const std::uint64_t event = fleet.purge();
+    ASSERT_TRUE(fleet.await_acknowledged(event)) << fleet.said << fleet.rig.logs();
+    EXPECT_EQ(fleet.acknowledged()["awaited"], json::array());
+  }
+}
+
+// A router that is stopped may have decided already what it sends when it wakes: it is awaited until its
+// permission has surely run out, and never told to have taken in what it has not.
+TEST(AcknowledgementFleetTest, AStoppedRouterIsAwaitedUntilItsPermissionIsOver) {
+  AcknowledgingFleet fleet(6, 2);
+  ASSERT_FALSE(testing::Test::HasFailure());
+  ASSERT_TRUE(fleet.await_acknowledged(fleet.purge())) << fleet.said << fleet.rig.logs();
+  const std::string stopped = fleet.all.front();
+  fleet.rig.fault("stop " + stopped);
+  const std::uint64_t event = fleet.purge();
+  EXPECT_TRUE(fleet.await_acknowledged(event)) << fleet.said << fleet.rig.logs();
+  fleet.rig.fault("cont " + stopped);
+  const std::uint64_t later = fleet.purge();
+  EXPECT_TRUE(fleet.await_acknowledged(later)) << fleet.said << fleet.rig.logs();
+  EXPECT_TRUE(fleet.await_version(fleet.all, 0)) << fleet.rig.logs();
+}
+
+TEST(AcknowledgementFleetTest, ARouterThatTheBoardDoesNotReachIsNamedAndHoldsTheRound) {
+  AcknowledgingFleet fleet(4, 2, {"router*>board"});
+  ASSERT_FALSE(testing::Test::HasFailure());
+  ASSERT_TRUE(fleet.await_acknowledged(fleet.purge())) << fleet.said << fleet.rig.logs();
+  const std::string deaf = fleet.all.front();
+  fleet.rig.fault("cut " + deaf + ">board both");
+  const std::uint64_t event = fleet.purge();
+  EXPECT_TRUE(fleet.rig.until([&] {
+    const json awaited = fleet.acknowledged().value("awaited", json::array());
+    return awaited.size() == 1 && awaited[0].get<std::string>().find(deaf) != std::string::npos;
+  })) << fleet.said
+      << fleet.rig.logs();
+  EXPECT_LT(fleet.acknowledged()["done"]["event"], event);
+  fleet.rig.fault("heal " + deaf + ">board");
+  EXPECT_TRUE(fleet.await_acknowledged(event)) << fleet.said << fleet.rig.logs();
+}
+
+TEST(AcknowledgementFleetTest, WhoDrivesItMayBeKilledAndRoutersMayBeStartedAnew) {
+  AcknowledgingFleet fleet(6, 2);
+  ASSERT_FALSE(testing::Test::HasFailure());
+  ASSERT_TRUE(fleet.await_acknowledged(fleet.purge())) << fleet.said << fleet.rig.logs();
+  const bool first_drives = fleet.rig.fleet().log("aggregator0").find("begins events/0") != std::string::npos;
+  const std::string driver = first_drives ? "aggregator0" : "aggregator1";
+  fleet.rig.fleet().kill(driver);
+  fleet.rig.fleet().kill(fleet.all.front());
+  const std::uint64_t event = fleet.purge();
+  fleet.rig.start(fleet.all.front());
+  EXPECT_TRUE(fleet.await_acknowledged(event)) << fleet.said << fleet.rig.logs();
+  fleet.rig.start(driver);
+  EXPECT_TRUE(fleet.await_acknowledged(fleet.purge())) << fleet.said << fleet.rig.logs();
+  EXPECT_TRUE(fleet.await_version(fleet.all, 0)) << fleet.rig.logs();
+}
+
+TEST(AcknowledgementFleetTest, ABoardThatBeganAnewIsAskedAboutFromItsStart) {
+  AcknowledgingFleet fleet(4, 2);
+  ASSERT_FALSE(testing::Test::HasFailure());
+  for (int i = 0; i < 5; ++i) {
+    fleet.purge();
+  }
+  ASSERT_TRUE(fleet.await_acknowledged(fleet.purge())) << fleet.said << fleet.rig.logs();
+  const std::string before = fleet.acknowledged()["done"]["board"];
+  fleet.rig.fleet().kill("board");
+  fleet.rig.layout().write();  // the first page alone: its numbers begin anew
+  fleet.rig.start("board");
+  const std::uint64_t event = fleet.purge();
+  EXPECT_TRUE(fleet.rig.until([&] {
+    const json done = fleet.acknowledged().value("done", json::object());
+    return done.value("board", before) != before && done.value("event", std::uint64_t{0}) >= event;
+  })) << fleet.said
+      << fleet.rig.logs();
+}
+
 struct AggregatorFault {
   std::string name;
   std::vector<std::string> begins;
--- a/tests/fleet/policy_rig.cpp
+++ b/tests/fleet/policy_rig.cpp
@@ -4,6 +4,9 @@
 #include <fstream>
 #include <sstream>
 
+#include "program/work_command.h"
+#include "tasks/acknowledgement_task.h"
+
 namespace trailcourse::testing_support {
 
 using nlohmann::json;
@@ -103,6 +106,33 @@
 
 json PolicyRig::status() { return policy("status") == 0 ? json::parse(said) : json::object(); }
 
+void PolicyRig::acknowledge_events() {
+  program::WorkCommand command;
+  command.action = "add";
+  command.name = "events";
+  command.kind = tasks::kAcknowledgeWork;
+  command.store.store = "etcd";
+  command.store.endpoints = {rig.layout().member("registry").address};
+  std::ostringstream out;
+  std::ostringstream errors;
+  EXPECT_EQ(run_work_command(command, out, errors), 0) << errors.str();
+}
+
+json PolicyRig::acknowledged() {
+  policy("acknowledged");
+  const json out = json::parse(said, nullptr, false);
+  return out.is_object() ? out : json::object();
+}
+
+bool PolicyRig::await_acknowledged(std::uint64_t event, milliseconds longest) {
+  return rig.until(
+      [&] {
+        const json record = acknowledged();
+        return record.contains("done") && record["done"]["event"] >= event;
+      },
+      longest);
+}
+
 std::string PolicyRig::change_state() {
   const json change = status().value("change", json());
   return change.is_object() ? change.value("state", std::string()) : std::string();
--- a/tests/fleet/policy_rig.h
+++ b/tests/fleet/policy_rig.h
@@ -33,6 +33,12 @@
   std::string draft(double worth, const std::string& more = "");
   int propose(double worth, bool urgent = false, const std::string& more = "");
   nlohmann::json status();
+  // Announces that events of the board are to be acknowledged.
+  void acknowledge_events();
+  // Whether every router is known to have taken in this event; waits for it for so long.
+  bool await_acknowledged(std::uint64_t event, std::chrono::milliseconds longest = kAwaited);
+  // The record of acknowledged events, as staff see it.
+  nlohmann::json acknowledged();
   std::string change_state();
   std::uint64_t version();
 
