Calls of a change by slopes of real processes, which ownership_bench writes

Cause: hollow calls of a change by regions are 30 to 40% under real ones, outside the bound of 25%: a hollow figure that is not the same is not to be used.

--- a/benchmarks/ownership_bench.cpp
+++ b/benchmarks/ownership_bench.cpp
@@ -280,7 +280,12 @@
     missing += bench::measure_rest(program, parsed["rest"].as<std::vector<int>>(), topology);
   }
   if (parsed.count("policy") > 0) {
-    missing += bench::measure_policy(program, parsed["policy"].as<std::vector<int>>(), topology);
+    std::vector<bench::ChangeCalls> all_up;
+    missing += bench::measure_policy(program, parsed["policy"].as<std::vector<int>>(), topology, all_up);
+    if (parsed.count("write") > 0) {
+      bench::save_change_calls(parsed["write"].as<std::string>(), all_up,
+                               parsed["command"].as<std::string>());
+    }
   }
   if (parsed.count("acknowledge") > 0) {
     const auto sizes = parsed["acknowledge"].as<std::vector<int>>();
@@ -299,6 +304,9 @@
       "candidates", "routers of --takeover", cxxopts::value<int>()->default_value("30"))(
       "rest", "sizes of the fleet", cxxopts::value<std::vector<int>>())("moves", "shards that move")(
       "policy", "sizes of the fleet", cxxopts::value<std::vector<int>>())(
+      "write", "of --policy: the file of slopes", cxxopts::value<std::string>())(
+      "command", "that is recorded with them",
+      cxxopts::value<std::string>()->default_value("ownership_bench --policy"))(
       "acknowledge", "sizes of the fleet: until a purge is known to be taken in everywhere",
       cxxopts::value<std::vector<int>>())(
       "flat", "of --rest, --policy and --acknowledge: no aggregators, each router asks the store")(
--- a/benchmarks/policy_measurement.cpp
+++ b/benchmarks/policy_measurement.cpp
@@ -6,6 +6,7 @@
 #include <fstream>
 
 #include "fleet/load.h"
+#include "scale/slopes.h"
 
 namespace trailcourse::bench {
 
@@ -82,8 +83,8 @@
     });
   }
 
-  // Throws NotMeasured.
-  void print_row(Case which) {
+  // Gives the calls at the store. Throws NotMeasured.
+  double print_row(Case which) {
     const std::vector<std::string> living = begin(which);
     const std::size_t first = load_.all().size();
     const ChangeCost cost = change(living);
@@ -96,6 +97,7 @@
                 static_cast<double>(cost.aggregator.bytes) / 1e3);
     std::fflush(stdout);
     end(which);
+    return static_cast<double>(cost.store.calls);
   }
 
  private:
@@ -183,7 +185,8 @@
                      : std::max(kFewestRegions, (routers + kRoutersOfRegion - 1) / kRoutersOfRegion);
 }
 
-int measure_policy(const std::string& program, const std::vector<int>& sizes, const Topology& topology) {
+int measure_policy(const std::string& program, const std::vector<int>& sizes, const Topology& topology,
+                   std::vector<ChangeCalls>& all_up) {
   std::printf(
       "a change of policy from its proposal to done, default times (ttl 3,000 ms), 500 requests a second "
       "over the fleet (real processes), %s\n",
@@ -194,9 +197,38 @@
     PolicyMeasurement measurement(policy_shape(size, topology), program);
     for (const Case one : {Case::kAllUp, Case::kOneStopped, Case::kTenthKilled}) {
       which = to_string(one);
-      measurement.print_row(one);
+      const double calls = measurement.print_row(one);
+      if (one == Case::kAllUp) {
+        all_up.push_back({size, topology.flat ? 0 : topology.regions_for(size), calls});
+      }
     }
   });
 }
 
+void save_change_calls(const std::string& path, const std::vector<ChangeCalls>& all_up,
+                       const std::string& command) {
+  scale::Slope flat;
+  flat.name = "store.calls.change.flat.real";
+  flat.what = "calls at the store during one change, every router at the store, the tool's own among them";
+  flat.per = "routers";
+  scale::Slope regions;
+  regions.name = "store.calls.change.regions.real";
+  regions.what = "calls at the store during one change, by aggregators, the tool's own among them";
+  regions.per = "regions";
+  for (const ChangeCalls& one : all_up) {
+    scale::Slope& slope = one.regions > 0 ? regions : flat;
+    slope.points.emplace_back(one.regions > 0 ? one.regions : one.routers, one.store_calls);
+  }
+  std::vector<scale::Slope> measured;
+  for (scale::Slope slope : {flat, regions}) {
+    if (!slope.points.empty()) {
+      slope.unit = "calls";
+      slope.setting = "real processes";
+      slope.command = command;
+      measured.push_back(scale::measured_here(slope));
+    }
+  }
+  scale::save_slopes(path, measured);
+}
+
 }  // namespace trailcourse::bench
