A driver says in its log what it writes, and only then; a ruling is taken once

Cause: read again, the move of the two drivers onto StoreDriverTask had put the line of a change's step before the question whether this owner may still act, so a step that was not written could be logged again and again. The base also kept a scheduler that nobody used, and the check of hollow routers asked each for its ruling twice. Change: the step's words go with the decision, and the base logs them as it writes. Not run under sanitizers yet.

--- a/benchmarks/scale/fleet_model.cpp
+++ b/benchmarks/scale/fleet_model.cpp
@@ -45,8 +45,8 @@
   }
 }
 
-void RulingCheck::check_event(const HollowRouter& router, Micros now) {
-  const bool decides = router.runs() && router.ruling().kind != policy::Ruling::Kind::kRefuse;
+void RulingCheck::check_event(const HollowRouter& router, const policy::Ruling& ruling, Micros now) {
+  const bool decides = router.runs() && ruling.kind != policy::Ruling::Kind::kRefuse;
   if (decides && router.event() < done_event_) {
     fail(now, router,
          "decides at event " + std::to_string(router.event()) + " though " + std::to_string(done_event_) +
@@ -60,7 +60,7 @@
   }
   done_event_ = event;
   for (const auto& router : *routers_) {
-    check_event(*router, now);
+    check_event(*router, router->ruling(), now);
   }
 }
 
@@ -70,7 +70,7 @@
   }
   const policy::Ruling ruling = router.ruling();
   ++rulings_;
-  check_event(router, now);
+  check_event(router, ruling, now);
   if (ruling.kind != policy::Ruling::Kind::kVersion || ruling.version == newest_) {
     return;
   }
--- a/benchmarks/scale/fleet_model.h
+++ b/benchmarks/scale/fleet_model.h
@@ -61,7 +61,7 @@
 
  private:
   void fail(Micros now, const HollowRouter& router, const std::string& what);
-  void check_event(const HollowRouter& router, Micros now);
+  void check_event(const HollowRouter& router, const policy::Ruling& ruling, Micros now);
 
   const HollowStore& store_;
   const std::vector<std::unique_ptr<HollowRouter>>* routers_ = nullptr;
--- a/src/tasks/policy_change_task.cpp
+++ b/src/tasks/policy_change_task.cpp
@@ -3,13 +3,9 @@
 #include <chrono>
 #include <utility>
 
-#include "transport/log.h"
-
 namespace trailcourse::tasks {
 
 using coordination::Range;
-using transport::Level;
-using transport::log_line;
 
 namespace {
 
@@ -47,8 +43,8 @@
     out.look_at = driver_.due();
     return out;
   }
-  log_line(Level::kInfo) << "change " << step->change.id << " to version " << step->change.version << ": "
-                         << step->audit;
+  out.step = "change " + std::to_string(step->change.id) + " to version " +
+             std::to_string(step->change.version) + ": " + step->audit;
   step->audit = std::to_string(unix_ms()) + " " + step->audit;
   out.write = policy::carry_out(prefix(), seen, *step);
   return out;
--- a/src/tasks/store_driver_task.cpp
+++ b/src/tasks/store_driver_task.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "transport/log.h"
+
 namespace trailcourse::tasks {
 
 using coordination::Outcome;
@@ -25,8 +27,7 @@
 
 StoreDriverTask::StoreDriverTask(transport::Scheduler& scheduler, coordination::SharedStore& store,
                                  std::string prefix, TaskContext context)
-    : scheduler_(scheduler),
-      store_(store),
+    : store_(store),
       prefix_(std::move(prefix)),
       context_(std::move(context)),
       timer_(scheduler, [this] { look(); }) {}
@@ -65,8 +66,7 @@
 }
 
 void StoreDriverTask::look_soon() {
-  const Clock::time_point earliest =
-      looked_at_ == Clock::time_point::min() ? looked_at_ : looked_at_ + kBetweenLooks;
+  const Clock::time_point earliest = looked_at_ + kBetweenLooks;
   const Clock::time_point at = Clock::now();
   if (looking_) {
     again_ = true;
@@ -116,6 +116,9 @@
     look_after(kLostLook);
     return;
   }
+  if (!decision.step.empty()) {
+    transport::log_line(transport::Level::kInfo) << decision.step;
+  }
   write(std::move(*decision.write));
 }
 
--- a/src/tasks/store_driver_task.h
+++ b/src/tasks/store_driver_task.h
@@ -32,6 +32,7 @@
  protected:
   struct Decision {
     std::optional<coordination::Transaction> write;
+    std::string step;               // what is written, for the log; empty: it is not worth a line
     std::optional<Micros> look_at;  // steady time at which it may decide otherwise, by time alone
   };
 
@@ -52,13 +53,12 @@
   void write(coordination::Transaction transaction);
   void look_after(Micros time);
 
-  transport::Scheduler& scheduler_;
   coordination::SharedStore& store_;
   std::string prefix_;
   TaskContext context_;
   transport::Alarm timer_;
   std::vector<coordination::SharedStore::WatchId> watches_;
-  transport::Clock::time_point looked_at_ = transport::Clock::time_point::min();
+  transport::Clock::time_point looked_at_;
   bool looking_ = false;
   bool again_ = false;
   bool finishing_ = false;
