--- /dev/null
+++ b/benchmarks/fleet_bench.cpp
@@ -0,0 +1,256 @@
+#include "fleet_bench.h"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+namespace trailcourse::bench {
+
+using fleet::Kind;
+using nlohmann::json;
+using std::chrono::milliseconds;
+using transport::Clock;
+
+namespace {
+
+constexpr int kMostUnanswered = 10;  // looks in a row; each is given up after about a second
+
+constexpr milliseconds kEndOfProcess{500};
+
+}  // namespace
+
+TemporaryFolder::TemporaryFolder() {
+  static int made = 0;
+  path_ = std::filesystem::temp_directory_path() /
+          ("ownership-bench-" + std::to_string(::getpid()) + "-" + std::to_string(++made));
+  std::filesystem::remove_all(path_);
+  std::filesystem::create_directories(path_);
+}
+
+TemporaryFolder::~TemporaryFolder() {
+  std::error_code none;
+  std::filesystem::remove_all(path_, none);
+}
+
+Served served_between(const Figures& before, const Figures& after) {
+  const auto grown = [&](const std::string& name) -> std::uint64_t {
+    const auto first = before.find(name);
+    const auto last = after.find(name);
+    const std::uint64_t from = first == before.end() ? 0 : first->second;
+    return last == after.end() || last->second < from ? 0 : last->second - from;
+  };
+  return {grown("calls"), grown("bytes_read") + grown("bytes_written")};
+}
+
+Served busiest(const std::map<std::string, Figures>& before, const std::map<std::string, Figures>& after) {
+  Served most;
+  for (const auto& [name, figures] : after) {
+    const auto found = before.find(name);
+    const Served served = served_between(found == before.end() ? Figures{} : found->second, figures);
+    most = served.calls > most.calls ? served : most;
+  }
+  return most;
+}
+
+double in_ms(Clock::duration time) { return std::chrono::duration<double, std::milli>(time).count(); }
+
+FleetBench::FleetBench(const fleet::Shape& shape, const std::string& program,
+                       const std::vector<std::string>& proxied)
+    : layout_(std::make_unique<fleet::Layout>(shape, folder_.path(), ports_)),
+      scenario_(std::make_unique<fleet::Scenario>(scheduler_, *layout_, ports_, program, proxied)) {
+  for (const Kind kind : fleet::kStartOrder) {
+    fleet().start_all(kind);
+    for (const std::string& name : layout_->names(kind)) {
+      if (!fleet().await_up(name, kAwaited)) {
+        const std::string log = fleet().log(name);
+        throw NotMeasured(name + " did not come up: " + log.substr(0, log.find('\n')));
+      }
+    }
+  }
+  needs_store_ = shape.registry;
+}
+
+int FleetBench::work(program::WorkCommand command, std::string& said) {
+  command.store.store = "etcd";
+  command.store.endpoints = {layout_->member("registry").address};
+  command.json = true;
+  std::ostringstream out;
+  std::ostringstream errors;
+  const int status = run_work_command(command, out, errors);
+  said = out.str() + errors.str();
+  return status;
+}
+
+int FleetBench::policy(program::PolicyCommand command, std::string& said) {
+  command.store.store = "etcd";
+  command.store.endpoints = {layout_->member("registry").address};
+  command.json = true;
+  std::ostringstream out;
+  std::ostringstream errors;
+  const int status = run_policy_command(command, out, errors);
+  said = out.str() + errors.str();
+  return status;
+}
+
+std::string FleetBench::work(const program::WorkCommand& command) {
+  std::string said;
+  if (work(command, said) != 0) {
+    fail("work " + command.action, said);
+  }
+  return said;
+}
+
+std::string FleetBench::policy(const program::PolicyCommand& command) {
+  std::string said;
+  if (policy(command, said) != 0) {
+    fail("policy " + command.action, said);
+  }
+  return said;
+}
+
+void FleetBench::check_store() {
+  if (needs_store_ && !fleet().alive("registry")) {
+    throw NotMeasured("the store has ended");
+  }
+}
+
+// Of a store that ends, the connections are gone a moment before the process is.
+void FleetBench::fail(const std::string& command, const std::string& said) {
+  run_for(kEndOfProcess);
+  throw NotMeasured(command + ": " + said.substr(0, said.find('\n')));
+}
+
+json FleetBench::policy_status() {
+  program::PolicyCommand command;
+  command.action = "status";
+  std::string said;
+  const bool answered = policy(command, said) == 0;
+  unanswered_ = answered ? 0 : unanswered_ + 1;
+  if (unanswered_ >= kMostUnanswered) {
+    fail("policy status", said);
+  }
+  return answered ? json::parse(said) : json::object();
+}
+
+std::size_t FleetBench::permitted_routers() {
+  std::size_t out = 0;
+  const json status = policy_status();
+  for (const json& permit : status.value("permits", json::array())) {
+    out += layout_->shape().aggregators > 0 ? permit.value("routers", std::size_t{0}) : 1;
+  }
+  return out;
+}
+
+void FleetBench::fill(const std::string& name, int objects, double rate) {
+  program::WorkCommand command;
+  command.action = "add";
+  command.name = name;
+  command.kind = "fill";
+  command.request_class = "media";
+  command.objects_per_s = rate;
+  for (int i = 0; i < objects; ++i) {
+    char text[17];
+    std::snprintf(text, sizeof text, "%016x", 0x5000 + i);
+    command.objects.push_back(text);
+  }
+  work(command);
+}
+
+bool FleetBench::until(const std::function<bool()>& done, milliseconds longest) {
+  return fleet().until(
+      [&] {
+        check_store();
+        return done();
+      },
+      longest);
+}
+
+void FleetBench::await(const std::string& what, const std::function<bool()>& done, milliseconds longest) {
+  if (!until(done, longest)) {
+    throw NotMeasured(what + " did not come within " + std::to_string(longest.count()) + " ms");
+  }
+}
+
+void FleetBench::run_for(milliseconds time) {
+  until([] { return false; }, time);
+}
+
+std::pair<std::string, std::size_t> FleetBench::begun(const std::string& words) {
+  std::string last;
+  std::size_t count = 0;
+  std::string latest;
+  for (const std::string& router : layout_->names(Kind::kRouter)) {
+    std::ifstream file(layout_->log_file(router));
+    for (std::string line; std::getline(file, line);) {
+      if (line.find(words) != std::string::npos) {
+        ++count;
+        if (line >= latest) {
+          latest = line;
+          last = router;
+        }
+      }
+    }
+  }
+  return {last, count};
+}
+
+Figures FleetBench::figures(const std::string& member) {
+  const std::size_t before = fleet().log(member).size();
+  fleet().signal(member, SIGHUP);
+  std::string line;
+  await("a report of " + member, [&] {
+    const std::string log = fleet().log(member);
+    const std::size_t at = log.find("revision=", before);
+    const std::size_t end = log.find('\n', at);
+    line = at == std::string::npos || end == std::string::npos ? "" : log.substr(at, end - at);
+    return !line.empty();
+  });
+  Figures out;
+  std::istringstream words(line);
+  for (std::string word; words >> word;) {
+    const std::size_t equals = word.find('=');
+    out[word.substr(0, equals)] = std::strtoull(word.c_str() + equals + 1, nullptr, 10);
+  }
+  return out;
+}
+
+std::map<std::string, Figures> FleetBench::aggregator_figures() {
+  std::map<std::string, Figures> out;
+  for (const std::string& name : layout_->names(Kind::kAggregator)) {
+    if (fleet().alive(name)) {
+      out[name] = figures(name);
+    }
+  }
+  return out;
+}
+
+fleet::Shape flat_shape(int routers) {
+  fleet::Shape shape;
+  shape.routers = routers;
+  shape.caches = 1;
+  shape.parents = 0;
+  shape.disk = true;
+  shape.registry = true;
+  return shape;
+}
+
+fleet::Shape aggregated_shape(int routers, int regions) {
+  fleet::Shape shape = flat_shape(routers);
+  shape.aggregators = regions;
+  shape.regions = regions;
+  shape.caches = regions;
+  shape.zones.clear();
+  for (int i = 0; i < regions; ++i) {
+    shape.zones.push_back("zone" + std::to_string(i));
+  }
+  shape.policy = {{"ttl_ms", 3'000}};
+  return shape;
+}
+
+}  // namespace trailcourse::bench
--- a/tests/fleet/policy_test.cpp
+++ b/tests/fleet/policy_test.cpp
@@ -2,16 +2,11 @@
 // names the version it was decided under and when by the machine's one steady clock; for each change there
 // has to be a moment that separates the old version from the new, over all routers.
 #include <algorithm>
-#include <csignal>
 #include <fstream>
-#include <map>
 #include <random>
-#include <sstream>
 #include <string>
 
-#include "fleet/rig.h"
-#include "program/policy_command.h"
-#include "stand_ins.h"
+#include "fleet/policy_rig.h"
 
 namespace trailcourse::testing_support {
 namespace {
@@ -21,155 +16,8 @@
 using nlohmann::json;
 using std::chrono::milliseconds;
 
-Shape policy_shape(int routers) {
-  Shape shape;
-  shape.routers = routers;
-  shape.caches = 1;
-  shape.parents = 0;
-  shape.registry = true;
-  shape.ownership = {{"ttl_ms", 1'000},        {"renew_ms", 250},        {"retry_ms", 100},
-                     {"turn_ms", 30},          {"longest_turn_ms", 300}, {"member_ttl_ms", 1'000},
-                     {"member_renew_ms", 250}, {"neighbours", 0},        {"settle_ms", 60'000},
-                     {"most_starts", 100},     {"poison_pause_ms", 50},  {"flap_suppress", 1'000.0}};
-  shape.coordination = {
-      {"call_ms", 400}, {"rest_ms", 50}, {"longest_rest_ms", 300}, {"watch_silent_ms", 4'000}};
-  shape.policy = {{"ttl_ms", 1'200},
-                  {"renew_ms", 300},
-                  {"retry_ms", 100},
-                  {"prepare_most_ms", 4'000},
-                  {"hold_most_ms", 6'000}};
-  return shape;
-}
-
-// Checker. Versions by the time of their decision: of two decisions under versions alone the later one is
-// never under a lower one.
-std::vector<std::string> broken_order(const std::vector<fleet::Asked>& all) {
-  struct Decision {
-    std::int64_t at_us;
-    std::uint64_t version;
-    std::string router;
-  };
-  std::vector<Decision> decisions;
-  for (const fleet::Asked& one : all) {
-    const bool alone = !one.policy.empty() && one.policy != "-" && one.policy.find('+') == std::string::npos;
-    if (alone) {
-      decisions.push_back({one.decided_us, std::stoull(one.policy), one.router});
-    }
-  }
-  std::sort(decisions.begin(), decisions.end(),
-            [](const Decision& one, const Decision& other) { return one.at_us < other.at_us; });
-  std::vector<std::string> out;
-  std::uint64_t highest = 0;
-  std::string by;
-  for (const Decision& one : decisions) {
-    if (one.version < highest) {
-      out.push_back(one.router + " decided under version " + std::to_string(one.version) + " at " +
-                    std::to_string(one.at_us) + ", after " + by + " under " + std::to_string(highest));
-    } else {
-      highest = one.version;
-      by = one.router;
-    }
-  }
-  return out;
-}
-
-class Policed {
- public:
-  explicit Policed(const Shape& shape, const std::vector<std::string>& proxied = {}) : rig(shape, proxied) {
-    rig.start_all();
-    for (const std::string& router : rig.routers()) {
-      EXPECT_TRUE(rig.await_ready(router)) << rig.logs();
-    }
-  }
-
-  int policy(program::PolicyCommand command) {
-    command.store.store = "etcd";
-    command.store.endpoints = {rig.layout().member("registry").address};
-    std::ostringstream out;
-    std::ostringstream errors;
-    const int status = run_policy_command(command, out, errors);
-    said = out.str() + errors.str();
-    return status;
-  }
-  int policy(const std::string& action) {
-    program::PolicyCommand command;
-    command.action = action;
-    command.json = true;
-    return policy(command);
-  }
-  // A draft with this worth, as a file.
-  std::string draft(double worth, const std::string& more = "") {
-    const std::string path = rig.folder() + "/draft.json";
-    std::ofstream(path) << R"({"schema":1,"author":"ops","reason":"test","content":{"classes":{"media":)"
-                        << R"({"objective_ms":2000,"give_up_ms":6000,"worth":)" << worth << "}}" << more
-                        << "}}";
-    return path;
-  }
-  int propose(double worth, bool urgent = false, const std::string& more = "") {
-    program::PolicyCommand command;
-    command.action = "propose";
-    command.file = draft(worth, more);
-    command.urgent = urgent;
-    command.json = true;
-    return policy(command);
-  }
-  json status() { return policy("status") == 0 ? json::parse(said) : json::object(); }
-  std::string change_state() {
-    const json change = status().value("change", json());
-    return change.is_object() ? change.value("state", std::string()) : std::string();
-  }
-  std::uint64_t version() { return status().value("version", std::uint64_t{0}); }
-  // Under load at these routers all the while.
-  bool until_loaded(const std::vector<std::string>& routers, const std::function<bool()>& done,
-                    milliseconds longest = kAwaited) {
-    int turn = 0;
-    return rig.until(
-        [&] {
-          if (turn++ % 3 == 0) {
-            for (const std::string& router : routers) {
-              rig.ask(router, 1'000 + static_cast<std::uint64_t>(turn) % 20);
-            }
-          }
-          return turn % 12 == 0 && done();
-        },
-        longest);
-  }
-  bool await_change(const std::vector<std::string>& routers, const std::string& state) {
-    return until_loaded(routers, [&] { return change_state() == state; });
-  }
-  // Until each of these decides under it.
-  bool await_version(const std::vector<std::string>& routers, std::uint64_t number) {
-    return rig.until([&] {
-      return std::all_of(routers.begin(), routers.end(), [&](const std::string& router) {
-        return answer(router).policy == std::to_string(number);
-      });
-    });
-  }
-  // The answer of this router to one request; others may be open meanwhile.
-  fleet::Asked answer(const std::string& router) {
-    const std::size_t at = rig.ask(router, 5);
-    rig.until([&] { return rig.load().all()[at].answers > 0 || rig.load().all()[at].connection_ended; },
-              milliseconds(5'000));
-    return rig.load().all()[at];
-  }
-  std::vector<std::string> check() {
-    EXPECT_TRUE(rig.await_answers());
-    return broken_order(rig.load().all());
-  }
-  std::map<std::string, std::size_t> decided() {
-    std::map<std::string, std::size_t> out;
-    for (const fleet::Asked& one : rig.load().all()) {
-      ++out[one.policy];
-    }
-    return out;
-  }
-
-  Rig rig;
-  std::string said;
-};
-
 TEST(PolicyFleetTest, AChangeTakesHoldEverywhereAndTheCheckerFindsItsMoment) {
-  Policed fleet(policy_shape(5));
+  PolicyRig fleet(policy_shape(5));
   ASSERT_FALSE(testing::Test::HasFatalFailure());
   ASSERT_EQ(fleet.propose(2.0), 0) << fleet.said;
   EXPECT_TRUE(fleet.await_change(fleet.rig.routers(), "done")) << fleet.rig.logs();
@@ -190,7 +38,7 @@
 }
 
 TEST(PolicyFleetTest, AVersionThatOneCannotLiveByIsRefusedEverywhere) {
-  Policed fleet(policy_shape(3));
+  PolicyRig fleet(policy_shape(3));
   ASSERT_FALSE(testing::Test::HasFatalFailure());
   ASSERT_EQ(fleet.propose(2.0, false, R"(,"limits":{"open_requests":9000000})"), 0) << fleet.said;
   EXPECT_TRUE(fleet.await_change(fleet.rig.routers(), "aborted")) << fleet.rig.logs();
@@ -207,7 +55,7 @@
 // Stopped before the commit and woken after it, with requests in its buffers: they are not decided under the
 // old one.
 TEST(PolicyFleetTest, ARouterThatWakesAfterTheCommitDecidesNothingUnderTheOldVersion) {
-  Policed fleet(policy_shape(4));
+  PolicyRig fleet(policy_shape(4));
   ASSERT_FALSE(testing::Test::HasFatalFailure());
   std::vector<std::string> others = fleet.rig.routers();
   const std::string sleeper = others.back();
@@ -226,7 +74,7 @@
 }
 
 TEST(PolicyFleetTest, AThirdThatIsCutOffDecidesUnderNothingAndJoinsBehindTheChange) {
-  Policed fleet(policy_shape(6), {"router*>registry"});
+  PolicyRig fleet(policy_shape(6), {"router*>registry"});
   ASSERT_FALSE(testing::Test::HasFatalFailure());
   const std::vector<std::string> all = fleet.rig.routers();
   const std::vector<std::string> cut(all.begin(), all.begin() + 2);
@@ -264,7 +112,7 @@
                          [](const auto& one) { return one.param.name; });
 
 TEST_P(DriverFaultTest, ItsSuccessorEndsTheChangeTheSameWay) {
-  Policed fleet(policy_shape(4));
+  PolicyRig fleet(policy_shape(4));
   ASSERT_FALSE(testing::Test::HasFatalFailure());
   const std::vector<std::string> all = fleet.rig.routers();
   ASSERT_TRUE(fleet.await_version(all, 0));
@@ -298,7 +146,7 @@
 
 TEST(PolicyFleetTest, ChangesInARowUnderLoadWithRoutersKilledThroughout) {
   constexpr int kChanges = 6;
-  Policed fleet(policy_shape(5));
+  PolicyRig fleet(policy_shape(5));
   ASSERT_FALSE(testing::Test::HasFatalFailure());
   std::mt19937_64 random(11);
   const std::vector<std::string> all = fleet.rig.routers();
@@ -318,7 +166,7 @@
 }
 
 TEST(PolicyFleetTest, TheStoreIsKilledWhileAChangeIsMade) {
-  Policed fleet(policy_shape(4));
+  PolicyRig fleet(policy_shape(4));
   ASSERT_FALSE(testing::Test::HasFatalFailure());
   const std::vector<std::string> all = fleet.rig.routers();
   ASSERT_TRUE(fleet.await_version(all, 0));
@@ -341,7 +189,7 @@
 }
 
 TEST(PolicyFleetTest, AnUrgentChangeGoesBeforeOneThatHasNotCommittedAndStaffCanAbort) {
-  Policed fleet(policy_shape(3), {"router0>registry"});
+  PolicyRig fleet(policy_shape(3), {"router0>registry"});
   ASSERT_FALSE(testing::Test::HasFatalFailure());
   const std::vector<std::string> all = fleet.rig.routers();
   ASSERT_TRUE(fleet.await_version(all, 0));
@@ -363,7 +211,7 @@
   Shape shape = policy_shape(4);
   shape.zones = {"east", "west"};
   shape.caches = 2;
-  Policed fleet(shape);
+  PolicyRig fleet(shape);
   ASSERT_FALSE(testing::Test::HasFatalFailure());
   const std::vector<std::string> all = fleet.rig.routers();
   ASSERT_TRUE(fleet.await_version(all, 0));
