--- a/benchmarks/fleet_bench.cpp
+++ b/benchmarks/fleet_bench.cpp
@@ -87,23 +87,21 @@
 }
 
 int FleetBench::work(program::WorkCommand command, std::string& said) {
-  command.store.store = "etcd";
-  command.store.endpoints = {layout_->member("registry").address};
-  command.json = true;
-  std::ostringstream out;
-  std::ostringstream errors;
-  const int status = run_work_command(command, out, errors);
-  said = out.str() + errors.str();
-  return status;
+  return ask_store(std::move(command), &program::run_work_command, said);
 }
 
 int FleetBench::policy(program::PolicyCommand command, std::string& said) {
+  return ask_store(std::move(command), &program::run_policy_command, said);
+}
+
+template <typename Command, typename Run>
+int FleetBench::ask_store(Command command, Run run, std::string& said) {
   command.store.store = "etcd";
   command.store.endpoints = {layout_->member("registry").address};
   command.json = true;
   std::ostringstream out;
   std::ostringstream errors;
-  const int status = run_policy_command(command, out, errors);
+  const int status = run(command, out, errors);
   said = out.str() + errors.str();
   return status;
 }
--- a/benchmarks/fleet_bench.h
+++ b/benchmarks/fleet_bench.h
@@ -101,6 +101,9 @@
   std::map<std::string, Figures> aggregator_figures();
 
  private:
+  // Runs a staff's command against the store itself; its status, and all that it said.
+  template <typename Command, typename Run>
+  int ask_store(Command command, Run run, std::string& said);
   void await_aggregators();
   // Throws NotMeasured where the store has ended.
   void check_store();
--- a/benchmarks/scale/hollow_aggregator.cpp
+++ b/benchmarks/scale/hollow_aggregator.cpp
@@ -1,7 +1,6 @@
 #include "scale/hollow_aggregator.h"
 
 #include <algorithm>
-#include <cstdlib>
 #include <utility>
 #include <variant>
 
@@ -13,22 +12,15 @@
 
 namespace {
 
-constexpr const char* kPolicyRecords = "policy/";
 constexpr double kMostDrift = 0.00095;
 
+// The model has no stages, so no zone has a version of its own.
 policy::Known known_of(const coordination::Ledger& records) {
   const auto entry = [&records](const std::string& key) {
     const auto found = records.entries().find(key);
     return found == records.entries().end() ? coordination::Entry{} : found->second;
   };
-  const coordination::Entry change = entry(policy::kChangeKey);
-  const coordination::Entry current = entry(policy::kCurrentKey);
-  policy::Known out;
-  out.change = policy::read_change(change.value);
-  out.change_modified = change.modified;
-  out.version = std::strtoull(current.value.c_str(), nullptr, 10);
-  out.current_modified = current.modified;
-  return out;
+  return policy::read_known(entry);
 }
 
 }  // namespace
@@ -37,7 +29,7 @@
   auto out = std::make_shared<News>();
   out->known = known_of(records);
   out->whole = true;
-  out->entries = records.get(coordination::Range{kPolicyRecords, true});
+  out->entries = records.get(coordination::Range{policy::kRecords, true});
   const coordination::etcd::Header header{1, records.revision()};
   out->bytes = answer_bytes(coordination::etcd::write_entries(header, out->entries));
   return out;
--- a/src/aggregation/aggregator.cpp
+++ b/src/aggregation/aggregator.cpp
@@ -1,7 +1,6 @@
 #include "aggregation/aggregator.h"
 
 #include <algorithm>
-#include <cstdlib>
 #include <numeric>
 #include <utility>
 #include <variant>
@@ -16,21 +15,16 @@
 using coordination::Put;
 using coordination::Revision;
 using coordination::Transaction;
-using policy::Known;
 using policy::Permit;
 
 namespace {
 
-constexpr const char* kPolicyRecords = "policy/";
-
 coordination::Limits limits_of(const AggregatorRules& rules) {
   coordination::Limits limits;
   limits.history = rules.history;
   return limits;
 }
 
-std::uint64_t number(const std::string& text) { return std::strtoull(text.c_str(), nullptr, 10); }
-
 [[noreturn]] void refuse(Refused::Why why, const std::string& text) { throw Refused(why, text); }
 
 }  // namespace
@@ -63,7 +57,6 @@
   for (const Change& change : changes) {
     records_.follow(change);
   }
-  records_.changes();
   read_known();
 }
 
@@ -73,16 +66,9 @@
     const auto found = entries.find(identity_.prefix + key);
     return found == entries.end() ? Entry{} : found->second;
   };
-  const Entry change = entry(policy::kChangeKey);
-  const Entry current = entry(policy::kCurrentKey);
+  const policy::Known known = policy::read_known(entry);
   for (const std::string& zone : identity_.zones) {
-    const Entry own = entry(policy::kZones + zone);
-    Known& known = known_[zone];
-    known.change = policy::read_change(change.value);
-    known.change_modified = change.modified;
-    known.current_modified = current.modified;
-    known.zone_modified = own.modified;
-    known.version = number(own.modified > 0 ? own.value : current.value);
+    known_[zone] = policy::known_in_zone(known, entry, zone);
   }
 }
 
@@ -144,7 +130,7 @@
 
 // A key that is not mirrored would look as if it were absent.
 void Aggregator::check_conditions(const Transaction& transaction) const {
-  const std::string stem = identity_.prefix + kPolicyRecords;
+  const std::string stem = identity_.prefix + policy::kRecords;
   const bool all_mirrored = std::all_of(transaction.when.begin(), transaction.when.end(),
                                         [&](const auto& one) { return one.key.starts_with(stem); });
   if (!all_mirrored) {
@@ -198,7 +184,7 @@
 }
 
 Outcome Aggregator::read_records(const Transaction& transaction) {
-  const std::string stem = identity_.prefix + kPolicyRecords;
+  const std::string stem = identity_.prefix + policy::kRecords;
   if (!mirrored_) {
     refuse(Refused::Why::kNoPermission, "the store's records are not here yet");
   }
--- a/src/aggregation/service.cpp
+++ b/src/aggregation/service.cpp
@@ -22,7 +22,6 @@
 
 namespace {
 
-constexpr const char* kPolicyRecords = "policy/";
 constexpr const char* kHealthPage = "/healthz";
 // Between two looks that time alone calls for: permissions that end one after the other are taken together.
 constexpr Micros kLeastPause{5'000};
@@ -75,7 +74,7 @@
 
 void Service::start() {
   server_.listen(*transport::parse_address(options_.listen));
-  watch_ = store_.watch(coordination::Range{prefix_ + kPolicyRecords, true}, *this);
+  watch_ = store_.watch(coordination::Range{prefix_ + policy::kRecords, true}, *this);
   turn_soon();
 }
 
--- a/src/policy/change.h
+++ b/src/policy/change.h
@@ -71,6 +71,7 @@
 // One number for a stage of a change: later ones are larger.
 inline std::uint64_t step_of(const Change& change) { return change.id * 1'000 + change.stage; }
 
+constexpr const char* kRecords = "policy/";  // all records of the policy but audits and permits
 constexpr const char* kChangeKey = "policy/change";
 constexpr const char* kCurrentKey = "policy/current";
 constexpr const char* kZones = "policy/zones/";          // ZONE: where it differs from `current`
--- a/src/policy/holder.cpp
+++ b/src/policy/holder.cpp
@@ -1,6 +1,7 @@
 #include "policy/holder.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <utility>
 
 namespace trailcourse::policy {
@@ -9,6 +10,12 @@
 using ownership::Order;
 using ownership::Phase;
 
+namespace {
+
+std::uint64_t version_of(const std::string& text) { return std::strtoull(text.c_str(), nullptr, 10); }
+
+}  // namespace
+
 const char* to_string(Standing standing) {
   switch (standing) {
     case Standing::kOutside:
@@ -25,6 +32,24 @@
   return "switching";
 }
 
+Known read_known(const EntryOf& entry_of) {
+  const coordination::Entry change = entry_of(kChangeKey);
+  const coordination::Entry current = entry_of(kCurrentKey);
+  Known out;
+  out.change = read_change(change.value);
+  out.change_modified = change.modified;
+  out.version = version_of(current.value);
+  out.current_modified = current.modified;
+  return out;
+}
+
+Known known_in_zone(Known known, const EntryOf& entry_of, const std::string& zone) {
+  const coordination::Entry own = entry_of(kZones + zone);
+  known.zone_modified = own.modified;
+  known.version = own.modified > 0 ? version_of(own.value) : known.version;
+  return known;
+}
+
 Holder::Holder(std::string incarnation, std::string zone, const HolderRules& rules, Judge judge)
     : incarnation_(std::move(incarnation)),
       zone_(std::move(zone)),
--- a/src/policy/holder.h
+++ b/src/policy/holder.h
@@ -66,6 +66,13 @@
   Revision zone_modified = 0;  // of the zone's own version; 0: it has none
 };
 
+// An entry of the store; an empty one where there is none of that key.
+using EntryOf = std::function<coordination::Entry(const std::string& key)>;
+// As it stands for zones that have no version of their own.
+Known read_known(const EntryOf& entry_of);
+// The same for a zone that may have one.
+Known known_in_zone(Known known, const EntryOf& entry_of, const std::string& zone);
+
 // What is to be done.
 struct AskPermission {  // acquire: join, with this permit where all is as `known` says; renew; release
   ownership::Order order;
--- a/src/tasks/policy_follower.cpp
+++ b/src/tasks/policy_follower.cpp
@@ -20,7 +20,6 @@
 
 namespace {
 
-constexpr const char* kPolicy = "policy/";
 constexpr std::uint64_t kSets = 32;  // of classes; a set is used again once so many later ones were made
 
 std::int64_t to_ms(Micros time) { return std::chrono::duration_cast<milliseconds>(time).count(); }
@@ -69,7 +68,7 @@
 Micros PolicyFollower::now() { return std::chrono::duration_cast<Micros>(Clock::now().time_since_epoch()); }
 
 void PolicyFollower::start() {
-  watch_ = store_.watch(coordination::Range{prefix_ + kPolicy, true}, *this);
+  watch_ = store_.watch(coordination::Range{prefix_ + policy::kRecords, true}, *this);
   turn_soon();
 }
 
@@ -91,7 +90,9 @@
     keys_.erase(key);
     return;
   }
-  keys_[key] = {value, modified};
+  coordination::Entry& entry = keys_[key];
+  entry.value = value;
+  entry.modified = modified;
   if (!key.starts_with(policy::kDocuments)) {
     return;
   }
@@ -139,20 +140,11 @@
 }
 
 void PolicyFollower::tell() {
-  const auto of = [this](const std::string& key) {
+  const auto entry_of = [this](const std::string& key) {
     const auto found = keys_.find(key);
-    return found == keys_.end() ? std::pair<std::string, coordination::Revision>() : found->second;
+    return found == keys_.end() ? coordination::Entry{} : found->second;
   };
-  policy::Known known;
-  const auto [change, change_modified] = of(policy::kChangeKey);
-  const auto [current, current_modified] = of(policy::kCurrentKey);
-  const auto [zone, zone_modified] = of(policy::kZones + self_.zone);
-  known.change = policy::read_change(change);
-  known.change_modified = change_modified;
-  known.current_modified = current_modified;
-  known.zone_modified = zone_modified;
-  known.version = zone_modified > 0 ? number(zone) : number(current);
-  holder_.told(now(), known);
+  holder_.told(now(), policy::known_in_zone(policy::read_known(entry_of), entry_of, self_.zone));
   turn_soon();
 }
 
--- a/src/tasks/policy_follower.h
+++ b/src/tasks/policy_follower.h
@@ -86,7 +86,7 @@
   std::unique_ptr<store::IoPool> pool_;
   std::map<std::uint64_t, policy::Document> documents_;
   std::map<std::uint64_t, std::string> unreadable_;
-  std::map<std::string, std::pair<std::string, coordination::Revision>> keys_;  // under policy/
+  std::map<std::string, coordination::Entry> keys_;  // under policy/
   policy::Holder holder_;
   coordination::LeaseId lease_ = 0;
   coordination::SharedStore::WatchId watch_ = 0;
--- a/tests/aggregation_service_test.cpp
+++ b/tests/aggregation_service_test.cpp
@@ -14,6 +14,7 @@
 #include "fleet/fault_proxy.h"
 #include "fleet/ports.h"
 #include "fleet/process.h"
+#include "store_calls.h"
 
 namespace trailcourse::aggregation {
 namespace {
@@ -75,7 +76,7 @@
 };
 
 // A registry, aggregators and routers' views of them, all on one scheduler.
-class Region {
+class Region : public testing_support::StoreCalls {
  public:
   Region() {
     static int made = 0;
@@ -131,35 +132,6 @@
   const std::string& folder() const { return folder_; }
   std::string free_address() { return ports_.take_text(); }
 
-  bool until(const std::function<bool()>& done) {
-    const Clock::time_point end = Clock::now() + std::chrono::seconds(60);
-    while (!done()) {
-      if (Clock::now() > end) {
-        return false;
-      }
-      scheduler.turn(milliseconds(5));
-    }
-    return true;
-  }
-  template <typename Value, typename Ask>
-  Reply<Value> await(Ask ask) {
-    const auto reply = std::make_shared<std::optional<Reply<Value>>>();
-    ask([reply](const Reply<Value>& told) { *reply = told; });
-    EXPECT_TRUE(until([&] { return reply->has_value(); }));
-    return reply->value_or(Reply<Value>{});
-  }
-  Reply<Outcome> commit(SharedStore& store, const Transaction& transaction) {
-    return await<Outcome>([&](auto then) { store.commit(transaction, then); });
-  }
-  Reply<GrantedLease> grant(SharedStore& store, milliseconds ttl = kLongTtl) {
-    return await<GrantedLease>([&](auto then) { store.grant(ttl, then); });
-  }
-  Reply<GrantedLease> renew(SharedStore& store, LeaseId lease) {
-    return await<GrantedLease>([&](auto then) { store.keep_alive(lease, then); });
-  }
-  Reply<Nothing> revoke(SharedStore& store, LeaseId lease) {
-    return await<Nothing>([&](auto then) { store.revoke(lease, then); });
-  }
   // Grants until it is given: an aggregator may not have its own permission yet.
   LeaseId lease(SharedStore& store, milliseconds ttl = kLongTtl) {
     Reply<GrantedLease> reply;
@@ -182,8 +154,6 @@
     return out;
   }
 
-  transport::Scheduler scheduler;
-
  private:
   struct Process {
     std::unique_ptr<SharedStore> store;
@@ -369,7 +339,7 @@
   Region region;
   const Service& service = region.add_aggregator("a1", region.free_address());
   SharedStore& router = region.router();
-  const auto reply = region.grant(router);
+  const auto reply = region.grant(router, kLongTtl);
   EXPECT_FALSE(reply.done());
   EXPECT_EQ(router.id(), 0U);
   EXPECT_EQ(service.core().routers(), 0U);
@@ -435,7 +405,7 @@
   service.drain();
   const auto renewed = region.renew(router, lease);
   EXPECT_FALSE(renewed.done() && renewed.value.ttl > Micros(0));
-  EXPECT_FALSE(region.grant(router).done());
+  EXPECT_FALSE(region.grant(router, kLongTtl).done());
   ASSERT_TRUE(region.until([&] {
     EXPECT_FALSE(service.drained() && service.core().routers() > 0) << "a router may still decide by it";
     return service.drained();
--- a/tests/coordination_test.cpp
+++ b/tests/coordination_test.cpp
@@ -16,6 +16,7 @@
 #include "fleet/fault_proxy.h"
 #include "fleet/ports.h"
 #include "fleet/process.h"
+#include "store_calls.h"
 
 namespace trailcourse::coordination {
 namespace {
@@ -175,7 +176,7 @@
 
 enum class Backend { kEtcd, kEmbedded };
 
-class World {
+class World : public testing_support::StoreCalls {
  public:
   explicit World(Backend backend, std::int64_t history = 10'000) : backend_(backend) {
     static int made = 0;
@@ -251,35 +252,6 @@
     return *stores_.back();
   }
 
-  bool until(const std::function<bool()>& done) {
-    const Clock::time_point end = Clock::now() + std::chrono::seconds(60);
-    while (!done()) {
-      if (Clock::now() > end) {
-        return false;
-      }
-      scheduler.turn(milliseconds(5));
-    }
-    return true;
-  }
-  template <typename Value, typename Ask>
-  Reply<Value> await(Ask ask) {
-    const auto reply = std::make_shared<std::optional<Reply<Value>>>();
-    ask([reply](const Reply<Value>& told) { *reply = told; });
-    EXPECT_TRUE(until([&] { return reply->has_value(); }));
-    return reply->value_or(Reply<Value>{});
-  }
-  Reply<Outcome> commit(SharedStore& store, const Transaction& transaction) {
-    return await<Outcome>([&](auto then) { store.commit(transaction, then); });
-  }
-  Reply<GrantedLease> grant(SharedStore& store, milliseconds ttl) {
-    return await<GrantedLease>([&](auto then) { store.grant(ttl, then); });
-  }
-  Reply<GrantedLease> renew(SharedStore& store, LeaseId lease) {
-    return await<GrantedLease>([&](auto then) { store.keep_alive(lease, then); });
-  }
-
-  transport::Scheduler scheduler;
-
  private:
   Backend backend_;
   fleet::PortBook ports_;
