Review, case 1: 48 MB, and memory counted without the program's pages

The check counts RssAnon now, so that no page of the program or of a library counts against the limit, and the bad clients may go on for 85 s, so that a slower machine reaches the limit too.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -5,10 +5,10 @@
 here="$(cd "$(dirname "$0")" && pwd)"
 . "$here/../lib.sh"
 caches=8
-memory_mb=64      # "32 to 192 MB"
+memory_mb=48      # "32 to 192 MB"
 sockets=576       # "256 to 1,024 descriptors"
 bad_connections=8 # of the 192 that clients may hold: "a third of the descriptor limit at most"
-seconds=60
+seconds=85
 
 mapfile -t ports < <(free_ports $((caches + 3)))
 board="127.0.0.1:${ports[0]}"
@@ -60,7 +60,8 @@
     sleep 0.05
   done | "$program" get --router "$router" --size-kb 12 -
   exit 0' usual "$program" "$router" "$work/stop" "${objects[@]}"
-memory_kb() { sed -n 's/^VmRSS:[^0-9]*\([0-9]*\).*/\1/p' "/proc/${pids[router]}/status" 2>/dev/null; }
+# What the process alone holds, without the pages of its program and of the libraries.
+memory_kb() { sed -n "s/^RssAnon:[^0-9]*\([0-9]*\).*/\1/p" "/proc/${pids[router]}/status" 2>/dev/null; }
 sleep 2
 note "memory of the router before: $(memory_kb) KB"
 
