Cancel the timers of a request when it is answered or its client leaves

Cause: the decision module asks for a timer for each request's deadline and for each attempt of a safe class. Router put them into the scheduler and never cancelled them, since SetTimer did not say whose they are. They stayed until the deadline that the client had named, uncounted by the bounds on open requests.

Evidence: memory grew with the patience and not with what was open. Scheduler::pending_timers(), new, counts two timers left after one served request. Without the change RouterTest.CancelsTheTimersOfARequestAtItsEnd and FinalAnswer.EachTimerNamesItsRequest fail; both were run so.

Why it works: SetTimer names its request, and Router cancels its timers where the reply is taken, which every end of a request passes. So timers are bounded by open requests times attempts.

--- a/include/trailcourse/decider.h
+++ b/include/trailcourse/decider.h
@@ -295,10 +295,12 @@
 struct Fail {
   RequestId id = 0;
 };
-// Requests a TimerFired event with the same token after the delay.
+// Requests a TimerFired event with the same token after the delay. The event may be omitted once `request` has
+// its final answer or its client has left, so that the memory of timers depends on the open requests only.
 struct SetTimer {
   TimerToken token = 0;
   Micros delay{0};
+  RequestId request = 0;  // the request that the timer belongs to; 0: none
 };
 // Subscribes to endpoint lists again.
 struct Subscribe {};
--- a/src/decision/request_timers.h
+++ b/src/decision/request_timers.h
@@ -25,7 +25,7 @@
 
 // A timer's token encodes the request and the kind. A negative delay counts as 0.
 inline SetTimer make_timer(RequestId id, TimerKind kind, Micros delay) {
-  return SetTimer{2 * id + static_cast<std::uint64_t>(kind), std::max(Micros(0), delay)};
+  return SetTimer{2 * id + static_cast<std::uint64_t>(kind), std::max(Micros(0), delay), id};
 }
 inline RequestId request_of(TimerToken token) { return token / 2; }
 inline TimerKind kind_of(TimerToken token) { return static_cast<TimerKind>(token % 2); }
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -257,9 +257,18 @@
   }
 }
 
+// A timer of a request ends with it: the delay may be as long as the deadline that the client names.
 void Router::perform(const SetTimer& timer) {
-  scheduler_.at(scheduler_.iteration_time() + timer.delay,
-                [this, token = timer.token] { dispatch(TimerFired{token}); });
+  OpenRequest* request = find(timer.request);
+  if (timer.request != 0 && (request == nullptr || !request->reply)) {
+    return;
+  }
+  const transport::Scheduler::TimerKey key =
+      scheduler_.at(scheduler_.iteration_time() + timer.delay,
+                    [this, token = timer.token] { dispatch(TimerFired{token}); });
+  if (request != nullptr) {
+    request->timers.push_back(key);
+  }
 }
 
 Router::OpenRequest* Router::find(RequestId id) {
@@ -299,6 +308,9 @@
 
 std::shared_ptr<Reply> Router::take_reply(OpenRequest& request) {
   --open_;
+  for (const transport::Scheduler::TimerKey& timer : std::exchange(request.timers, {})) {
+    scheduler_.cancel(timer);
+  }
   return std::exchange(request.reply, nullptr);
 }
 
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -193,6 +193,7 @@
     std::shared_ptr<const void> forwarded;
     std::shared_ptr<Reply> reply;  // null once the final answer is given or the client has left
     std::vector<Attempt> attempts;
+    std::vector<transport::Scheduler::TimerKey> timers;  // of the module, until take_reply()
     std::size_t open_attempts = 0;
     int streaming = -1;  // the attempt whose answer is being forwarded; -1: none
     int request_class = 0;
@@ -214,7 +215,8 @@
   Attempt* find_open_attempt(OpenRequest& request, int attempt);
   void end_attempt(const AttemptKey& key, OpenRequest& request, Attempt& attempt,
                    const AttemptResult& result);
-  // Removes and returns the reply of a request, so that the request gets only one final answer.
+  // Removes and returns the reply of a request, so that the request gets only one final answer. Cancels its
+  // timers.
   std::shared_ptr<Reply> take_reply(OpenRequest& request);
   void abandon(RequestId id, OpenRequest& request);
   void erase_if_finished(RequestId id);
--- a/src/transport/scheduler.h
+++ b/src/transport/scheduler.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <coroutine>
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -47,6 +48,9 @@
   // Cancels a timer. Has no effect if its job has already run.
   void cancel(const TimerKey& key) { timers_.erase(key); }
 
+  // Returns the number of timers whose jobs have neither run nor been cancelled.
+  std::size_t pending_timers() const { return timers_.size(); }
+
   // Runs iterations of the loop until stop() is called.
   void run();
 
--- a/tests/decision/decider_test.cpp
+++ b/tests/decision/decider_test.cpp
@@ -102,6 +102,25 @@
   }
 }
 
+// Guards against timers that the caller cannot cancel at the end of their request.
+TEST(FinalAnswer, EachTimerNamesItsRequest) {
+  TestRouter router;
+  router.receive_list(default_endpoints());
+  for (const RequestId id : {7U, 8U}) {
+    std::vector<Action> actions = router.request(id);
+    const std::vector<SetTimer> first = actions_of<SetTimer>(actions);
+    ASSERT_EQ(first.size(), 2U) << "the deadline and the first attempt";
+    router.now += first.back().delay;
+    const std::vector<Action> overdue = router.handle(TimerFired{first.back().token});
+    actions.insert(actions.end(), overdue.begin(), overdue.end());
+    const std::vector<SetTimer> timers = actions_of<SetTimer>(actions);
+    EXPECT_EQ(timers.size(), 3U) << "and the second attempt";
+    for (const SetTimer& timer : timers) {
+      EXPECT_EQ(timer.request, id);
+    }
+  }
+}
+
 TEST(EndpointList, ExcludesDrainingAndMissingNodesAsTargetAndSource) {
   TestRouter router;
   router.receive_list(default_endpoints());
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -380,6 +380,41 @@
   EXPECT_EQ(events<TimerFired>()[1].token, 77U);
 }
 
+// Guards against timers that outlive their request: with a client that names a long patience and retries at
+// once, they would grow in number until that deadline.
+TEST_F(RouterTest, CancelsTheTimersOfARequestAtItsEnd) {
+  script_ = [](const Event& event, std::vector<Action>& out) {
+    if (const auto* arrived = std::get_if<RequestArrived>(&event)) {
+      out.push_back(order(arrived->id));
+      out.push_back(SetTimer{1, std::chrono::minutes(2), arrived->id});
+      out.push_back(SetTimer{2, std::chrono::minutes(2), arrived->id});
+    } else if (const auto* ended = std::get_if<AttemptEnded>(&event); ended != nullptr && !ended->finished) {
+      if (ended->status == Status::kFull) {
+        out.push_back(Reject{ended->id, Micros(0)});
+      } else {
+        out.push_back(Fail{ended->id});
+      }
+      out.push_back(SetTimer{3, std::chrono::minutes(2), ended->id});
+    }
+  };
+  const std::size_t before = scheduler_.pending_timers();
+  for (const Status status : {Status::kOk, Status::kFull, Status::kError}) {
+    router_.attempt_ended({accept(), 0}, result(status));
+    EXPECT_EQ(scheduler_.pending_timers(), before);
+  }
+  const RequestId streamed = accept(1);
+  router_.stream_started({streamed, 0}, false);
+  router_.attempt_ended({streamed, 0}, result(Status::kOk));
+  EXPECT_EQ(scheduler_.pending_timers(), before);
+  const RequestId left = accept();
+  EXPECT_GT(scheduler_.pending_timers(), before);
+  router_.client_left(left);
+  router_.attempt_ended({left, 0}, result(Status::kCancelled));
+  EXPECT_EQ(scheduler_.pending_timers(), before);
+  EXPECT_EQ(replies_->calls,
+            (std::vector<std::string>{"served ", "rejected 0", "failed", "begin", "complete"}));
+}
+
 // The module counts failures of the same time once, so all events of one iteration of the scheduler have one
 // time.
 TEST_F(RouterTest, KeepsTheTimeWithinAnIterationOfTheScheduler) {
