Cache node: trust copies from before a start only once discovery has responded

Cause: Node::on_store_opened trusted all copies after board_wait_ms, whether or not the service had responded, because a router that has received the purge limits the age of copies. Routers do so for 7 s only: by then all caches should have dropped the copy. The node had never received the purge.

A node with board_wait_ms 0 serves the purged copy on the first request: CacheNodeTest.ServesNoCopyFromBeforeItsStartUntilTheDiscoveryServiceResponds was run without the change and failed so.

Why it works: only the first page ends the distrust. Until then such copies are misses and are filled from a source. board_wait_ms still ends the time in which an unknown source is a miss, and logs a warning.

--- a/src/cache_node/node.cpp
+++ b/src/cache_node/node.cpp
@@ -96,17 +96,28 @@
   server_.listen(*transport::parse_address(options_.listen));
   if (discovery_) {
     core_.distrust_copies_before(store_.unix_ms());
+    core_.set_awaiting_sources(true);
   }
   store_.open([this] { on_store_opened(); });
   scheduler_.spawn(report_periodically());
 }
 
 // Polls the discovery service from its first event on: the endpoint list is not stored across restarts, and
-// the node may have missed purge events while it was down. Receiving a purge event again changes nothing.
+// the node may have missed purge events while it was down. Receiving a purge event again changes nothing. No
+// time without a response makes the copies from before the start safe to serve: routers stop limiting the age
+// of a purged object once all caches should have dropped it.
 void Node::on_store_opened() {
   if (discovery_) {
     discovery_->start();
-    scheduler_.at(Clock::now() + milliseconds(options_.board_wait_ms), [this] { core_.trust_all_copies(); });
+    scheduler_.at(Clock::now() + milliseconds(options_.board_wait_ms), [this] { on_board_wait_over(); });
+  }
+}
+
+void Node::on_board_wait_over() {
+  core_.set_awaiting_sources(false);
+  if (!discovery_received_) {
+    log_line(Level::kWarning) << "the discovery service has not responded since the start: copies from "
+                                 "before it count as missing";
   }
 }
 
@@ -138,6 +149,7 @@
     log_line(Level::kInfo) << "received discovery events up to " << last_sequence_;
   }
   core_.trust_all_copies();
+  core_.set_awaiting_sources(false);
 }
 
 // Updates the addresses of sources and drops the connections to those that are gone or have moved.
--- a/src/cache_node/node.h
+++ b/src/cache_node/node.h
@@ -74,6 +74,7 @@
   void on_fetch_result(FillNumber fill, const FetchResult& result);
   void set_timer();
   void on_store_opened();
+  void on_board_wait_over();
   transport::Task<void> report_periodically();
 
   transport::Scheduler& scheduler_;
--- a/src/cache_node/node_core.cpp
+++ b/src/cache_node/node_core.cpp
@@ -49,7 +49,7 @@
   requests_.emplace(number, std::move(request));
   if (!known) {
     reject(number, AnswerCode::kError, Note::kNone, "unknown_class", out);
-  } else if (!source.empty() && !knows_source_(source) && distrusted_before_ms_ != INT64_MIN) {
+  } else if (!source.empty() && !knows_source_(source) && awaiting_sources_) {
     // The endpoint list has not been received yet, and the source may be on it: a miss, not an error.
     reject(number, AnswerCode::kMiss, Note::kSourceUnreachable, "source_not_known_yet", out);
   } else if (!source.empty() && !knows_source_(source)) {
@@ -84,6 +84,14 @@
          within_age_limit(now, request, copy.origin_time_ms);
 }
 
+bool NodeCore::purges_known(const Request& request, const Copy& copy) const {
+  return request.fields.age_limit_ms > 0 || copy.origin_time_ms > distrusted_before_ms_;
+}
+
+bool NodeCore::servable(const EventContext& now, const Request& request, const Copy& copy) const {
+  return purges_known(request, copy) && usable(now, request, copy);
+}
+
 void NodeCore::on_lookup_result(const EventContext& now, RequestNumber number, const store::ReadResult& found,
                                 std::vector<Action>& out) {
   const auto at = requests_.find(number);
@@ -101,9 +109,7 @@
   }
   if (complete) {
     const Copy& copy = found.copy;
-    // See distrust_copies_before().
-    const bool trusted = request.fields.age_limit_ms > 0 || copy.origin_time_ms > distrusted_before_ms_;
-    if (trusted && usable(now, request, copy)) {
+    if (servable(now, request, copy)) {
       const std::int64_t fresh_ms = or_unlimited(request.rule.fresh_ms);
       const bool stale = now.unix_ms - copy.origin_time_ms > fresh_ms;
       ++counts_.hits;
@@ -125,8 +131,7 @@
     Copy copy;
     copy.origin_time_ms = found.partial->origin_time_ms;
     copy.group = found.partial->group;
-    const bool trusted = request.fields.age_limit_ms > 0 || copy.origin_time_ms > distrusted_before_ms_;
-    if (trusted && usable(now, request, copy) && !request.fields.range) {
+    if (servable(now, request, copy) && !request.fields.range) {
       fill(now, number, found.partial, out);
       return;
     }
--- a/src/cache_node/node_core.h
+++ b/src/cache_node/node_core.h
@@ -178,6 +178,9 @@
   void distrust_copies_before(std::int64_t started_unix_ms) { distrusted_before_ms_ = started_unix_ms; }
   void trust_all_copies() { distrusted_before_ms_ = INT64_MIN; }
 
+  // Sets whether the list of sources is still expected, so that an unknown source is a miss and not an error.
+  void set_awaiting_sources(bool awaiting) { awaiting_sources_ = awaiting; }
+
   // Returns the number of open requests.
   std::size_t open_requests() const { return requests_.size(); }
   std::size_t fills() const { return fills_.size(); }
@@ -220,6 +223,11 @@
   std::int64_t age_limit(const Request& request) const;
   bool within_age_limit(const EventContext& now, const Request& request, std::int64_t origin_time_ms) const;
   bool usable(const EventContext& now, const Request& request, const store::Copy& copy) const;
+  // Returns whether the purges that could exclude a stored copy are known here or to the sender of the request;
+  // see distrust_copies_before().
+  bool purges_known(const Request& request, const store::Copy& copy) const;
+  // Returns whether a stored copy may answer the request.
+  bool servable(const EventContext& now, const Request& request, const store::Copy& copy) const;
   void serve_copy(const EventContext& now, RequestNumber number, const store::Copy& copy, Note note,
                   std::int64_t waited_ms, std::vector<Action>& out);
   // Joins a fill in progress or starts one. Without a source the request is a miss, beyond a limit BUSY.
@@ -262,6 +270,7 @@
   std::size_t bytes_ = 0;                                             // counted for fills in progress
   std::set<std::pair<std::string, std::string>> reported_too_large_;  // item and chunk
   std::int64_t distrusted_before_ms_ = INT64_MIN;
+  bool awaiting_sources_ = false;
   NodeCounts counts_;
 };
 
--- a/tests/cache_node_test.cpp
+++ b/tests/cache_node_test.cpp
@@ -377,6 +377,47 @@
   EXPECT_GT(from_disk, 200) << "most rounds serve copies from disk";
 }
 
+// Guards against a restarted node that serves copies from before a purge because the discovery service has not
+// responded for some time.
+TEST_F(CacheNodeTest, ServesNoCopyFromBeforeItsStartUntilTheDiscoveryServiceResponds) {
+  DiscoveryStandIn board;
+  json config_of = config();
+  config_of["cache"]["board"] = board.address();
+  config_of["cache"]["board_wait_ms"] = 0;
+  NodeProgram node(config_of);
+  ASSERT_TRUE(node.await_log("received discovery events", 1)) << node.log();
+  for (int i = 0; i < 4; ++i) {
+    const std::optional<ReceivedAnswer> answer = Peer(node.port()).request("f", fields(item_of(i % 2)));
+    ASSERT_TRUE(answer.has_value());
+    expect_version_of(*answer, item_of(i % 2));
+  }
+  ASSERT_EQ(node.terminate(), 0) << "its copies are on disk";
+  version_ = 2;
+  board.post({{"flush", {{"asset", item_of(0)}, {"ms", unix_ms()}}}});
+  const std::uint16_t port = board.port();
+  board.stop();
+  node.start();
+  ASSERT_TRUE(node.await_log("disk tier open", 2)) << node.log();
+  Peer peer(node.port());
+  for (int i = 0; i < 100; ++i) {
+    const std::optional<ReceivedAnswer> answer =
+        peer.request("o" + std::to_string(i), fields(item_of(0), ""));
+    ASSERT_TRUE(answer.has_value());
+    ASSERT_EQ(answer->code, "MISS") << "request " << i << " got a copy from before its purge";
+  }
+  EXPECT_TRUE(node.await_log("the discovery service has not responded since the start", 1));
+  const std::optional<ReceivedAnswer> filled = peer.request("n", fields(item_of(0)));
+  ASSERT_TRUE(filled.has_value());
+  ASSERT_EQ(filled->code, "OK");
+  EXPECT_EQ(filled->body, bytes_of(item_of(0), 2)) << "a source answers instead";
+  board.start(port);
+  ASSERT_TRUE(node.await_log("received discovery events", 2)) << node.log();
+  const std::optional<ReceivedAnswer> kept = peer.request("k", fields(item_of(1), ""));
+  ASSERT_TRUE(kept.has_value());
+  ASSERT_EQ(kept->code, "OK") << "a copy from disk that was not purged";
+  EXPECT_EQ(kept->body, bytes_of(item_of(1), 1));
+}
+
 // The file operation of a folder at which the process kills itself.
 struct KillPoint {
   int step = 0;   // number of the operation
