Cache node: an age limit as long as the lifetime is no knowledge of a purge

Callers would see: in a class with a lifetime, a node that comes back while the discovery service is down serves a copy from before a purge that it missed, from its start on.

Cause: until discovery has responded, NodeCore serves copies from before the start to requests with an age limit, as a sign that the sender knows of the purge. Routers always send the lifetime of such a class as the limit (PurgeFloors::max_age).

--- a/tests/node_core_test.cpp
+++ b/tests/node_core_test.cpp
@@ -368,6 +368,29 @@
   EXPECT_EQ(answer_to(3).code, AnswerCode::kOk);
 }
 
+// Guards against copies from before a missed purge that a restarted node serves in a class with a lifetime:
+// routers send that lifetime as the age limit, whether they know of a purge or not.
+TEST_F(NodeCoreTest, TakesOnlyALimitBelowTheLifetimeForKnowledgeOfAPurge) {
+  core_.distrust_copies_before(kStartUnixMs + steady_ms_);
+  const Copy copy{"t", kStartUnixMs, 1, bytes("from before the start")};
+  ServeFields request = fields("a");
+  request.request_class = "menu";
+  RequestNumber number = 0;
+  for (const std::int64_t limit_ms : {0, 10'000, 15'000}) {
+    request.age_limit_ms = limit_ms;
+    request_stored(++number, request, copy);
+    EXPECT_TRUE(all<Answer>().empty()) << limit_ms;
+    EXPECT_EQ(all<Fetch>().size(), number) << limit_ms;
+  }
+  request.age_limit_ms = 9'999;
+  request_stored(++number, request, copy);
+  EXPECT_EQ(answer_to(number).code, AnswerCode::kOk);
+  core_.trust_all_copies();
+  request.age_limit_ms = 10'000;
+  request_stored(++number, request, copy);
+  EXPECT_EQ(answer_to(number).code, AnswerCode::kOk);
+}
+
 TEST_F(NodeCoreTest, MapsEachOutcomeOfTheSourceToItsAnswerAndNote) {
   struct Case {
     FetchResult result;
