Discovery client: accept responses that arrive after their call has timed out

Cause: DiscoveryClient::call gave a call up after the long-poll timeout and a grace, 2 s + 1 s, at every try, closed the connection and began again. An answer that takes longer was thrown away each time.

Why it works: a call that times out stays open for 8 s more, while the next one starts on another connection as before, so a dead connection is noticed as early as before; at most five wait. The page of an earlier call is ignored once a later one's was applied. While the service answers late, the next call starts 50 ms after the long-poll timeout, so that there is always one for an event to answer. The audit of relays, which also gave up after 1 s, waits as long. Start and end are logged.

--- a/src/program/configuration.cpp
+++ b/src/program/configuration.cpp
@@ -21,7 +21,7 @@
 
 constexpr std::int64_t kMinSockets = 64;
 constexpr std::int64_t kMinMemoryMb = 32;
-constexpr std::int64_t kReservedSockets = 16;  // standard streams, epoll, listener, discovery service, spare
+constexpr std::int64_t kReservedSockets = 16;  // standard streams, epoll, listener, calls to discovery, spare
 constexpr std::size_t kDefaultMaxOpenRequests = 4096;
 
 constexpr std::size_t kDefaultMemoryShare = 256U << 20U;  // bytes, without a memory limit
@@ -266,7 +266,8 @@
       .integer("board_linger_ms", &Tuning::board_linger_ms, "ms", IntegerRange{0, 5'000},
                "long-poll timeout that is requested of the discovery service")
       .integer("board_grace_ms", &Tuning::board_grace_ms, "ms", IntegerRange{10, 60'000},
-               "time after the long-poll timeout at which a poll of the discovery service has failed")
+               "time after the long-poll timeout at which a poll of the discovery service has failed; its "
+               "response is still accepted when it arrives later")
       .integer("board_pause_ms", &Tuning::board_pause_ms, "ms", IntegerRange{1, 60'000},
                "mean backoff after the first failed poll; doubles with each further failure")
       .integer("board_most_pause_ms", &Tuning::board_most_pause_ms, "ms", IntegerRange{1, 60'000},
--- a/src/program/start_support.cpp
+++ b/src/program/start_support.cpp
@@ -399,6 +399,7 @@
     out["to_relays"] = counts.to_relays;
     out["audits"] = counts.audits;
     out["failed"] = counts.failed;
+    out["late"] = counts.late;
     out["refused"] = counts.rejected;
   }
   if (relay_) {
--- a/src/routing/discovery_client.cpp
+++ b/src/routing/discovery_client.cpp
@@ -23,6 +23,10 @@
 constexpr int kStatusOk = 200;
 constexpr std::int64_t kMaxRetryAfterSeconds = 86'400;
 constexpr Micros kRelayCheckInterval = milliseconds(50);  // between two checks whether a relay can be polled
+constexpr std::size_t kMaxLateCalls = 5;                  // that have timed out and may still be answered
+// Replaces Options::response_grace while the service answers late: waiting longer for each response would only
+// delay the next call.
+constexpr Clock::duration kGraceOfLateService = milliseconds(50);
 
 std::int64_t unix_seconds() {
   return std::chrono::duration_cast<std::chrono::seconds>(std::chrono::system_clock::now().time_since_epoch())
@@ -168,6 +172,10 @@
   if (connection_) {
     connection_->close(ConnectionEnd::kDropped);
   }
+  for (const std::shared_ptr<http::ClientConnection>& late : late_connections_) {
+    late->close(ConnectionEnd::kDropped);
+  }
+  answers_late_ = false;
   server_changed_.notify();
   return true;
 }
@@ -186,22 +194,93 @@
   }
   const std::shared_ptr<http::ClientConnection> connection = connection_;
   const auto timeout_ms = std::chrono::duration_cast<milliseconds>(poll.long_poll_timeout).count();
-  const Clock::duration timeout =
-      poll.long_poll_timeout + (poll.relay ? options_.relay_grace : options_.response_grace);
   auto exchanging = exchange(
       connection,
       protocol::http::write_get(protocol::poll_path(listener_.last_sequence(), timeout_ms), to_string(to)),
-      timeout);
+      poll.long_poll_timeout + grace_of(poll));
   const std::optional<protocol::http::Response> response = co_await exchanging;
   if (response) {
-    co_return handle_response(*response, poll);
+    const CallOutcome outcome = handle_response(*response, poll);
+    if (!poll.relay && outcome.ok()) {
+      set_answers_late(false);
+    }
+    co_return outcome;
   }
   CallOutcome outcome{poll_result_of(*connection), Micros(0), error_of(*connection)};
-  connection->close(connection->malformed() ? ConnectionEnd::kMalformed : ConnectionEnd::kSilent);
+  if (outcome.result == PollResult::kTimeout && !poll.relay) {
+    connection_.reset();
+    expect_late_response(connection, poll);
+  } else {
+    connection->close(connection->malformed() ? ConnectionEnd::kMalformed : ConnectionEnd::kSilent);
+  }
   on_relay_failure(poll);
   co_return outcome;
 }
 
+// Returns how long after its long-poll timeout a call times out.
+Clock::duration DiscoveryClient::grace_of(const Poll& poll) const {
+  if (poll.relay) {
+    return options_.relay_grace;
+  }
+  return answers_late_ ? std::min(options_.response_grace, kGraceOfLateService) : options_.response_grace;
+}
+
+// ---- Late responses ----
+
+// Keeps a call that has timed out open for its response. If the calls were given up, a service whose every
+// response takes longer than the time-out would never deliver an event.
+void DiscoveryClient::expect_late_response(const std::shared_ptr<http::ClientConnection>& connection,
+                                           const Poll& poll) {
+  if (late_connections_.size() >= kMaxLateCalls) {
+    late_connections_.front()->close(ConnectionEnd::kSilent);
+    late_connections_.pop_front();
+  }
+  late_connections_.push_back(connection);
+  scheduler_.spawn(receive_late_response(connection, poll));
+}
+
+transport::Task<void> DiscoveryClient::receive_late_response(
+    std::shared_ptr<http::ClientConnection> connection, Poll poll) {
+  const Clock::time_point timed_out_at(poll.started + poll.long_poll_timeout);
+  auto receiving = http::ClientConnection::receive(connection, timed_out_at + options_.late_response_grace);
+  const std::optional<protocol::http::Response> response = co_await receiving;
+  const bool from_current_server = connection->peer() == server_;
+  std::erase(late_connections_, connection);
+  connection->close(response ? ConnectionEnd::kDropped : ConnectionEnd::kSilent);
+  if (response && from_current_server) {
+    on_late_response(*response, poll);
+  }
+}
+
+// Ignores the page if the page of a later call was applied before: its sequence number may be lower, which
+// must not be taken for a sequence reset.
+void DiscoveryClient::on_late_response(const protocol::http::Response& response, const Poll& poll) {
+  if (poll.started < newest_valid_poll_) {
+    return;
+  }
+  const CallOutcome outcome = handle_response(response, poll);
+  if (!outcome.ok()) {
+    return;
+  }
+  ++counts_.late;
+  log_outcome(outcome, std::nullopt);
+  poll_scheduler_.on_late_response();
+  set_answers_late(now() - poll.started >
+                   poll.long_poll_timeout + std::chrono::duration_cast<Micros>(options_.response_grace));
+}
+
+void DiscoveryClient::set_answers_late(bool late) {
+  if (std::exchange(answers_late_, late) == late) {
+    return;
+  }
+  if (late) {
+    log_line(Level::kWarning) << "discovery service " << to_string(server_)
+                              << " answers late: its events are applied when they arrive";
+  } else {
+    log_line(Level::kInfo) << "discovery service " << to_string(server_) << " answers in time again";
+  }
+}
+
 std::shared_ptr<http::ClientConnection> DiscoveryClient::connection_to(const transport::Address& address) {
   return http::ClientConnection::open(scheduler_, address, options_.connection, options_.response_bounds);
 }
@@ -274,8 +353,10 @@
               "last event " + std::to_string(parsed.last_sequence) + " is before the applied event " +
                   std::to_string(sequence_before)};
     case startup::PageVerdict::kReset:
+      newest_valid_poll_ = std::max(newest_valid_poll_, poll.started);
       return reset_sequence(parsed.last_sequence);
     case startup::PageVerdict::kApply:
+      newest_valid_poll_ = std::max(newest_valid_poll_, poll.started);
       break;
   }
   return apply_page(response, poll, page, parsed, age);
@@ -344,7 +425,7 @@
   auto exchanging = exchange(
       connection,
       protocol::http::write_get(protocol::poll_path(listener_.last_sequence(), 0), to_string(server_)),
-      options_.response_grace);
+      std::max(options_.response_grace, options_.late_response_grace));
   const std::optional<protocol::http::Response> response = co_await exchanging;
   connection->close(ConnectionEnd::kDropped);
   if (!response || response->status != kStatusOk) {
--- a/src/routing/discovery_client.h
+++ b/src/routing/discovery_client.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -33,8 +34,12 @@
  public:
   struct Options {
     startup::PollOptions polling;
-    // A call to the service times out this long after its long-poll timeout.
+    // A call to the service times out this long after its long-poll timeout: the next call starts, on another
+    // connection.
     transport::Clock::duration response_grace = std::chrono::milliseconds(1000);
+    // A response to a call that has timed out is still accepted until this long after its long-poll timeout.
+    // It should exceed the time after which an event counts as delivered.
+    transport::Clock::duration late_response_grace = std::chrono::milliseconds(8000);
     transport::Clock::duration relay_long_poll_timeout = std::chrono::milliseconds(100);
     transport::Clock::duration relay_grace = std::chrono::milliseconds(100);  // response_grace for relays
     // If the service sends no id, a sequence reset is assumed once all its sequence numbers have been lower
@@ -71,6 +76,7 @@
     std::uint64_t failed = 0;
     std::uint64_t rejected = 0;  // of the failed ones: those with a status other than 200
     std::uint64_t stale = 0;     // responses with a lower sequence number than the applied one
+    std::uint64_t late = 0;      // pages of the service that were accepted after their call had timed out
   };
 
   // `scheduler`, `listener` and `deployment` have to outlive this object, as has the selector of `relays`.
@@ -131,6 +137,11 @@
 
   // `poll` has to outlive the task.
   transport::Task<CallOutcome> call(const Poll& poll);
+  transport::Clock::duration grace_of(const Poll& poll) const;
+  void expect_late_response(const std::shared_ptr<http::ClientConnection>& connection, const Poll& poll);
+  transport::Task<void> receive_late_response(std::shared_ptr<http::ClientConnection> connection, Poll poll);
+  void on_late_response(const protocol::http::Response& response, const Poll& poll);
+  void set_answers_late(bool late);
   std::shared_ptr<http::ClientConnection> connection_to(const transport::Address& address);
   static transport::Task<std::optional<protocol::http::Response>> exchange(
       std::shared_ptr<http::ClientConnection> connection, std::string request,
@@ -160,8 +171,12 @@
   startup::PollScheduler poll_scheduler_;
   startup::SequenceTracker sequence_;
   Counts counts_;
-  bool page_applied_ = false;  // from the service or a relay
+  bool page_applied_ = false;     // from the service or a relay
+  Micros newest_valid_poll_{-1};  // latest start of a call whose page was valid and not outdated
+  bool answers_late_ = false;     // whether the last page of the service arrived after its call's time-out
   std::shared_ptr<http::ClientConnection> connection_;
+  // Of calls to the service that have timed out, whose response may still arrive; oldest first.
+  std::deque<std::shared_ptr<http::ClientConnection>> late_connections_;
 };
 
 }  // namespace trailcourse::routing
--- a/src/startup/poll_scheduler.h
+++ b/src/startup/poll_scheduler.h
@@ -49,6 +49,10 @@
   // Retry-After of the answer, 0 where it has none.
   ScheduledPoll next_poll(Micros started, Micros now, PollResult result, Micros retry_after);
 
+  // Records that the response to a poll arrived after the poll had counted as failed by kTimeout. Resets the
+  // count of failures.
+  void on_late_response() { failures_ = 0; }
+
   int consecutive_failures() const { return failures_; }
 
   // Returns whether only probes are scheduled, after `probe_after_failures` consecutive failures.
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -260,6 +260,32 @@
   EXPECT_EQ(answer->body, "from origin");
 }
 
+// Guards against calls that are given up before a slow discovery service has answered any of them: the router
+// would learn of no drain as long as it stays slow.
+TEST_F(CrossingsTest, StopsUsingDrainingCachesWhileEachResponseOfTheDiscoveryServiceIsLate) {
+  constexpr milliseconds kCountsAsDelivered{7'000};  // after an event is published
+  const std::vector<std::pair<std::string, milliseconds>> delays{
+      {"cache-a", milliseconds(1'100)}, {"cache-b", milliseconds(3'500)}, {"cache-c", milliseconds(5'000)}};
+  std::vector<json> entries{listed("origin-o", origin_.address(), "origin")};
+  for (const auto& [name, delay] : delays) {
+    entries.push_back(listed(name, cache_.address(), "std"));
+  }
+  board_.post(pool(entries, true));
+  start();
+  for (const auto& [name, delay] : delays) {
+    board_.delay_responses(delay);
+    const std::size_t before = board_.calls();
+    ASSERT_TRUE(board_.await_calls(before + 2)) << "the service is slow by now";
+    const auto posted = Steady::now();
+    board_.post(pool({listed(name, cache_.address(), "std", "draining")}, false));
+    ASSERT_TRUE(program_->await_log(name + " is draining")) << delay.count() << " ms";
+    EXPECT_LT(Steady::now() - posted, kCountsAsDelivered) << delay.count() << " ms";
+  }
+  EXPECT_TRUE(program_->await_log("answers late"));
+  board_.delay_responses(milliseconds(0));
+  EXPECT_TRUE(program_->await_log("answers in time again"));
+}
+
 TEST_F(CrossingsTest, StartsWhileTheDiscoveryServiceIsDownOrDoesNotAnswer) {
   list_cache(cache_);
   board_.stop_answering(1'000);
--- a/tests/stand_ins.cpp
+++ b/tests/stand_ins.cpp
@@ -277,6 +277,11 @@
   unanswered_calls_ = calls;
 }
 
+void DiscoveryStandIn::delay_responses(milliseconds delay) {
+  const std::lock_guard lock(mutex_);
+  delay_ = delay;
+}
+
 void DiscoveryStandIn::respond_with(const std::string& bytes) {
   {
     const std::lock_guard lock(mutex_);
@@ -348,6 +353,9 @@
       reply = !fixed_response_.empty()
                   ? fixed_response_
                   : "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(text.size()) + "\r\n\r\n" + text;
+      if (delay_ > milliseconds(0)) {
+        changed_.wait_for(lock, delay_, [this] { return stopping(); });
+      }
     }
     if (!send_all(socket, reply)) {
       return;
--- a/tests/stand_ins.h
+++ b/tests/stand_ins.h
@@ -121,6 +121,8 @@
   nlohmann::json known() const;
   // Leaves the next `calls` polls unanswered, with their connections open.
   void stop_answering(int calls);
+  // Sends each response this long after it was ready.
+  void delay_responses(std::chrono::milliseconds delay);
   // Answers each poll with these bytes, until it is called with an empty string.
   void respond_with(const std::string& bytes);
   std::size_t calls() const;
@@ -138,6 +140,7 @@
   std::vector<nlohmann::json> events_;
   std::string fixed_response_;
   int unanswered_calls_ = 0;
+  std::chrono::milliseconds delay_{0};
   std::size_t calls_ = 0;
   std::uint64_t last_polled_ = 0;
 };
