--- a/include/trailcourse/decider.h
+++ b/include/trailcourse/decider.h
@@ -295,8 +295,8 @@
 struct Fail {
   RequestId id = 0;
 };
-// Requests a TimerFired event with the same token after the delay. The event may be omitted once `request` has
-// its final answer or its client has left, so that the memory of timers depends on the open requests only.
+// Requests a TimerFired event with the same token after the delay. The caller may omit the event once
+// `request` has its final answer or its client has left: timers need memory for open requests only.
 struct SetTimer {
   TimerToken token = 0;
   Micros delay{0};
--- a/src/cache_node/node_core.cpp
+++ b/src/cache_node/node_core.cpp
@@ -84,8 +84,8 @@
          within_age_limit(now, request, copy.origin_time_ms);
 }
 
-// Routers always send the lifetime of the class as the limit, so only a shorter one shows that the sender knows
-// of a purge.
+// Routers always send the lifetime of the class as the limit, so only a shorter one shows that the sender
+// knows of a purge.
 bool NodeCore::purges_known(const Request& request, const Copy& copy) const {
   const std::int64_t limit_ms = request.fields.age_limit_ms;
   const bool limited_by_purge = limit_ms > 0 && limit_ms < or_unlimited(request.rule.fresh_ms);
--- a/src/cache_node/node_core.h
+++ b/src/cache_node/node_core.h
@@ -172,9 +172,9 @@
   // Returns the steady time at which tick() is needed next; nothing if nothing is pending.
   std::optional<std::int64_t> next_deadline_ms() const;
 
-  // Serves copies from before `started_unix_ms` only to requests with an age limit below the lifetime of their
-  // class, until trust_all_copies(). Needed after a start until purge events arrive: this node may have missed
-  // a purge while it was down, and a router that knows of the purge sends such a limit.
+  // Serves copies from before `started_unix_ms` only to requests with an age limit below the lifetime of
+  // their class, until trust_all_copies(). Needed after a start until purge events arrive: this node may have
+  // missed a purge while it was down, and a router that knows of the purge sends such a limit.
   void distrust_copies_before(std::int64_t started_unix_ms) { distrusted_before_ms_ = started_unix_ms; }
   void trust_all_copies() { distrusted_before_ms_ = INT64_MIN; }
 
@@ -223,8 +223,8 @@
   std::int64_t age_limit(const Request& request) const;
   bool within_age_limit(const EventContext& now, const Request& request, std::int64_t origin_time_ms) const;
   bool usable(const EventContext& now, const Request& request, const store::Copy& copy) const;
-  // Returns whether the purges that could exclude a stored copy are known here or to the sender of the request;
-  // see distrust_copies_before().
+  // Returns whether the purges that could exclude a stored copy are known here or to the sender of the
+  // request; see distrust_copies_before().
   bool purges_known(const Request& request, const store::Copy& copy) const;
   // Returns whether a stored copy may answer the request.
   bool servable(const EventContext& now, const Request& request, const store::Copy& copy) const;
--- a/src/routing/discovery_client.cpp
+++ b/src/routing/discovery_client.cpp
@@ -24,8 +24,8 @@
 constexpr std::int64_t kMaxRetryAfterSeconds = 86'400;
 constexpr Micros kRelayCheckInterval = milliseconds(50);  // between two checks whether a relay can be polled
 constexpr std::size_t kMaxLateCalls = 5;                  // that have timed out and may still be answered
-// Replaces Options::response_grace while the service answers late: waiting longer for each response would only
-// delay the next call.
+// Replaces Options::response_grace while the service answers late: waiting longer for each response would
+// only delay the next call.
 constexpr Clock::duration kGraceOfLateService = milliseconds(50);
 
 std::int64_t unix_seconds() {
--- a/tests/cache_node_test.cpp
+++ b/tests/cache_node_test.cpp
@@ -377,8 +377,8 @@
   EXPECT_GT(from_disk, 200) << "most rounds serve copies from disk";
 }
 
-// Guards against a restarted node that serves copies from before a purge because the discovery service has not
-// responded for some time.
+// Guards against a restarted node that serves copies from before a purge because the discovery service has
+// not responded for some time.
 TEST_F(CacheNodeTest, ServesNoCopyFromBeforeItsStartUntilTheDiscoveryServiceResponds) {
   DiscoveryStandIn board;
   json config_of = config();
