--- a/src/routing/discovery_client.cpp
+++ b/src/routing/discovery_client.cpp
@@ -241,8 +241,8 @@
 
 transport::Task<void> DiscoveryClient::receive_late_response(
     std::shared_ptr<http::ClientConnection> connection, Poll poll) {
-  const Clock::time_point timed_out_at(poll.started + poll.long_poll_timeout);
-  auto receiving = http::ClientConnection::receive(connection, timed_out_at + options_.late_response_grace);
+  const Clock::time_point long_poll_end(poll.started + poll.long_poll_timeout);
+  auto receiving = http::ClientConnection::receive(connection, long_poll_end + options_.late_response_grace);
   const std::optional<protocol::http::Response> response = co_await receiving;
   const bool from_current_server = connection->peer() == server_;
   std::erase(late_connections_, connection);
