--- a/src/decision/failure_attribution.cpp
+++ b/src/decision/failure_attribution.cpp
@@ -33,8 +33,6 @@
 }
 
 void FailureAttribution::on_failure(Attempt& attempt, const AttemptEnded& ended) {
-  attempt.unreachable = ended.status == Status::kReset || ended.status == Status::kConnectFailed ||
-                        ended.note == Note::kSourceUnreachable;
   if (implicates_source(ended.note)) {
     penalise_source(attempt, ended.note);
     return;
--- a/src/decision/fill_window.cpp
+++ b/src/decision/fill_window.cpp
@@ -34,21 +34,7 @@
                                          (age.count() > 0 && context_.now - entry->cached_since > age));
 }
 
-// Returns whether the next attempt takes the place of a fill that was admitted and lost its target or source.
-// Together they reserve no more than was admitted, and a node that is down is no sign of too many fills. A fill
-// that failed late may have been held up by too many fills, so it gives up its place.
-bool FillWindow::replaces_admitted_fill(const Request& request) const {
-  if (request.attempts.empty()) {
-    return false;
-  }
-  const Attempt& last = request.attempts.back();
-  return last.done && last.unreachable && last.fill_work > 0.0 && latency_.on_time(request);
-}
-
 bool FillWindow::exceeded_by(const Request& request) {
-  if (replaces_admitted_fill(request)) {
-    return false;
-  }
   const double cost = shedding_.fill_window_work(request) + LatencyModel::kOverhead;
   const double available = window_ * offered() - reserved_;
   return idempotency_.may_reject(request) && available < cost &&
--- a/src/decision/fill_window.h
+++ b/src/decision/fill_window.h
@@ -37,9 +37,8 @@
   // cache gave the last answer, or the copy may no longer answer.
   bool probable_miss(const Request& request, int cache) const;
 
-  // Returns whether a fill for the request does not fit the window. A fill that replaces an admitted one fits.
-  // May draw a random number: a fill larger than an empty window is admitted with a probability, so that
-  // recovery is noticed.
+  // Returns whether a fill for the request does not fit the window. May draw a random number: a fill larger
+  // than an empty window is admitted with a probability, so that recovery is noticed.
   bool exceeded_by(const Request& request);
 
   // Returns what a fill for the request reserves in the window, in seconds of sending.
@@ -56,7 +55,6 @@
 
  private:
   double offered() const;
-  bool replaces_admitted_fill(const Request& request) const;
   bool concerns_fill(const Request& request, const Attempt& attempt, const AttemptEnded& ended) const;
   void adapt(const Attempt& attempt, bool good);
 
--- a/src/decision/request.h
+++ b/src/decision/request.h
@@ -24,7 +24,6 @@
   bool revoked = false;       // may_begin() returned false, which is no failure of its target
   bool node_trial = false;    // it is the trial of an ejected target
   bool source_trial = false;  // it is the trial of an ejected source
-  bool unreachable = false;   // its target or source could not be reached, or broke the connection
   bool avoid_node = false;    // the request makes no further attempt at this target
   bool avoid_source = false;  // the request makes no further attempt with this source
 
--- a/tests/decision/fill_window_test.cpp
+++ b/tests/decision/fill_window_test.cpp
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <cstddef>
-#include <utility>
 #include <vector>
 
 #include "decision/decision_fixture.h"
@@ -121,46 +120,5 @@
   }
 }
 
-// Starts fills for 20 requests and ends all of them after `delay`, as a killed node does. Returns how many
-// requests started with a fill, and how many of these were retried with one.
-std::pair<int, int> retry_broken_fills(Micros delay, Status status, Note note) {
-  TestRouter router;
-  router.receive_list(default_endpoints());
-  std::vector<RequestId> admitted;
-  for (RequestId id = 1; id <= 20; ++id) {
-    router.request(id, kVideo, id);
-    if (may_fill(router.sends[id].at(0))) {
-      admitted.push_back(id);
-    }
-  }
-  router.now += delay;
-  int retried = 0;
-  for (const RequestId id : admitted) {
-    const auto after = router.end_attempt(id, 0, status, note);
-    retried += count<SendAttempt>(after) == 1 && may_fill(router.sends[id][1]) ? 1 : 0;
-  }
-  return {static_cast<int>(admitted.size()), retried};
-}
-
-// Guards against requests that are rejected although a cache and the origin run: their fills were admitted, the
-// source was killed, and the first failures shrank the window that the retries had to fit.
-TEST(FillWindow, ARetryTakesThePlaceOfAnAdmittedFillWhoseNodeBroke) {
-  for (const auto& [status, note] :
-       {std::pair{Status::kNotCached, Note::kSourceUnreachable}, std::pair{Status::kReset, Note::kNone},
-        std::pair{Status::kConnectFailed, Note::kNone}}) {
-    const auto [admitted, retried] = retry_broken_fills(milliseconds(350), status, note);
-    EXPECT_EQ(admitted, 20);
-    EXPECT_EQ(retried, admitted) << static_cast<int>(status);
-  }
-}
-
-// Guards against retries of fills that were held up by too many fills: they would keep the window full.
-TEST(FillWindow, ARetryAfterALateFailureHasToFitTheWindow) {
-  const auto [admitted, retried] =
-      retry_broken_fills(seconds(2), Status::kNotCached, Note::kSourceUnreachable);
-  EXPECT_EQ(admitted, 20);
-  EXPECT_LT(retried, admitted);
-}
-
 }  // namespace
 }  // namespace trailcourse::decision_testing
