Log: never wait for the reader of standard error

The thread that decides wrote its log lines with a blocking write, and a bad client can cause 200 lines a second. With a pipe whose reader is behind, the router would stand still until it reads.

Change: a line goes to standard error only where poll() says that it is writable (a pipe that is writable takes PIPE_BUF bytes, lines are cut to that); else it is counted as omitted, and the next line says how many were.

Test: Log.OmitsLinesWhileTheReaderOfStandardErrorIsBehind; before the change its first line waits for ever (read, not run). set_log_stream takes a pointer, null for standard error.

--- a/src/transport/log.h
+++ b/src/transport/log.h
@@ -19,30 +19,31 @@
 // Sets the level below which lines are not written. Initially kInfo.
 void set_log_level(Level min_level);
 
-// Sets the stream that lines are written to, initially std::clog. The stream has to outlive its use.
-void set_log_stream(std::ostream& out);
+// Sets the stream that lines are written to; null, as initially: standard error. A line for standard error is
+// omitted where its reader is behind, so that logging never waits. The stream has to outlive its use.
+void set_log_stream(std::ostream* out);
 bool log_enabled(Level level);
 
-// One log line, which is written when the object is destroyed. The number of lines per second is limited.
+// One log line, which is written when the object is destroyed. The number of lines per second is limited; the
+// next line that is written says how many were omitted.
 class LogLine {
  public:
-  explicit LogLine(Level level) : level_(level), enabled_(log_enabled(level)) {}
+  explicit LogLine(Level level);
   LogLine(const LogLine&) = delete;
   LogLine& operator=(const LogLine&) = delete;
   ~LogLine();
 
   template <typename Value>
   LogLine& operator<<(const Value& value) {
-    if (enabled_) {
-      text_ << value;
+    if (text_) {
+      *text_ << value;
     }
     return *this;
   }
 
  private:
   Level level_;
-  bool enabled_;
-  std::ostringstream text_;
+  std::optional<std::ostringstream> text_;  // nothing: the line is not written
 };
 
 inline LogLine log_line(Level level) { return LogLine(level); }
--- a/tests/transport_test.cpp
+++ b/tests/transport_test.cpp
@@ -1,9 +1,11 @@
 // Tests of the scheduler, connections and the connection pool, over loopback.
+#include <fcntl.h>
 #include <gtest/gtest.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <functional>
 #include <memory>
 #include <stdexcept>
@@ -91,14 +93,14 @@
 TEST(Scheduler, AFailedTaskOrJobDoesNotAffectOthers) {
   Scheduler scheduler;
   std::ostringstream log;
-  set_log_stream(log);
+  set_log_stream(&log);
   std::string out;
   scheduler.spawn(fail_after_yield(scheduler));
   scheduler.post([] { throw std::runtime_error("in a job"); });
   scheduler.at(Clock::now(), [] { throw 5; });
   scheduler.spawn(collect(scheduler, out));
   run_until(scheduler, [&] { return out.size() > 1; });
-  set_log_stream(std::clog);
+  set_log_stream(nullptr);
   EXPECT_NE(log.str().find("error a task or job failed: scripted"), std::string::npos);
   EXPECT_NE(log.str().find("in a job"), std::string::npos);
 }
@@ -160,10 +162,10 @@
 
 TEST(Log, WritesNoLinesBelowTheLevel) {
   std::ostringstream log;
-  set_log_stream(log);
+  set_log_stream(&log);
   log_line(Level::kDebug) << "hidden";
   log_line(Level::kWarning) << "shown " << 5;
-  set_log_stream(std::clog);
+  set_log_stream(nullptr);
   EXPECT_EQ(log.str().find("hidden"), std::string::npos);
   EXPECT_NE(log.str().find("warning shown 5\n"), std::string::npos);
   EXPECT_EQ(parse_level("error"), Level::kError);
@@ -172,17 +174,43 @@
 
 TEST(Log, OmitsLinesAboveTheMaxPerSecond) {
   std::ostringstream log;
-  set_log_stream(log);
+  set_log_stream(&log);
   for (int i = 0; i < 2000; ++i) {
     log_line(Level::kWarning) << "malformed";
   }
-  set_log_stream(std::clog);
+  set_log_stream(nullptr);
   const std::string text = log.str();
   const auto lines = std::count(text.begin(), text.end(), '\n');
   EXPECT_GT(lines, 0);
   EXPECT_LE(lines, 800) << "at most 200 lines per second, over a few seconds on a slow machine";
 }
 
+// Guards against a log that makes the thread that decides wait for its reader.
+TEST(Log, OmitsLinesWhileTheReaderOfStandardErrorIsBehind) {
+  std::array<int, 2> ends{};
+  ASSERT_EQ(::pipe2(ends.data(), O_CLOEXEC | O_NONBLOCK), 0);
+  const Descriptor reader(ends[0]);
+  const Descriptor writer(ends[1]);
+  const std::string filler(4'096, 'f');
+  while (::write(writer.get(), filler.data(), filler.size()) > 0) {
+  }
+  ::fcntl(writer.get(), F_SETFL, 0);  // a write to the full pipe would wait
+  const Descriptor standard_error(::dup(STDERR_FILENO));
+  ASSERT_EQ(::dup2(writer.get(), STDERR_FILENO), STDERR_FILENO);
+  log_line(Level::kWarning) << "first";
+  log_line(Level::kWarning) << "second";
+  std::string text(1U << 20U, '\0');
+  const ssize_t filled = ::read(reader.get(), text.data(), text.size());
+  log_line(Level::kWarning) << "third";
+  const ssize_t count = ::read(reader.get(), text.data(), text.size());
+  ASSERT_EQ(::dup2(standard_error.get(), STDERR_FILENO), STDERR_FILENO);
+  EXPECT_GT(filled, 0);
+  ASSERT_GT(count, 0);
+  text.resize(static_cast<std::size_t>(count));
+  EXPECT_EQ(text.find("first"), std::string::npos);
+  EXPECT_NE(text.find("third (2 lines before this one were omitted)\n"), std::string::npos) << text;
+}
+
 // Records the events of a connection.
 class RecordingHandler : public Connection::Handler {
  public:
@@ -450,13 +478,13 @@
 
 TEST_F(ConnectionTest, EndsTheConnectionOfAHandlerThatThrows) {
   std::ostringstream log;
-  set_log_stream(log);
+  set_log_stream(&log);
   events_.throws = true;
   const auto connection = connect();
   Descriptor peer = accept();
   ASSERT_EQ(::send(peer.get(), "x", 1, MSG_NOSIGNAL), 1);
   await_end();
-  set_log_stream(std::clog);
+  set_log_stream(nullptr);
   EXPECT_EQ(events_.ends[0], ConnectionEnd::kMalformed);
 }
 
