--- a/include/trailcourse/decider.h
+++ b/include/trailcourse/decider.h
@@ -326,6 +326,9 @@
   // ended with kNotSent. Throws std::out_of_range if the request is open and has no such attempt.
   bool may_begin(Micros now, RequestId id, int attempt);
 
+  // Returns the memory of the tables that grow with what requests name, in bytes. Their size is bounded.
+  std::size_t table_bytes() const;
+
  private:
   class Impl;
   std::unique_ptr<Impl> impl_;
--- a/src/decision/decider.cpp
+++ b/src/decision/decider.cpp
@@ -52,6 +52,7 @@
   }
 
   bool may_begin(Micros now, RequestId id, int index);
+  std::size_t table_bytes() const { return objects_.memory_bytes(); }
 
  private:
   void on(const EndpointListReceived& list);
@@ -388,4 +389,6 @@
 }
 bool Decider::may_begin(Micros now, RequestId id, int attempt) { return impl_->may_begin(now, id, attempt); }
 
+std::size_t Decider::table_bytes() const { return impl_->table_bytes(); }
+
 }  // namespace trailcourse
--- a/src/decision/lru_map.h
+++ b/src/decision/lru_map.h
@@ -39,6 +39,14 @@
     return found == positions_.end() ? nullptr : &found->second->value;
   }
 
+  // Returns the memory of the entries, in bytes, without what the values themselves allocate.
+  std::size_t memory_bytes() const {
+    constexpr std::size_t kAllocationBytes = 16;  // of the allocator for each block
+    constexpr std::size_t kListNode = sizeof(Entry) + 2 * sizeof(void*) + kAllocationBytes;
+    constexpr std::size_t kHashNode = sizeof(Key) + 4 * sizeof(void*) + kAllocationBytes;
+    return entries_.size() * (kListNode + kHashNode);
+  }
+
  private:
   struct Entry {
     Key key;
--- a/src/program/configuration.cpp
+++ b/src/program/configuration.cpp
@@ -321,6 +321,18 @@
   return memory_mb == 0 ? kDefaultMemoryShare : static_cast<std::size_t>(available / divisor);
 }
 
+memory::MemoryAccount::Limits Configuration::memory_limits() const {
+  using memory::MemoryUse;
+  memory::MemoryAccount::Limits limits;
+  limits.total = memory_share(1);
+  limits[MemoryUse::kPartialRequests] = max_partial_bytes();
+  limits[MemoryUse::kOpenRequests] = max_open_bytes();
+  limits[MemoryUse::kPartialResponses] = max_response_bytes();
+  // New requests are rejected from half of this on; answers to those that are open still come.
+  limits[MemoryUse::kAnswers] = 2 * max_unsent_bytes();
+  return limits;
+}
+
 milliseconds Configuration::drain_timeout() const {
   milliseconds longest(0);
   for (const ClassSettings& request_class : deployment.settings.classes) {
--- a/src/program/configuration.h
+++ b/src/program/configuration.h
@@ -11,6 +11,7 @@
 
 #include "config/record.h"
 #include "coordination/options.h"
+#include "memory/memory_account.h"
 #include "program/start_options.h"
 #include "protocol/discovery_page.h"
 #include "protocol/settings.h"
@@ -80,6 +81,8 @@
   std::size_t max_response_bytes() const { return memory_share(4); }
   // Returns the maximum bytes of partially received requests.
   std::size_t max_partial_bytes() const { return memory_share(8); }
+  // Returns the limits of the memory that clients can make the router hold.
+  memory::MemoryAccount::Limits memory_limits() const;
   // Returns 1/`divisor` of the memory limit, less the memory of the program itself.
   std::size_t memory_share(std::int64_t divisor) const;
   // Returns the maximum number of client connections.
--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -7,9 +7,11 @@
 #include <cerrno>
 #include <chrono>
 #include <csignal>
+#include <memory>
 #include <system_error>
 #include <utility>
 
+#include "memory/memory_account.h"
 #include "program/descriptors.h"
 #include "program/fleet_work.h"
 #include "program/signals.h"
@@ -42,6 +44,7 @@
 constexpr milliseconds kDefaultConnectTimeout{1'000};  // if the settings have none
 constexpr milliseconds kDefaultIdleTime{15'000};
 constexpr int kDefaultStreams = 32;
+constexpr std::size_t kClientReadBytes = 16U << 10U;  // of one turn of a client connection
 
 // Sets a limit of lingering connections that all connections with these bounds share.
 void set_linger_limit(transport::Connection::Bounds& bounds, const Configuration& configuration) {
@@ -50,7 +53,10 @@
   bounds.lingering->max = configuration.max_lingering();
 }
 
-routing::CacheClient::Bounds cache_bounds(const Configuration& configuration, const StartSupport& start) {
+using SharedMemoryAccount = std::shared_ptr<memory::MemoryAccount>;
+
+routing::CacheClient::Bounds cache_bounds(const Configuration& configuration, const StartSupport& start,
+                                          const SharedMemoryAccount& memory) {
   const protocol::DeploymentSettings& deployment = configuration.deployment;
   const Tuning& tuning = configuration.tuning;
   routing::CacheClient::Bounds bounds;
@@ -69,26 +75,27 @@
   set_linger_limit(bounds.pool.connection, configuration);
   bounds.silent_after = milliseconds(tuning.cache_silent_ms);
   bounds.stall_after = milliseconds(tuning.cache_stall_ms);
-  bounds.max_partial_bytes = configuration.max_response_bytes();
+  bounds.memory = memory;
   bounds.answers.last_bytes = static_cast<std::size_t>(tuning.answer_bytes);
   return bounds;
 }
 
-routing::Router::Bounds router_bounds(const Configuration& configuration) {
+routing::Router::Bounds router_bounds(const Configuration& configuration, const SharedMemoryAccount& memory) {
   routing::Router::Bounds bounds;
   bounds.open = configuration.max_open_requests();
-  bounds.bytes = configuration.max_open_bytes();
+  bounds.memory = memory;
   bounds.request_bytes = static_cast<std::size_t>(configuration.tuning.open_request_bytes);
   return bounds;
 }
 
-routing::FastCgiServer::Bounds server_bounds(const Configuration& configuration) {
+routing::FastCgiServer::Bounds server_bounds(const Configuration& configuration,
+                                             const SharedMemoryAccount& memory) {
   const Tuning& tuning = configuration.tuning;
   routing::FastCgiServer::Bounds bounds;
   bounds.client_lead = milliseconds(tuning.client_lead_ms);
   bounds.backlog = static_cast<int>(tuning.listen_backlog);
   bounds.max_unsent_bytes = configuration.max_unsent_bytes();
-  bounds.max_partial_bytes = configuration.max_partial_bytes();
+  bounds.memory = memory;
   bounds.record_bytes = static_cast<std::size_t>(tuning.answer_record_bytes);
   bounds.max_clients = configuration.max_clients();
   bounds.max_unread_answers = static_cast<std::size_t>(tuning.client_untaken_answers);
@@ -100,6 +107,8 @@
   bounds.connection.low_mark = static_cast<std::size_t>(tuning.write_low_mark);
   bounds.connection.send_buffer = static_cast<int>(tuning.client_send_buffer);
   bounds.connection.end_on_hang_up = true;
+  bounds.connection.read_bytes = kClientReadBytes;
+  bounds.connection.background = true;
   set_linger_limit(bounds.connection, configuration);
   return bounds;
 }
@@ -184,15 +193,30 @@
   }
 }
 
-// Adds the status of owned work and policy to the JSON object `start_status`, which may be empty.
-std::string status_with_work(const std::string& start_status, const FleetWork& work) {
+nlohmann::json memory_status(const memory::MemoryAccount& memory) {
+  nlohmann::json used = nlohmann::json::object();
+  for (std::size_t i = 0; i < memory::kMemoryUses; ++i) {
+    const auto use = static_cast<memory::MemoryUse>(i);
+    used[std::string(to_string(use))] = memory.used(use);
+  }
+  return {
+      {"used", used}, {"total", memory.total()}, {"peak", memory.peak()}, {"limit", memory.limits().total}};
+}
+
+// Adds the status of owned work and policy to the JSON object `start_status`, which may be empty, and that of
+// the memory account if `memory` is not null.
+std::string full_status(const std::string& start_status, const FleetWork& work,
+                        const memory::MemoryAccount* memory) {
   const std::string owned = work.work_status();
   const std::string policy = work.policy_status();
-  if (owned.empty() && policy.empty()) {
+  if (owned.empty() && policy.empty() && memory == nullptr) {
     return start_status;
   }
   nlohmann::json out = nlohmann::json::parse(start_status, nullptr, false);
   out = out.is_object() ? out : nlohmann::json::object();
+  if (memory != nullptr) {
+    out["memory"] = memory_status(*memory);
+  }
   if (!owned.empty()) {
     out["work"] = nlohmann::json::parse(owned, nullptr, false);
   }
@@ -221,36 +245,41 @@
   Signals signals(scheduler);
   const routing::DeciderClock clock;
   Decider decider(deployment.settings, configuration.seed);
+  const auto memory = std::make_shared<memory::MemoryAccount>(configuration.memory_limits());
+  memory::MemoryCharge objects_charge(*memory, memory::MemoryUse::kObjects);
   StartSupport start(scheduler, configuration);
   routing::Router router(
       scheduler, clock, deployment.settings,
-      [&decider, &start](Micros now, const Event& event, std::vector<Action>& out) {
+      [&decider, &start, &objects_charge](Micros now, const Event& event, std::vector<Action>& out) {
         std::vector<Event> due;
         start.collect_due_events(now, due);
         for (const Event& due_event : due) {
           decider.handle(now, due_event, out);
         }
         decider.handle(now, event, out);
+        objects_charge.set(decider.table_bytes());
       },
-      router_bounds(configuration));
+      router_bounds(configuration, memory));
   router.set_send_check([&decider](Micros now, RequestId request, int attempt) {
     return decider.may_begin(now, request, attempt);
   });
   routing::EndpointDirectory directory;
   routing::CacheClient caches(scheduler, router, directory, deployment.report_fields,
-                              cache_bounds(configuration, start));
+                              cache_bounds(configuration, start, memory));
   router.set_upstream(caches);
   routing::DiscoveryUpdateHandler update_handler(router, directory,
                                                  [&caches](const std::string& name) { caches.drop(name); });
   start.initialize(router, update_handler);
   FleetWork work(scheduler, configuration, router, directory);
   routing::FastCgiServer server(
-      scheduler, router, deployment.settings, deployment.class_index, server_bounds(configuration),
+      scheduler, router, deployment.settings, deployment.class_index, server_bounds(configuration, memory),
       [&update_handler, &start, &work] {
         return update_handler.has_ready_endpoint() && start.ready() && work.ready();
       },
       [&caches] { return caches.close_one_idle(); });
-  server.set_status_source([&start, &work] { return status_with_work(start.status(), work); });
+  server.set_status_source([&start, &work, &memory](bool traced) {
+    return full_status(start.status(), work, traced ? memory.get() : nullptr);
+  });
   server.listen(configuration.listen);
   start.listen();
   routing::DiscoveryClient::Hooks hooks = start.discovery_hooks();
--- a/src/routing/cache_client.cpp
+++ b/src/routing/cache_client.cpp
@@ -1,6 +1,7 @@
 #include "routing/cache_client.h"
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 #include <variant>
 
@@ -40,7 +41,11 @@
 }  // namespace
 
 CacheConnection::CacheConnection(CacheClient& client, const std::weak_ptr<Pool::Slot>& slot)
-    : client_(client), slot_(slot), parser_(client.bounds_.answers) {}
+    : client_(client),
+      slot_(slot),
+      parser_(client.bounds_.answers),
+      retired_ids_charge_(*client.bounds_.memory, memory::MemoryUse::kCallIds),
+      charge_(*client.bounds_.memory, memory::MemoryUse::kPartialResponses) {}
 
 void CacheConnection::send(const AttemptKey& key, const protocol::ForwardedRequest& request,
                            std::string command, bool streaming) {
@@ -105,7 +110,9 @@
 // Prevents further attempts with this id on this connection, since a late answer to the old attempt would be
 // taken for the answer to the new one.
 void CacheConnection::retire_id(const std::string& id) {
-  retired_ids_.insert(id);
+  const std::size_t hash = std::hash<std::string>()(id);
+  retired_ids_.insert(std::lower_bound(retired_ids_.begin(), retired_ids_.end(), hash), hash);
+  retired_ids_charge_.set(retired_ids_.capacity() * sizeof(std::size_t));
   if (retired_ids_.size() > client_.bounds_.max_retired_ids) {
     if (const std::shared_ptr<Pool::Slot> slot = slot_.lock()) {
       client_.pool_.retire(slot, ConnectionEnd::kOverflow);
@@ -113,6 +120,11 @@
   }
 }
 
+// Another id with the same hash counts as retired, too: its attempt takes another connection.
+bool CacheConnection::is_retired(const std::string& id) const {
+  return std::binary_search(retired_ids_.begin(), retired_ids_.end(), std::hash<std::string>()(id));
+}
+
 // Closes the connection when an answer has begun but makes no progress: it blocks all answers behind it, and
 // the attempts in flight can be retried elsewhere. This also detects a machine that vanished within an
 // answer. A healthy cache that pauses for longer than `stall_after` within an answer is disconnected, too.
@@ -153,7 +165,7 @@
 
 void CacheConnection::handle(const protocol::resp::ArrayHead& head) {
   strings_ = head.strings;
-  body_.clear();
+  std::string().swap(body_);  // frees the body of an answer that was not passed on
   const auto found = strings_.empty() ? calls_.end() : calls_.find(strings_[0]);
   // A repeated, late or unexpected answer is skipped.
   has_call_ = found != calls_.end();
@@ -167,23 +179,19 @@
     client_.router_.stream_started(found->second.key, false);
     return;
   }
-  if (client_.partial_bytes_ + head.last_bytes > client_.bounds_.max_partial_bytes) {
+  charge_.set(0);
+  if (!client_.bounds_.memory->fits(memory::MemoryUse::kPartialResponses, head.last_bytes)) {
     if (const std::shared_ptr<Pool::Slot> slot = slot_.lock()) {
-      log_line(Level::kWarning) << "cache " << slot->peer << ": incomplete answers exceed the memory limit";
+      log_line(Level::kWarning) << "cache " << slot->peer << ": incomplete answers exceed the memory limit, "
+                                << client_.bounds_.memory->describe(memory::MemoryUse::kPartialResponses);
       slot->connection->close(ConnectionEnd::kOverflow);
     }
     return;
   }
-  count_partial_bytes(head.last_bytes);
+  charge_.set(head.last_bytes);
   body_.reserve(head.last_bytes);
 }
 
-// Sets the contribution of this connection to CacheClient::partial_bytes_.
-void CacheConnection::count_partial_bytes(std::size_t bytes) {
-  client_.partial_bytes_ += bytes - counted_bytes_;
-  counted_bytes_ = bytes;
-}
-
 void CacheConnection::handle(const protocol::resp::ArrayPiece& piece) {
   if (!has_call_) {
     return;
@@ -198,7 +206,7 @@
 // Completes an answer. Closes the connection if the answer is malformed: the data may be damaged, so neither
 // the answer nor anything after it can be trusted.
 void CacheConnection::handle(const protocol::resp::ArrayEnd&) {
-  count_partial_bytes(0);
+  charge_.set(0);
   const std::optional<AnswerCode> code =
       strings_.size() == kAnswerStrings ? protocol::parse_answer_code(strings_[1]) : std::nullopt;
   // SAME is invalid if the command did not contain the tag of the copy that the client has.
@@ -215,7 +223,7 @@
   const auto found = calls_.find(id);
   if (found == calls_.end()) {
     const std::shared_ptr<Pool::Slot> slot = slot_.lock();
-    if (!retired_ids_.contains(id)) {
+    if (!is_retired(id)) {
       log_line(Level::kDebug) << "cache " << (slot ? slot->peer : "") << " sent an answer with an unknown id";
     }
     return;
@@ -255,7 +263,7 @@
   }
   log_line(Level::kDebug) << "connection to cache " << slot->peer << ": " << to_string(end) << ", "
                           << calls_.size() << " calls open";
-  count_partial_bytes(0);
+  charge_.set(0);
   client_.pool_.remove(slot);
   const auto calls = std::exchange(calls_, {});
   for (const auto& [id, call] : calls) {
--- a/src/routing/cache_client.h
+++ b/src/routing/cache_client.h
@@ -7,11 +7,11 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "memory/memory_account.h"
 #include "protocol/cache_answer.h"
 #include "protocol/resp.h"
 #include "routing/endpoint_directory.h"
@@ -32,7 +32,7 @@
 
   // Returns whether a call with this id is in flight on this connection, or a late or repeated answer to an
   // earlier call with it may still arrive here.
-  bool knows_id(const std::string& id) const { return calls_.contains(id) || retired_ids_.contains(id); }
+  bool knows_id(const std::string& id) const { return calls_.contains(id) || is_retired(id); }
   // Sends `command`, the serialized form of `request`, for an attempt.
   void send(const AttemptKey& key, const protocol::ForwardedRequest& request, std::string command,
             bool streaming);
@@ -52,9 +52,9 @@
     bool has_client_tag = false;  // the command contains the tag of the copy that the client has
   };
 
-  void count_partial_bytes(std::size_t bytes);
   AttemptKey end_call(std::map<std::string, Call>::iterator call);
   void retire_id(const std::string& id);
+  bool is_retired(const std::string& id) const;
   void watch_progress();
   void close_malformed(std::string_view reason);
   void handle(const protocol::resp::ArrayHead& head);
@@ -67,13 +67,14 @@
   std::weak_ptr<Pool::Slot> slot_;
   protocol::resp::Parser parser_;
   std::map<std::string, Call> calls_;
-  std::set<std::string> retired_ids_;
+  std::vector<std::size_t> retired_ids_;  // hashes, sorted
+  memory::MemoryCharge retired_ids_charge_;
   std::optional<transport::Scheduler::TimerKey> stall_timer_;
   // The answer that is being received.
   std::vector<std::string> strings_;
   std::string body_;
-  std::size_t counted_bytes_ = 0;  // contribution to CacheClient::partial_bytes_
-  bool has_call_ = false;          // a call on this connection waits for the answer
+  memory::MemoryCharge charge_;  // of its body
+  bool has_call_ = false;        // a call on this connection waits for the answer
   bool streaming_ = false;
 };
 
@@ -87,9 +88,10 @@
     transport::Clock::duration silent_after = std::chrono::seconds(1);
     // Time without data within an answer after which the connection is closed.
     transport::Clock::duration stall_after = std::chrono::milliseconds(400);
-    std::size_t max_retired_ids = 512;           // per connection; it is retired beyond that
-    std::size_t max_partial_bytes = 64U << 20U;  // of incomplete answers on all connections
+    std::size_t max_retired_ids = 512;  // per connection; it is retired beyond that
     protocol::resp::Bounds answers;
+    // Charged for incomplete answers on all connections.
+    std::shared_ptr<memory::MemoryAccount> memory = std::make_shared<memory::MemoryAccount>();
   };
 
   // All references have to outlive this object. `report_fields` are the names of the fields of load reports.
@@ -122,7 +124,6 @@
   Bounds bounds_;
   CacheConnection::Pool pool_;
   std::map<AttemptKey, CallLocation> call_locations_;
-  std::size_t partial_bytes_ = 0;
 };
 
 }  // namespace trailcourse::routing
--- a/src/routing/fastcgi_server.cpp
+++ b/src/routing/fastcgi_server.cpp
@@ -8,7 +8,8 @@
 #include <variant>
 #include <vector>
 
-#include "protocol/numbers.h"
+#include "protocol/cache_answer.h"
+#include "routing/request_parser.h"
 #include "transport/log.h"
 
 namespace trailcourse::routing {
@@ -21,27 +22,33 @@
 
 namespace {
 
-constexpr std::string_view kPathPrefix = "/v1/";
+using memory::MemoryUse;
+
 constexpr std::string_view kHealthPath = "/healthz";
-constexpr std::size_t kHexDigits = 16;
-constexpr std::uint64_t kMaxPurgeGroup = 255;
-constexpr std::int64_t kMaxPatienceMs = 120'000;
 // Application status of an answer that could not be completed.
 constexpr std::uint32_t kIncompleteAnswer = 1;
 constexpr Clock::duration kAcceptPause = std::chrono::milliseconds(5);  // when no descriptor is left
 constexpr int kAcceptsBeforeYield = 16;                                 // so that other coroutines can run
 
-bool all_of(std::string_view text, bool (*predicate)(char)) {
-  return !text.empty() && std::all_of(text.begin(), text.end(), predicate);
+// Work of one turn of a connection: a record costs 1, a request more.
+constexpr std::size_t kWorkPerTurn = 64;
+constexpr std::size_t kRequestWork = 16;
+constexpr std::size_t kParameterBytesPerWork = 256;
+constexpr std::size_t kConnectionBytes = 4'096;  // state of one connection, with its coroutines
+
+std::size_t work_of(const fastcgi::Event& event) {
+  const auto* received = std::get_if<fastcgi::RequestReceived>(&event);
+  return received != nullptr ? kRequestWork + received->parameters.encoded_bytes() / kParameterBytesPerWork
+                             : 0;
 }
-bool is_hex(char c) { return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f') || (c >= 'A' && c <= 'F'); }
-using protocol::is_plain;
 
 std::string cgi_head(int status, std::string_view reason) {
   std::string out = "Status: " + std::to_string(status) + ' ';
   return out.append(reason).append("\r\n");
 }
 
+std::string failure_head() { return cgi_head(502, "Bad Gateway") + "\r\n"; }
+
 // The answer to one FastCGI request.
 class FastCgiReply : public Reply {
  public:
@@ -50,11 +57,17 @@
       : connection_(std::move(connection)), request_id_(request_id), traced_(traced) {}
 
   void served(std::string body, bool not_modified, const ServedBy& by) override {
-    if (const auto connection = connection_.lock()) {
-      connection->append(request_id_, head(not_modified, traced_ ? via(by) + policy_header_ : ""));
-      connection->append(request_id_, std::move(body));
-      connection->end(request_id_, fastcgi::ProtocolStatus::kRequestComplete, 0);
+    const auto connection = connection_.lock();
+    if (!connection) {
+      return;
+    }
+    if (!connection->make_room(body.capacity())) {
+      failed();
+      return;
     }
+    connection->append(request_id_, head(not_modified, traced_ ? via(by) + policy_header_ : ""));
+    connection->append(request_id_, std::move(body));
+    connection->end(request_id_, fastcgi::ProtocolStatus::kRequestComplete, 0);
   }
   void rejected(Micros retry_after) override {
     std::string text = cgi_head(503, "Service Unavailable");
@@ -62,7 +75,18 @@
       text += "X-Come-Back-Ms: " +
               std::to_string(std::chrono::ceil<std::chrono::milliseconds>(retry_after).count()) + "\r\n";
     }
-    send(text + policy_header_ + "\r\n");
+    if (const auto connection = connection_.lock()) {
+      connection->refuse(request_id_, text + policy_header_ + "\r\n");
+    }
+  }
+  bool client_waits() const override {
+    const auto connection = connection_.lock();
+    return connection && connection->client_waits(request_id_);
+  }
+  void attempt_begins() override {
+    if (const auto connection = connection_.lock()) {
+      connection->attempt_begins(request_id_);
+    }
   }
   void failed() override { send(cgi_head(502, "Bad Gateway") + policy_header_ + "\r\n"); }
   void policy_applied(const std::string& policy_version, Micros when) override {
@@ -75,12 +99,19 @@
     }
   }
   void piece(std::string_view bytes) override {
-    if (const auto connection = connection_.lock()) {
+    const auto connection = connection_.lock();
+    if (!connection || broken_off_) {
+      return;
+    }
+    if (connection->make_room(bytes.size())) {
       connection->append(request_id_, std::string(bytes));
+    } else {
+      broken_off_ = true;
+      connection->end(request_id_, fastcgi::ProtocolStatus::kRequestComplete, kIncompleteAnswer);
     }
   }
   void finish(bool complete) override {
-    if (const auto connection = connection_.lock()) {
+    if (const auto connection = broken_off_ ? nullptr : connection_.lock()) {
       connection->end(request_id_, fastcgi::ProtocolStatus::kRequestComplete,
                       complete ? 0 : kIncompleteAnswer);
     }
@@ -106,211 +137,156 @@
   std::weak_ptr<FastCgiConnection> connection_;
   fastcgi::RequestId request_id_;
   bool traced_;
+  bool broken_off_ = false;    // a streamed answer for which there was no memory
   std::string policy_header_;  // X-Policy header line; empty without X-Trace
 };
 
-std::string field(const fastcgi::Parameters& parameters, std::string_view name) {
-  const std::string* value = parameters.find(name);
-  return value != nullptr ? *value : std::string();
-}
+}  // namespace
 
-// The invalid field; nothing if all parsed fields are valid.
-using FieldError = std::optional<std::string_view>;
+FastCgiConnection::FastCgiConnection(FastCgiServer& server, transport::Connection& connection)
+    : server_(server),
+      connection_(connection),
+      parser_(server.bounds_.requests),
+      answers_(server.bounds_.record_bytes),
+      connection_charge_(*server.bounds_.memory, MemoryUse::kConnections, kConnectionBytes),
+      input_charge_(*server.bounds_.memory, MemoryUse::kPartialRequests),
+      answer_charge_(*server.bounds_.memory, MemoryUse::kAnswers) {}
 
-FieldError parse_class(const fastcgi::Parameters& parameters,
-                       const std::unordered_map<std::string, int>& class_index,
-                       protocol::ForwardedRequest& forwarded, RequestArrived& arrived) {
-  const std::string path = field(parameters, "SCRIPT_NAME");
-  if (!path.starts_with(kPathPrefix)) {
-    return "SCRIPT_NAME";
-  }
-  forwarded.request_class = path.substr(kPathPrefix.size());
-  const auto entry = class_index.find(forwarded.request_class);
-  if (entry == class_index.end() || !all_of(forwarded.request_class, is_plain)) {
-    return "unknown request class";
+void FastCgiConnection::on_bytes(std::string_view bytes) {
+  process(bytes);
+  if (!bytes.empty() && !connection_.ended()) {
+    backlog_.assign(bytes);
+    backlog_start_ = 0;
   }
-  arrived.request_class = entry->second;
-  return std::nullopt;
+  update_charges();
+  server_.limit_partial_requests();
 }
 
-FieldError parse_call(const fastcgi::RequestReceived& received, protocol::ForwardedRequest& forwarded,
-                      ParsedRequest& out) {
-  forwarded.id = field(received.parameters, "HTTP_X_CALL_ID");
-  if (forwarded.id.size() != kHexDigits || !all_of(forwarded.id, is_hex)) {
-    return "X-Call-Id";
-  }
-  out.call_id = protocol::read_hex<std::uint64_t>(forwarded.id).value_or(0);
-  const std::string length_text = field(received.parameters, "CONTENT_LENGTH");
-  if (!length_text.empty() && protocol::read_number<std::size_t>(length_text) != received.body.size()) {
-    return "CONTENT_LENGTH";
-  }
-  const std::string patience_text = field(received.parameters, "HTTP_X_PATIENCE_MS");
-  const std::optional<std::int64_t> patience = protocol::read_number<std::int64_t>(patience_text);
-  if (!patience || *patience <= 0 || *patience > kMaxPatienceMs) {
-    return "X-Patience-Ms";
+void FastCgiConnection::on_turn() {
+  std::string_view bytes = std::string_view(backlog_).substr(backlog_start_);
+  process(bytes);
+  backlog_start_ = backlog_.size() - bytes.size();
+  if (!has_backlog() || connection_.ended()) {
+    std::string().swap(backlog_);
+    backlog_start_ = 0;
   }
-  out.request.patience = std::chrono::milliseconds(*patience);
-  return std::nullopt;
+  update_charges();
+  server_.limit_partial_requests();
 }
 
-FieldError parse_object(const fastcgi::Parameters& parameters, const ClassSettings& class_settings,
-                        protocol::ForwardedRequest& forwarded, RequestArrived& arrived) {
-  forwarded.object = field(parameters, "HTTP_X_ENTITY");
-  if (!forwarded.object.empty() || !class_settings.uncached) {
-    const std::optional<ObjectId> object = protocol::read_hex<ObjectId>(forwarded.object);
-    if (!object || forwarded.object.size() != kHexDigits) {
-      return "X-Entity";
+void FastCgiConnection::process(std::string_view& bytes) {
+  const bool pending = parser_.has_partial_message() || !sent_valid_request_;
+  bool completed = false;
+  std::size_t work = 0;
+  while (!bytes.empty() && work < kWorkPerTurn && !connection_.ended()) {
+    ++work;
+    std::optional<fastcgi::Event> event = parser_.next(bytes);
+    if (!event) {
+      continue;
     }
-    arrived.object = *object;
+    work += work_of(*event);
+    completed = completed || std::holds_alternative<fastcgi::RequestReceived>(*event);
+    std::visit([this](auto& alternative) { handle(std::move(alternative)); }, *event);
   }
-  forwarded.part = field(parameters, "HTTP_X_NTH");
-  if (!forwarded.part.empty()) {
-    const std::optional<std::uint32_t> part = protocol::read_number<std::uint32_t>(forwarded.part);
-    if (!part) {
-      return "X-Nth";
-    }
-    arrived.part = *part;
+  // A completed message restarts the time-out, even if a part of the next one was received with it.
+  if (completed || !pending) {
+    message_pending_since_ = server_.scheduler_.iteration_time();
   }
-  return std::nullopt;
 }
 
-FieldError parse_group_and_size(const fastcgi::Parameters& parameters, RequestArrived& arrived) {
-  const std::string group_text = field(parameters, "HTTP_X_BATCH");
-  if (!group_text.empty()) {
-    const std::optional<std::uint64_t> group = protocol::read_number<std::uint64_t>(group_text);
-    if (!group || *group > kMaxPurgeGroup) {
-      return "X-Batch";
-    }
-    arrived.purge_group = *group;
-  }
-  const std::string size_text = field(parameters, "HTTP_X_HEAP_KB");
-  if (!size_text.empty()) {
-    const std::optional<double> size = protocol::read_number<double>(size_text);
-    if (!size || *size < 0.0) {
-      return "X-Heap-Kb";
-    }
-    arrived.size_kb = *size;
-  }
-  return std::nullopt;
+// Charges what this connection holds now.
+void FastCgiConnection::update_charges() {
+  connection_charge_.set(kConnectionBytes + parser_.structure_bytes());
+  input_charge_.set(ended_ ? 0 : parser_.held() + backlog_.capacity());
+  answer_charge_.set(ended_ ? 0 : answers_.held() + connection_.unsent_bytes() + replies_.capacity());
 }
 
-FieldError parse_key_and_tag(const fastcgi::Parameters& parameters, const ClassSettings& class_settings,
-                             protocol::ForwardedRequest& forwarded) {
-  const bool key_needed = class_settings.idempotency == Idempotency::kKeyed;
-  forwarded.dedupe_key = field(parameters, "HTTP_X_DEDUPE_KEY");
-  if ((key_needed || !forwarded.dedupe_key.empty()) && !all_of(forwarded.dedupe_key, is_plain)) {
-    return "X-Dedupe-Key";
-  }
-  forwarded.client_tag = field(parameters, "HTTP_X_GOT");
-  if (!forwarded.client_tag.empty() && !all_of(forwarded.client_tag, is_plain)) {
-    return "X-Got";
-  }
-  return std::nullopt;
+void FastCgiConnection::close(ConnectionEnd end) {
+  connection_.close(end);
+  parser_.stop();
+  std::string().swap(backlog_);
+  backlog_start_ = 0;
+  update_charges();
 }
 
-}  // namespace
+bool FastCgiConnection::client_waits(fastcgi::RequestId request_id) const {
+  return !ended_ && !connection_.ended() && open_requests_.contains(request_id) &&
+         !connection_.peer_has_left();
+}
 
-ParsedRequest parse_request(fastcgi::RequestReceived&& received,
-                            const std::unordered_map<std::string, int>& class_index,
-                            const Settings& settings) {
-  ParsedRequest out;
-  RequestArrived& arrived = out.request.arrival;
-  auto forwarded = std::make_shared<protocol::ForwardedRequest>();
-  FieldError error = parse_class(received.parameters, class_index, *forwarded, arrived);
-  if (!error) {
-    const ClassSettings& class_settings = settings.classes[static_cast<std::size_t>(arrived.request_class)];
-    arrived.write = class_settings.uncached;
-    error = parse_call(received, *forwarded, out);
-    error = error ? error : parse_object(received.parameters, class_settings, *forwarded, arrived);
-    error = error ? error : parse_group_and_size(received.parameters, arrived);
-    error = error ? error : parse_key_and_tag(received.parameters, class_settings, *forwarded);
-  }
-  if (error) {
-    out.error = *error;
-    return out;
-  }
-  arrived.is_retry = field(received.parameters, "HTTP_X_REPEAT") == "1";
-  forwarded->body = std::move(received.body);
-  out.request.body_bytes = forwarded->body.size();
-  out.request.forwarded = std::move(forwarded);
-  return out;
+void FastCgiConnection::attempt_begins(fastcgi::RequestId request_id) {
+  if (const auto found = open_requests_.find(request_id); found != open_requests_.end()) {
+    found->second.has_begun = true;
+  }
 }
 
-FastCgiConnection::FastCgiConnection(FastCgiServer& server, transport::Connection& connection)
-    : server_(server),
-      connection_(connection),
-      parser_(server.bounds_.requests),
-      answers_(server.bounds_.record_bytes) {}
+bool FastCgiConnection::make_room(std::size_t bytes) { return server_.make_room(bytes); }
 
-void FastCgiConnection::on_bytes(std::string_view bytes) {
-  const bool pending = parser_.has_partial_message() || !sent_valid_request_;
-  std::vector<fastcgi::Event> events;
-  parser_.feed(bytes, events);
-  // A completed message restarts the time-out, even if a part of the next one was received with it.
-  const bool completed = std::any_of(events.begin(), events.end(), [](const fastcgi::Event& event) {
-    return std::holds_alternative<fastcgi::RequestReceived>(event);
-  });
-  if (completed || !pending) {
-    message_pending_since_ = server_.scheduler_.iteration_time();
-  }
-  for (fastcgi::Event& event : events) {
-    if (connection_.ended()) {
-      break;  // one of the events has closed the connection: later ones cannot be answered
-    }
-    std::visit([this](auto& alternative) { handle(std::move(alternative)); }, event);
-  }
-  update_byte_counts();
-  server_.limit_partial_requests();
+bool FastCgiConnection::fail_largest_answer() {
+  const bool failed = !connection_.ended() && answers_.replace_largest(failure_head());
+  update_charges();
+  return failed;
 }
 
-// Updates the sums over all connections.
-void FastCgiConnection::update_byte_counts() {
-  const std::size_t waiting = ended_ ? 0 : answers_.waiting() + connection_.unsent_bytes();
-  const std::size_t partial = ended_ ? 0 : parser_.held();
-  server_.unsent_bytes_ += waiting - counted_unsent_;
-  server_.partial_bytes_ += partial - counted_partial_;
-  counted_unsent_ = waiting;
-  counted_partial_ = partial;
+void FastCgiConnection::shed_input() {
+  constexpr std::string_view kReason = "incomplete requests exceed the memory limit";
+  const memory::MemoryAccount& memory = *server_.bounds_.memory;
+  const std::string usage = memory.describe(MemoryUse::kPartialRequests) + ", " +
+                            std::to_string(partial_bytes()) + " bytes of this client";
+  if (std::optional<fastcgi::RequestRejected> rejected = parser_.reject_largest(std::string(kReason))) {
+    rejected->reason += ", " + usage;
+    handle(std::move(*rejected));
+    update_charges();
+    return;
+  }
+  log_line(Level::kWarning) << "connection from " << to_string(connection_.peer()) << " closed: " << kReason
+                            << ", " << usage;
+  close(ConnectionEnd::kOverflow);
 }
 
 void FastCgiConnection::on_end(ConnectionEnd end) {
   log_line(Level::kDebug) << "connection from " << to_string(connection_.peer()) << ": " << to_string(end)
                           << ", " << open_requests_.size() << " open requests";
   ended_ = true;
-  update_byte_counts();
+  update_charges();
   server_.connections_.erase(this);
   while (!open_requests_.empty()) {
-    server_.router_.client_left(close_request(open_requests_.begin()->first));
+    server_.router_.client_left(close_request(open_requests_.begin()->first, RequestEnd::kClientLeft));
   }
 }
 
-RequestId FastCgiConnection::close_request(fastcgi::RequestId request_id) {
+RequestId FastCgiConnection::close_request(fastcgi::RequestId request_id, RequestEnd /*end*/) {
   const auto found = open_requests_.find(request_id);
   if (found == open_requests_.end()) {
     return 0;
   }
   const OpenRequest request = found->second;
-  server_.open_call_ids_.erase(request.call_id);
+  server_.call_ids_.close(request.call_id);
   open_requests_.erase(found);
   return request.id;
 }
 
+void FastCgiConnection::answer_health_check(fastcgi::RequestId request_id, bool traced) {
+  const bool ready = server_.ready_() && !server_.draining_;
+  const std::string status = server_.status_ ? server_.status_(traced) : std::string();
+  const std::string type = "Content-Type: text/plain\r\n\r\n";
+  answer(request_id,
+         ready ? cgi_head(200, "OK") + type + (status.empty() ? "ok" : status) + "\n"
+               : cgi_head(503, "Service Unavailable") + (status.empty() ? "\r\n" : type + status + "\n"));
+}
+
 void FastCgiConnection::handle(fastcgi::RequestReceived&& received) {
   const fastcgi::RequestId request_id = received.request_id;
   keep_connection_ = keep_connection_ && received.keep_connection;
-  if (field(received.parameters, "SCRIPT_NAME") == kHealthPath) {
+  const RequestFields fields = read_request_fields(received.parameters);
+  if (fields.path == kHealthPath) {
     sent_valid_request_ = true;
-    const bool ready = server_.ready_() && !server_.draining_;
-    const std::string status = server_.status_ ? server_.status_() : std::string();
-    const std::string type = "Content-Type: text/plain\r\n\r\n";
-    answer(request_id,
-           ready ? cgi_head(200, "OK") + type + (status.empty() ? "ok" : status) + "\n"
-                 : cgi_head(503, "Service Unavailable") + (status.empty() ? "\r\n" : type + status + "\n"));
+    answer_health_check(request_id, fields.is_traced == "1");
     return;
   }
   server_.last_arrival_ = server_.scheduler_.iteration_time();
-  const bool traced = field(received.parameters, "HTTP_X_TRACE") == "1";
-  ParsedRequest request = parse_request(std::move(received), server_.class_index_, server_.settings_);
+  ParsedRequest request =
+      parse_request(fields, std::move(received.body), server_.class_index_, server_.settings_);
   if (!request.error.empty()) {
     reject_request(request_id, request.error);
     return;
@@ -319,20 +295,27 @@
   request.request.patience -= std::min(server_.bounds_.client_lead, request.request.patience / 2);
   // Answers that clients do not read fill the memory that other answers need. Nothing was sent for this
   // request, so a retry is safe.
-  if (server_.unsent_bytes_ > server_.bounds_.max_unsent_bytes) {
+  if (server_.bounds_.memory->used(MemoryUse::kAnswers) > server_.bounds_.max_unsent_bytes) {
     FastCgiReply(weak_from_this(), request_id).rejected(Micros(0));
     return;
   }
-  // Two open requests must not have the same id, since neither a cache nor its answers would distinguish
-  // them. The first one continues, and this one is rejected.
-  if (!server_.open_call_ids_.insert(request.call_id).second) {
-    reject_request(request_id, "X-Call-Id is in use by an open request");
-    return;
+  switch (server_.call_ids_.open(request.call_id)) {
+    case CallIdRegistry::Admission::kOpen:
+      reject_request(request_id, "X-Call-Id is in use by an open request");
+      return;
+    case CallIdRegistry::Admission::kReturned:
+      reject_request(request_id, "X-Call-Id was used by a request that may have been executed");
+      return;
+    case CallIdRegistry::Admission::kAdmitted:
+      break;
   }
+  const auto request_class = static_cast<std::size_t>(request.request.arrival.request_class);
+  const bool is_safe = server_.settings_.classes[request_class].idempotency == Idempotency::kSafe;
   // Added before the call, since the router may answer within it.
-  open_requests_[request_id] = OpenRequest{0, request.call_id};
+  open_requests_[request_id] = OpenRequest{0, request.call_id, is_safe, false};
   const RequestId id = server_.router_.accept(
-      std::move(request.request), std::make_shared<FastCgiReply>(weak_from_this(), request_id, traced));
+      std::move(request.request),
+      std::make_shared<FastCgiReply>(weak_from_this(), request_id, fields.is_traced == "1"));
   if (const auto found = open_requests_.find(request_id); found != open_requests_.end()) {
     found->second.id = id;
   }
@@ -344,10 +327,11 @@
 }
 
 void FastCgiConnection::handle(fastcgi::RequestAborted&& aborted) {
-  if (const RequestId id = close_request(aborted.request_id); id != 0) {
+  if (const RequestId id = close_request(aborted.request_id, RequestEnd::kAborted); id != 0) {
     server_.router_.client_left(id);
   }
   answers_.drop(aborted.request_id);
+  update_charges();
 }
 
 void FastCgiConnection::handle(fastcgi::RequestRejected&& rejected) {
@@ -363,7 +347,8 @@
 }
 
 void FastCgiConnection::handle(fastcgi::ManagementReply&& reply) {
-  connection_.write(std::move(reply.bytes));
+  replies_ += reply.bytes;
+  schedule_write();
   close_if_unread();
 }
 
@@ -371,15 +356,17 @@
 // requests and management records has no other bound; that of served requests is bounded by the open ones.
 void FastCgiConnection::close_if_unread() {
   const bool too_many = answers_.size() > server_.bounds_.max_unread_answers;
-  if (too_many || connection_.unsent_bytes() > server_.bounds_.max_unread_bytes) {
-    connection_.close(ConnectionEnd::kOverflow);
+  if (too_many || connection_.unsent_bytes() + replies_.size() > server_.bounds_.max_unread_bytes) {
+    log_line(Level::kWarning) << "connection from " << to_string(connection_.peer())
+                              << " closed: its client leaves too many answers unread";
+    close(ConnectionEnd::kOverflow);
   }
 }
 
 void FastCgiConnection::handle(fastcgi::ParseError&& error) {
   log_line(Level::kWarning) << "connection from " << to_string(connection_.peer())
                             << " sent malformed data: " << error.reason;
-  connection_.close(ConnectionEnd::kMalformed);
+  close(ConnectionEnd::kMalformed);
 }
 
 void FastCgiConnection::answer(fastcgi::RequestId request_id, std::string text) {
@@ -387,9 +374,15 @@
   end(request_id, fastcgi::ProtocolStatus::kRequestComplete, 0);
 }
 
+void FastCgiConnection::refuse(fastcgi::RequestId request_id, std::string text) {
+  close_request(request_id, RequestEnd::kRefused);
+  answer(request_id, std::move(text));
+}
+
 void FastCgiConnection::append(fastcgi::RequestId request_id, std::string bytes) {
   if (!ended_) {
     answers_.append(request_id, std::move(bytes));
+    update_charges();
     schedule_write();
   }
 }
@@ -397,8 +390,9 @@
 void FastCgiConnection::end(fastcgi::RequestId request_id, fastcgi::ProtocolStatus status,
                             std::uint32_t application_status) {
   if (!ended_) {
-    close_request(request_id);
+    close_request(request_id, RequestEnd::kAnswered);
     answers_.end(request_id, status, application_status);
+    update_charges();
     schedule_write();
   }
 }
@@ -415,17 +409,23 @@
   }
 }
 
+// Writes replies and records of answers, gathered to the size of a record, up to the low mark.
 void FastCgiConnection::write_answers() {
+  std::string batch = std::exchange(replies_, {});
   while (!ended_ && !connection_.ended() && !answers_.empty() &&
-         connection_.unsent_bytes() < server_.bounds_.connection.low_mark) {
+         connection_.unsent_bytes() + batch.size() < server_.bounds_.connection.low_mark) {
     fastcgi::RequestId request_id = 0;
     bool ended = false;
-    connection_.write(answers_.next(request_id, ended));
+    batch += answers_.next(request_id, ended);
     if (ended) {
       parser_.release(request_id);
     }
+    if (batch.size() >= server_.bounds_.record_bytes) {
+      connection_.write(std::exchange(batch, {}));
+    }
   }
-  update_byte_counts();
+  connection_.write(std::move(batch));
+  update_charges();
   if (!keep_connection_ && !ended_ && open_requests_.empty() && answers_.empty()) {
     connection_.close_when_written();
   }
@@ -440,7 +440,8 @@
       class_index_(class_index),
       bounds_(bounds),
       ready_(std::move(ready)),
-      free_descriptor_(std::move(free_descriptor)) {}
+      free_descriptor_(std::move(free_descriptor)),
+      call_ids_(*bounds_.memory) {}
 
 FastCgiServer::~FastCgiServer() = default;
 
@@ -514,21 +515,46 @@
   }
 }
 
-// Closes the connection with the most bytes of incomplete requests when all together exceed the bound. The
-// connection that received the last bytes may be another one.
+namespace {
+
+// Returns the connection that is open and for which `bytes` is largest; null where it is zero for all.
+FastCgiConnection* find_largest(const std::set<FastCgiConnection*>& connections,
+                                std::size_t (FastCgiConnection::*bytes)() const) {
+  FastCgiConnection* largest = nullptr;
+  std::size_t most = 0;
+  for (FastCgiConnection* client : connections) {
+    const std::size_t held = client->connection().ended() ? 0 : (client->*bytes)();
+    if (held > most) {
+      most = held;
+      largest = client;
+    }
+  }
+  return largest;
+}
+
+}  // namespace
+
 void FastCgiServer::limit_partial_requests() {
-  if (partial_bytes_ <= bounds_.max_partial_bytes) {
-    return;
+  while (bounds_.memory->exceeded(MemoryUse::kPartialRequests)) {
+    FastCgiConnection* const largest = find_largest(connections_, &FastCgiConnection::partial_bytes);
+    if (largest == nullptr) {
+      return;
+    }
+    largest->shed_input();
   }
-  const auto largest = std::max_element(
-      connections_.begin(), connections_.end(),
-      [](const auto* one, const auto* two) { return one->partial_bytes() < two->partial_bytes(); });
-  if (largest == connections_.end()) {
-    return;
+}
+
+bool FastCgiServer::make_room(std::size_t bytes) {
+  while (!bounds_.memory->fits(MemoryUse::kAnswers, bytes)) {
+    FastCgiConnection* const largest = find_largest(connections_, &FastCgiConnection::answer_bytes);
+    const std::string peer = largest != nullptr ? to_string(largest->connection().peer()) : std::string();
+    log_line(Level::kWarning) << "an answer fails: unread answers exceed the memory limit, "
+                              << bounds_.memory->describe(MemoryUse::kAnswers) << ", most at " << peer;
+    if (largest == nullptr || !largest->fail_largest_answer()) {
+      return false;
+    }
   }
-  log_line(Level::kWarning) << "connection from " << to_string((*largest)->connection().peer())
-                            << " closed: incomplete requests exceed the memory limit";
-  (*largest)->connection().close(ConnectionEnd::kOverflow);
+  return true;
 }
 
 // Closes connections that hold descriptors and memory without use. A connection that has sent nothing valid
--- a/src/routing/fastcgi_server.h
+++ b/src/routing/fastcgi_server.h
@@ -8,11 +8,11 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
-#include <unordered_set>
 #include <utility>
 
-#include "protocol/cache_answer.h"
+#include "memory/memory_account.h"
 #include "protocol/fastcgi.h"
+#include "routing/call_id_registry.h"
 #include "routing/router.h"
 #include "transport/connection.h"
 
@@ -20,19 +20,6 @@
 
 class FastCgiServer;
 
-// A request as its parameters describe it, or the reason why it is invalid.
-struct ParsedRequest {
-  ClientRequest request;
-  std::uint64_t call_id = 0;  // X-Call-Id
-  std::string error;          // the invalid field; empty: the request is valid
-};
-
-// Parses the parameters of a request. `class_index` maps the names of request classes to their indices in
-// `settings`.
-ParsedRequest parse_request(protocol::fastcgi::RequestReceived&& received,
-                            const std::unordered_map<std::string, int>& class_index,
-                            const Settings& settings);
-
 // One connection from a client.
 class FastCgiConnection : public transport::Connection::Handler,
                           public std::enable_shared_from_this<FastCgiConnection> {
@@ -41,18 +28,36 @@
   FastCgiConnection(FastCgiServer& server, transport::Connection& connection);
 
   void on_bytes(std::string_view bytes) override;
+  bool has_backlog() const override { return backlog_start_ < backlog_.size(); }
+  void on_turn() override;
   void on_drained() override { write_answers(); }
   void on_end(transport::ConnectionEnd end) override;
 
   // Sends a complete answer.
   void answer(protocol::fastcgi::RequestId request_id, std::string text);
+  // Sends a complete answer that promises that the request had no effect.
+  void refuse(protocol::fastcgi::RequestId request_id, std::string text);
   // Sends a part of an answer, which end() completes.
   void append(protocol::fastcgi::RequestId request_id, std::string bytes);
   void end(protocol::fastcgi::RequestId request_id, protocol::fastcgi::ProtocolStatus status,
            std::uint32_t application_status);
+  // Returns whether the client of a request has neither closed its connection nor aborted the request.
+  bool client_waits(protocol::fastcgi::RequestId request_id) const;
+  // Notes that a request may be executed from now on.
+  void attempt_begins(protocol::fastcgi::RequestId request_id);
+  // Makes room in the memory account for this many bytes of an answer; returns false where there is none.
+  bool make_room(std::size_t bytes);
+  // Replaces the largest complete answer of which nothing is written by a short failure. Returns false where
+  // there is none.
+  bool fail_largest_answer();
+  // Rejects the largest incomplete request, or closes the connection where none holds any bytes.
+  void shed_input();
 
   // Returns whether the client has no open request and all its answers are written.
-  bool idle() const { return open_requests_.empty() && answers_.empty() && connection_.unsent_bytes() == 0; }
+  bool idle() const {
+    return open_requests_.empty() && answers_.empty() && connection_.unsent_bytes() == 0 &&
+           replies_.empty() && !has_backlog();
+  }
 
   // Returns whether closing the connection loses no valid request: it is idle, and either the last message is
   // complete or no valid request has come at all.
@@ -78,15 +83,22 @@
     return sent_valid_request_ && parser_.has_partial_message() && !connection_.ended();
   }
   transport::Clock::time_point opened_at() const { return opened_at_; }
-  std::size_t partial_bytes() const { return counted_partial_; }
+  std::size_t partial_bytes() const { return input_charge_.bytes(); }
+  std::size_t answer_bytes() const { return answer_charge_.bytes(); }
   transport::Connection& connection() { return connection_; }
 
  private:
   struct OpenRequest {
     RequestId id = 0;  // at the router; 0 until the router has accepted the request
     std::uint64_t call_id = 0;
+    bool is_safe = false;    // its class
+    bool has_begun = false;  // an attempt: the request may have been executed
   };
+  // How a request ends.
+  enum class RequestEnd { kAnswered, kRefused, kAborted, kClientLeft };
 
+  // Processes bytes until the work of one turn is done, and removes them.
+  void process(std::string_view& bytes);
   void handle(protocol::fastcgi::RequestReceived&& received);
   void handle(protocol::fastcgi::RequestAborted&& aborted);
   void handle(protocol::fastcgi::RequestRejected&& rejected);
@@ -97,9 +109,12 @@
   void write_answers();
   void schedule_write();
   void close_if_unread();
-  void update_byte_counts();
+  void update_charges();
+  // Closes the connection and frees its input.
+  void close(transport::ConnectionEnd end);
+  void answer_health_check(protocol::fastcgi::RequestId request_id, bool traced);
   // Removes a request from the open ones. Returns its id at the router; 0 if it has none.
-  RequestId close_request(protocol::fastcgi::RequestId request_id);
+  RequestId close_request(protocol::fastcgi::RequestId request_id, RequestEnd end);
 
   FastCgiServer& server_;
   transport::Connection& connection_;
@@ -112,8 +127,12 @@
   bool sent_valid_request_ = false;
   transport::Clock::time_point opened_at_ = transport::Clock::now();
   transport::Clock::time_point message_pending_since_ = opened_at_;  // start of the wait for a message
-  std::size_t counted_unsent_ = 0;   // contribution to FastCgiServer::unsent_bytes_
-  std::size_t counted_partial_ = 0;  // contribution to FastCgiServer::partial_bytes_
+  std::string backlog_;  // received bytes; those from backlog_start_ on are not processed yet
+  std::size_t backlog_start_ = 0;
+  std::string replies_;  // to management records, to be written
+  memory::MemoryCharge connection_charge_;
+  memory::MemoryCharge input_charge_;
+  memory::MemoryCharge answer_charge_;
 };
 
 // Accepts connections from clients and passes their requests to the router.
@@ -121,9 +140,11 @@
  public:
   struct Bounds {
     int backlog = 1024;
-    std::size_t max_unsent_bytes = 64U << 20U;  // of answers that clients have not read, over all connections
-    std::size_t max_partial_bytes = 16U << 20U;  // of incomplete requests, over all connections
-    std::size_t record_bytes = 16U << 10U;       // of one FastCGI record of an answer
+    // Answers that clients have not read, over all connections, above which new requests are rejected.
+    std::size_t max_unsent_bytes = 64U << 20U;
+    // Charged for all that clients make the server hold.
+    std::shared_ptr<memory::MemoryAccount> memory = std::make_shared<memory::MemoryAccount>();
+    std::size_t record_bytes = 16U << 10U;  // of one FastCGI record of an answer
     Micros client_lead{0};           // part of a client's patience that passes before its request arrives
     std::size_t max_clients = 4096;  // connections
     std::size_t max_unread_answers = 1024;       // on one connection whose client reads none
@@ -139,8 +160,8 @@
   };
   // Returns whether requests can be served. Called for each health check.
   using Ready = std::function<bool()>;
-  // Returns the body of the answer to a health check; empty: "ok".
-  using Status = std::function<std::string()>;
+  // Returns the body of the answer to a health check; empty: "ok". `traced`: the request has X-Trace.
+  using Status = std::function<std::string(bool traced)>;
   // Closes a descriptor that another component uses. Returns false if none can be closed.
   using FreeDescriptor = std::function<bool()>;
 
@@ -186,7 +207,11 @@
 
   void add_connection(transport::Descriptor socket);
   bool close_one_client();
+  // Sheds incomplete requests while they exceed the memory account, those of the connection with the most
+  // bytes first.
   void limit_partial_requests();
+  // As FastCgiConnection::make_room().
+  bool make_room(std::size_t bytes);
 
   transport::Task<void> accept_loop();
   transport::Task<void> close_idle_connections();
@@ -204,9 +229,7 @@
   transport::Descriptor listener_;
   std::unique_ptr<transport::Watch> watch_;
   std::set<FastCgiConnection*> connections_;
-  std::unordered_set<std::uint64_t> open_call_ids_;
-  std::size_t unsent_bytes_ = 0;
-  std::size_t partial_bytes_ = 0;
+  CallIdRegistry call_ids_;
 };
 
 }  // namespace trailcourse::routing
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -23,9 +23,9 @@
   }
   const std::size_t max_open =
       policy.open_requests > 0 ? std::min(policy.open_requests, bounds_.open) : bounds_.open;
-  const std::size_t bytes = request.body_bytes + bounds_.request_bytes;
+  const std::size_t bytes = request.forwarded_bytes * forwarded_copies_ + bounds_.request_bytes;
   // More open requests could exhaust the memory. Nothing was sent for this one, so a retry is safe.
-  if (policy.reject || open_ >= max_open || request_bytes_ + bytes > bounds_.bytes) {
+  if (policy.reject || open_ >= max_open || !bounds_.memory->fits(memory::MemoryUse::kOpenRequests, bytes)) {
     ++counts_.rejected;
     reply->rejected(Micros(0));
     return 0;
@@ -37,8 +37,7 @@
   request.arrival.request_class = policy.request_class;
   open.request_class = policy.request_class;
   open.max_retry_after = policy.max_retry_after;
-  open.bytes = bytes;
-  request_bytes_ += bytes;
+  open.charge.emplace(*bounds_.memory, memory::MemoryUse::kOpenRequests, bytes);
   ++open_;
   request.arrival.id = id;
   request.arrival.deadline = now() + request.patience;
@@ -101,7 +100,12 @@
   OpenRequest* request = find(key.request);
   const bool wanted = request != nullptr && request->reply && request->streaming < 0 &&
                       find_open_attempt(*request, key.attempt);
-  return wanted && (!send_check_ || send_check_(now(), key.request, key.attempt));
+  const bool may_begin = wanted &&
+                         (!send_check_ || send_check_(now(), key.request, key.attempt));
+  if (may_begin) {
+    request->reply->attempt_begins();
+  }
+  return may_begin;
 }
 
 void Router::attempt_ended(const AttemptKey& key, AttemptResult result) {
@@ -318,7 +322,6 @@
 void Router::erase_if_finished(RequestId id) {
   const OpenRequest* request = find(id);
   if (request != nullptr && !request->reply && request->open_attempts == 0) {
-    request_bytes_ -= request->bytes;
     requests_.erase(id);
   }
 }
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -9,11 +9,13 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
 
+#include "memory/memory_account.h"
 #include "routing/decider_clock.h"
 #include "transport/scheduler.h"
 
@@ -26,7 +28,7 @@
   // What is forwarded to caches unchanged. The server that accepts requests and the upstream agree on the
   // type.
   std::shared_ptr<const void> forwarded;
-  std::size_t body_bytes = 0;  // size of the body in `forwarded`
+  std::size_t forwarded_bytes = 0;  // of the body and of fields without a small limit in `forwarded`
 };
 
 // The cache that served a request, the attempt, and what the cache reported about the copy.
@@ -54,6 +56,10 @@
   virtual void begin(bool not_modified) = 0;
   virtual void piece(std::string_view bytes) = 0;
   virtual void finish(bool complete) = 0;
+  // Returns whether the client still waits. False at the latest when the router is told that it has left.
+  virtual bool client_waits() const { return true; }
+  // Called just before the first byte of an attempt is sent: from then on the request may be executed.
+  virtual void attempt_begins() {}
   // Called before any other method if there is a policy lookup, with the version of the policy and the time
   // of the lookup by the steady clock.
   virtual void policy_applied(const std::string&, Micros) {}
@@ -115,8 +121,9 @@
   // Bounds of all open requests.
   struct Bounds {
     std::size_t open = 4096;           // requests
-    std::size_t bytes = 64U << 20U;    // of all their bodies, and `request_bytes` for each
-    std::size_t request_bytes = 4096;  // memory of a request in addition to its body
+    std::size_t request_bytes = 4096;  // memory of a request in addition to what is forwarded
+    // Charged for each request, from its acceptance on, with its commands to caches.
+    std::shared_ptr<memory::MemoryAccount> memory = std::make_shared<memory::MemoryAccount>();
   };
 
   // `scheduler` has to outlive this object.
@@ -126,6 +133,7 @@
         clock_(clock),
         classes_(settings.classes),
         attempts_cap_(static_cast<std::size_t>(settings.max_attempts)),
+        forwarded_copies_(settings.parallel_attempts ? 3 : 2),
         handler_(std::move(handler)),
         bounds_(bounds) {}
 
@@ -197,7 +205,7 @@
     std::size_t open_attempts = 0;
     int streaming = -1;  // the attempt whose answer is being forwarded; -1: none
     int request_class = 0;
-    std::size_t bytes = 0;
+    std::optional<memory::MemoryCharge> charge;
     Micros max_retry_after{-1};
   };
 
@@ -226,10 +234,10 @@
   DeciderClock clock_;
   std::vector<ClassSettings> classes_;
   std::size_t attempts_cap_;
+  std::size_t forwarded_copies_;  // of the request itself, and of the commands of its attempts
   Handler handler_;
   SendCheck send_check_;
   Bounds bounds_;
-  std::size_t request_bytes_ = 0;
   Upstream* upstream_ = nullptr;
   RequestId last_id_ = 0;
   std::size_t open_ = 0;  // requests that are not answered yet
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -1,5 +1,6 @@
 #include "transport/connection.h"
 
+#include <poll.h>
 #include <sys/socket.h>
 #include <sys/uio.h>
 
@@ -15,7 +16,6 @@
 namespace {
 
 constexpr std::size_t kReadBytes = 64U << 10U;  // per system call
-constexpr int kReadsPerYield = 2;               // number of reads after which other coroutines run
 constexpr std::size_t kMaxWritesPerCall = 16;   // per sendmsg()
 
 // Shared by all connections: only one thread reads, and each handler processes its bytes before the next
@@ -111,14 +111,23 @@
     }
   }
   self->scheduler_.spawn(write_loop(self));
-  int reads = 0;
+  const std::size_t read_bytes = std::min(self->bounds_.read_bytes, read_buffer.size());
+  bool busy = false;  // the last turn used all that a turn may
   while (!self->ended_ || self->lingering_) {
-    const ssize_t count = ::recv(self->socket_.get(), read_buffer.data(), read_buffer.size(), 0);
+    if (busy && self->bounds_.background) {
+      co_await self->scheduler_.yield_background();
+    } else if (busy) {
+      co_await self->scheduler_.yield();
+    }
+    if (self->has_backlog()) {
+      self->deliver({});
+      busy = true;
+      continue;
+    }
+    const ssize_t count = ::recv(self->socket_.get(), read_buffer.data(), read_bytes, 0);
     if (count > 0) {
       self->deliver(std::string_view(read_buffer.data(), static_cast<std::size_t>(count)));
-      if (++reads % kReadsPerYield == 0) {
-        co_await self->scheduler_.yield();
-      }
+      busy = self->lingering_ || self->has_backlog() || static_cast<std::size_t>(count) == read_bytes;
     } else if (count == 0) {
       self->on_read_end(ConnectionEnd::kPeerClosed);
     } else if (would_block(errno)) {
@@ -139,8 +148,7 @@
   }
 }
 
-// Passes received bytes to the handler. If the handler throws, its parser has lost its position in the bytes,
-// so the connection ends.
+// Passes received bytes to the handler, or lets it process its backlog where there are none.
 void Connection::deliver(std::string_view bytes) {
   if (ended_) {
     return;  // lingering: read and discarded so that closing does not reset the connection
@@ -149,16 +157,31 @@
     finish(ConnectionEnd::kPeerClosed);
     return;
   }
+  if (bytes.empty()) {
+    call_handler([](Handler& handler) { handler.on_turn(); });
+    return;
+  }
   last_received_ = Clock::now();
+  call_handler([bytes](Handler& handler) { handler.on_bytes(bytes); });
+}
+
+// If the handler throws, its parser has lost its position in the bytes, so the connection ends.
+void Connection::call_handler(const std::function<void(Handler&)>& call) {
   const std::shared_ptr<Handler> handler = handler_;
   try {
-    handler->on_bytes(bytes);
+    call(*handler);
   } catch (const std::exception& error) {
     log_line(Level::kError) << "closed the connection to " << to_string(peer_) << ": " << error.what();
     finish(ConnectionEnd::kMalformed);
   }
 }
 
+bool Connection::peer_has_left() const {
+  pollfd state{socket_.get(), POLLRDHUP, 0};
+  return connected_ && socket_.valid() && ::poll(&state, 1, 0) > 0 &&
+         (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 Task<void> Connection::write_loop(std::shared_ptr<Connection> self) {
   while (!self->ended_) {
     self->flush();
--- a/src/transport/connection.h
+++ b/src/transport/connection.h
@@ -39,6 +39,10 @@
     virtual ~Handler() = default;
     // `bytes` is valid only during the call. If this throws, the connection ends with kMalformed.
     virtual void on_bytes(std::string_view bytes) = 0;
+    // Returns whether the handler keeps bytes that it has not processed yet. While it does, nothing more is
+    // read, and on_turn() is called once in each turn of the connection.
+    virtual bool has_backlog() const { return false; }
+    virtual void on_turn() {}
     // Fewer than `low_mark` bytes are unsent.
     virtual void on_drained() {}
     // The send check of these bytes returned false. They were removed from the queue, and none of them was
@@ -55,6 +59,10 @@
     std::size_t low_mark = 32U << 10U;         // unsent bytes below which on_drained() is called
     int send_buffer = 0;          // size of the socket's send buffer in bytes; 0: the system's default
     bool end_on_hang_up = false;  // once the peer has closed, discard its remaining bytes
+    std::size_t read_bytes = 64U << 10U;  // most that one turn reads
+    // Turns that follow each other without a pause are taken in the scheduler's background queue, so that
+    // they delay neither timers nor other connections.
+    bool background = false;
     // After a close from this side, received bytes are read and discarded for this long, or until the peer
     // has closed too. Closing a socket with unread bytes would reset the connection and could lose the bytes
     // that were written last.
@@ -85,6 +93,10 @@
   // the connection with kOverflow if more bytes than the bound are then unsent.
   std::uint64_t write(std::string bytes, SendCheck send_check = {});
 
+  // Returns whether the peer has closed its sending side or reset the connection, also while bytes that it
+  // sent before are unread. Asks the system.
+  bool peer_has_left() const;
+
   // Returns whether any of the bytes of `token` may have been sent.
   bool may_have_sent(std::uint64_t token) const;
 
@@ -129,6 +141,8 @@
   static Task<void> write_loop(std::shared_ptr<Connection> self);
   Task<bool> finish_connect();
   void deliver(std::string_view bytes);
+  void call_handler(const std::function<void(Handler&)>& call);
+  bool has_backlog() const { return !ended_ && handler_ && handler_->has_backlog(); }
   void on_read_end(ConnectionEnd end);
   std::deque<QueuedWrite>::const_iterator find_write(std::uint64_t token) const;
   void flush();
--- a/src/transport/scheduler.cpp
+++ b/src/transport/scheduler.cpp
@@ -13,6 +13,8 @@
 
 namespace {
 
+constexpr std::chrono::microseconds kBackgroundTime{500};  // of each iteration
+
 // Logs the exception instead of passing it on, so that one failure does not affect other requests.
 void log_current_exception() {
   try {
@@ -62,9 +64,10 @@
     std::coroutine_handle<>::from_address(*roots_.begin()).destroy();
   }
   // Destroying a job can destroy objects that close watches and post further jobs.
-  while (!jobs_.empty() || !next_iteration_.empty() || !timers_.empty()) {
+  while (!jobs_.empty() || !next_iteration_.empty() || !background_.empty() || !timers_.empty()) {
     const auto jobs = std::exchange(jobs_, {});
     const auto next = std::exchange(next_iteration_, {});
+    const auto background = std::exchange(background_, {});
     const auto timers = std::exchange(timers_, {});
   }
 }
@@ -108,14 +111,32 @@
   }
 }
 
+void Scheduler::run_background() {
+  if (background_.empty()) {
+    return;
+  }
+  const std::size_t waiting = background_.size();  // those that yield again wait for the next iteration
+  const Clock::time_point until = Clock::now() + kBackgroundTime;
+  for (std::size_t i = 0; i < waiting; ++i) {
+    const Job job = std::move(background_.front());
+    background_.pop_front();
+    run_guarded(job);
+    run_jobs();
+    if (Clock::now() >= until) {
+      break;
+    }
+  }
+}
+
 void Scheduler::run_iteration(Clock::duration longest) {
   run_jobs();
   std::swap(jobs_, next_iteration_);
   run_jobs();
+  run_background();
   if (stopped_) {
     return;
   }
-  Clock::duration wait = next_iteration_.empty() ? longest : Clock::duration::zero();
+  Clock::duration wait = next_iteration_.empty() && background_.empty() ? longest : Clock::duration::zero();
   if (!timers_.empty()) {
     wait = std::clamp(timers_.begin()->first.first - Clock::now(), Clock::duration::zero(), wait);
   }
--- a/src/transport/scheduler.h
+++ b/src/transport/scheduler.h
@@ -87,6 +87,18 @@
   };
   Yield yield() { return Yield{*this}; }
 
+  // Awaitable that resumes in a later iteration, in the order of the calls. All such coroutines together get a
+  // limited time of each iteration, so that they never delay events and timers for longer.
+  struct YieldBackground {
+    Scheduler& scheduler;
+    bool await_ready() const noexcept { return false; }
+    void await_suspend(std::coroutine_handle<> waiter) const {
+      scheduler.background_.push_back([waiter] { waiter.resume(); });
+    }
+    void await_resume() const noexcept {}
+  };
+  YieldBackground yield_background() { return YieldBackground{*this}; }
+
  private:
   friend class Watch;
   struct Root;
@@ -95,6 +107,7 @@
   static void run_guarded(const Job& job);
   void run_jobs();
   void run_timers();
+  void run_background();
 
   Descriptor epoll_;
   bool stopped_ = false;
@@ -104,6 +117,7 @@
   std::map<TimerKey, Job> timers_;
   std::deque<Job> jobs_;
   std::deque<Job> next_iteration_;
+  std::deque<Job> background_;
   std::unordered_map<std::uint64_t, Watch*> watches_;
   std::unordered_set<void*> roots_;
 };
--- a/tests/fastcgi_test.cpp
+++ b/tests/fastcgi_test.cpp
@@ -49,7 +49,7 @@
     EXPECT_EQ(read.request_id, 7);
     EXPECT_EQ(*read.parameters.find("SCRIPT_NAME"), "/v1/media");
     EXPECT_EQ(read.parameters.find("LONG")->size(), 300U);
-    EXPECT_EQ(read.parameters.find("ABSENT"), nullptr);
+    EXPECT_EQ(read.parameters.find("ABSENT"), std::nullopt);
     EXPECT_EQ(read.body, body);
     EXPECT_TRUE(read.keep_connection);
     EXPECT_EQ(parser.held(), 0U);
@@ -197,6 +197,66 @@
   EXPECT_EQ(only<RequestRejected>(feed(complete, bytes, 64)).request_id, 2);
 }
 
+// Guards against parameters that take many times their bytes once they are read.
+TEST(FastCgiParser, KeepsManyShortParametersInTheirEncodedSize) {
+  constexpr std::size_t kFields = 8'190;
+  const std::string empty_fields(2 * kFields, '\0');
+  Parser parser{Bounds()};
+  const std::string bytes = begin_record(1) + record(kParams, 1, empty_fields) + record(kParams, 1, "");
+  EXPECT_TRUE(feed(parser, bytes, 1'000).empty());
+  EXPECT_LE(parser.held(), 2 * empty_fields.size() + 100);
+  const std::vector<Event> events = feed(parser, record(kStdin, 1, ""), 64);
+  EXPECT_EQ(only<RequestReceived>(events).parameters.encoded_bytes(), empty_fields.size());
+  EXPECT_EQ(parser.held(), 0U);
+}
+
+// Guards against records that are kept as a whole although their request is rejected or unknown.
+TEST(FastCgiParser, HoldsNothingOfRecordsThatItSkips) {
+  Parser parser{Bounds()};
+  const std::string part = record(kStdin, 9, std::string(60'000, 'x')).substr(0, 50'000);
+  EXPECT_TRUE(feed(parser, part, 7'000).empty());
+  EXPECT_EQ(parser.held(), 0U);
+  EXPECT_TRUE(parser.has_partial_message());
+}
+
+TEST(FastCgiParser, FreesTheContentOfARejectedRequestAtOnce) {
+  Parser parser{Bounds()};
+  const std::string head = begin_record(1) + record(kParams, 1, "");
+  EXPECT_TRUE(feed(parser, head + record(kStdin, 1, std::string(40'000, 'x')), 4'000).empty());
+  EXPECT_GE(parser.held(), 40'000U);
+  only<RequestRejected>(feed(parser, record(kStdin, 1, std::string(40'000, 'x')), 4'000));
+  EXPECT_EQ(parser.held(), 0U);
+}
+
+TEST(FastCgiParser, RejectsTheLargestIncompleteRequestAndSkipsItsRest) {
+  Parser parser{Bounds()};
+  std::string bytes = begin_record(1) + begin_record(2) + begin_record(3);
+  bytes += record(kParams, 1, "") + record(kStdin, 1, std::string(1'000, 'a'));
+  bytes += record(kParams, 2, "") + record(kStdin, 2, std::string(5'000, 'b'));
+  EXPECT_TRUE(feed(parser, bytes, 64).empty());
+  const std::optional<RequestRejected> rejected = parser.reject_largest("full");
+  ASSERT_TRUE(rejected.has_value());
+  EXPECT_EQ(rejected->request_id, 2);
+  EXPECT_EQ(rejected->status, ProtocolStatus::kOverloaded);
+  EXPECT_LE(parser.held(), 2'100U);
+  EXPECT_TRUE(feed(parser, record(kStdin, 2, std::string(5'000, 'b')) + record(kStdin, 2, ""), 64).empty());
+  EXPECT_EQ(only<RequestReceived>(feed(parser, record(kStdin, 1, ""), 64)).body.size(), 1'000U);
+  EXPECT_FALSE(parser.reject_largest("full").has_value()) << "no request is left that holds any bytes";
+}
+
+TEST(FastCgiParser, ReturnsTheEventsOfOneRecordAtATime) {
+  Parser parser{Bounds()};
+  const std::string bytes = record(77, 0, "") + record(78, 0, "") + begin_record(1);
+  std::string_view rest = bytes;
+  std::vector<Event> events;
+  for (int i = 0; i < 2; ++i) {
+    std::optional<Event> event = parser.next(rest);
+    ASSERT_TRUE(event.has_value());
+    EXPECT_TRUE(std::holds_alternative<ManagementReply>(*event));
+  }
+  EXPECT_EQ(rest, begin_record(1));
+}
+
 TEST(FastCgiParser, AcceptsRandomBytesWithinItsBounds) {
   std::uint32_t state = 12345;
   for (int round = 0; round < 300; ++round) {
@@ -272,6 +332,44 @@
   EXPECT_EQ(answers[2].output, "b");
 }
 
+TEST(AnswerQueue, CountsTheMemoryOfItsAnswersUntilTheyAreWritten) {
+  AnswerQueue queue(100);
+  EXPECT_EQ(queue.held(), 0U);
+  for (RequestId id = 1; id <= 20; ++id) {
+    queue.append(id, std::string(1'000, 'a'));
+    queue.end(id, ProtocolStatus::kRequestComplete, 0);
+  }
+  EXPECT_GE(queue.held(), 20'000U);
+  EXPECT_TRUE(queue.drop(3));
+  std::vector<RequestId> order;
+  EXPECT_EQ(drain(queue, order).size(), 19U);
+  EXPECT_EQ(queue.held(), 0U);
+  EXPECT_EQ(queue.waiting(), 0U);
+}
+
+TEST(AnswerQueue, ReplacesTheLargestAnswerOfWhichNothingIsWritten) {
+  AnswerQueue queue(100);
+  const std::string failure = "Status: 502 Bad Gateway\r\n\r\n";
+  queue.append(1, std::string(9'000, 'a'));
+  queue.end(1, ProtocolStatus::kRequestComplete, 0);
+  RequestId ended_id = 0;
+  bool ended = false;
+  const std::string begun = queue.next(ended_id, ended);
+  queue.append(2, std::string(5'000, 'b'));
+  queue.end(2, ProtocolStatus::kRequestComplete, 0);
+  queue.append(3, std::string(1'000, 'c'));
+  queue.end(3, ProtocolStatus::kRequestComplete, 0);
+  EXPECT_TRUE(queue.replace_largest(failure));
+  EXPECT_TRUE(queue.replace_largest(failure));
+  EXPECT_FALSE(queue.replace_largest(failure)) << "the first has begun, the others are short";
+  std::vector<RequestId> order;
+  const auto answers = drain(queue, order);
+  EXPECT_EQ(answers.at(1).output.size() + 100, 9'000U);
+  EXPECT_EQ(answers.at(2).output, failure);
+  EXPECT_EQ(answers.at(3).output, failure);
+  EXPECT_EQ(queue.held(), 0U);
+}
+
 TEST(AnswerQueue, WritesNoOutputWhenARequestEndsAsOverloaded) {
   AnswerQueue queue(10);
   queue.end(6, ProtocolStatus::kOverloaded, 0);
--- a/tests/fleet/client_limits_test.cpp
+++ b/tests/fleet/client_limits_test.cpp
@@ -2,13 +2,18 @@
 // process ends, and each request of a usual client gets one answer in time.
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <array>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 #include "fleet/bad_clients.h"
 #include "fleet/fleet_fixture.h"
 #include "fleet/process_usage.h"
+#include "stand_ins.h"
 
 namespace trailcourse::testing_support {
 namespace {
@@ -29,11 +34,22 @@
 constexpr bool kMeasuresMemory = true;
 #endif
 
+// Memory of the program itself, as `base_memory_mb` has it by default.
+constexpr std::size_t kBaseBytes = 12U << 20U;
+
 struct Limits {
   int memory_mb = 0;
   int sockets = 0;
 };
 
+// Returns the largest total of the router's memory account.
+std::size_t account_peak(const transport::Address& router) {
+  Client client(router);
+  const auto answer = client.ask(1, {{"SCRIPT_NAME", "/healthz"}, {"HTTP_X_TRACE", "1"}});
+  const auto status = nlohmann::json::parse(answer ? answer->body : "", nullptr, false);
+  return status.is_object() ? status.at("memory").at("peak").get<std::size_t>() : 0;
+}
+
 // Runs bad clients beside one usual client, with one request at a time, and checks the router.
 void check_limits(Misuse misuse, std::size_t connections, const Limits& limits) {
   SCOPED_TRACE(std::string(to_string(misuse)) + ", " + std::to_string(limits.memory_mb) + " MB");
@@ -63,8 +79,13 @@
   const fleet::ProcessUsage usage = fleet::read_process_usage(fixture.supervisor().pid(router));
   EXPECT_GT(bad->counts().bytes_sent, 0U);
   bad.reset();
+  const std::size_t memory_limit = static_cast<std::size_t>(limits.memory_mb) << 20U;
+  const std::size_t charged = account_peak(address);
+  EXPECT_GT(charged, 0U);
+  EXPECT_LE(charged, memory_limit - kBaseBytes);
   if (kMeasuresMemory) {
-    EXPECT_LE(usage.peak_resident_bytes, static_cast<std::size_t>(limits.memory_mb) << 20U);
+    EXPECT_LE(usage.peak_resident_bytes, memory_limit);
+    EXPECT_LE(usage.peak_resident_bytes, kBaseBytes + charged) << "the account misses memory";
   }
   EXPECT_LE(most_descriptors, static_cast<std::size_t>(limits.sockets));
   EXPECT_EQ(find_answer_violations(fixture.load().requests(), milliseconds(2'000), kObjectBytes),
@@ -76,5 +97,26 @@
   check_limits(Misuse::kEmptyFields, 3, {32, 256});
 }
 
+// As many connections as clients may hold, a third of the descriptors, under each misuse.
+class ClientMisuseTest : public testing::TestWithParam<std::tuple<Misuse, int>> {};
+
+TEST_P(ClientMisuseTest, KeepsTheLimitsAndServesUsualClients) {
+  constexpr std::array<Limits, 3> kLimits{{{32, 256}, {48, 576}, {192, 1'024}}};
+  const auto [misuse, size] = GetParam();
+  const Limits& limits = kLimits.at(static_cast<std::size_t>(size));
+  check_limits(misuse, static_cast<std::size_t>(limits.sockets / 3), limits);
+}
+
+INSTANTIATE_TEST_SUITE_P(Memory, ClientMisuseTest,
+                         testing::Combine(testing::Values(Misuse::kEmptyFields, Misuse::kShortFields,
+                                                          Misuse::kStoppedBodies, Misuse::kSlowWriters,
+                                                          Misuse::kUnreadAnswers),
+                                          testing::Values(0, 1, 2)));
+INSTANTIATE_TEST_SUITE_P(Floods, ClientMisuseTest,
+                         testing::Combine(testing::Values(Misuse::kLongHeads, Misuse::kManagement,
+                                                          Misuse::kGetValues, Misuse::kAbortedRequests,
+                                                          Misuse::kNewObjects, Misuse::kCloseUnread),
+                                          testing::Values(1)));
+
 }  // namespace
 }  // namespace trailcourse::testing_support
--- /dev/null
+++ b/tests/memory_account_test.cpp
@@ -0,0 +1,51 @@
+// Tests the account of the memory that clients can make a process hold.
+#include "memory/memory_account.h"
+
+#include <gtest/gtest.h>
+
+#include <utility>
+
+namespace trailcourse::memory {
+namespace {
+
+MemoryAccount::Limits limits() {
+  MemoryAccount::Limits out;
+  out.total = 100;
+  out[MemoryUse::kPartialRequests] = 40;
+  return out;
+}
+
+TEST(MemoryAccount, KeepsTheLimitOfAUseAndThatOfAll) {
+  MemoryAccount account(limits());
+  EXPECT_TRUE(account.fits(MemoryUse::kPartialRequests, 40));
+  EXPECT_FALSE(account.fits(MemoryUse::kPartialRequests, 41));
+  const MemoryCharge answers(account, MemoryUse::kAnswers, 70);
+  EXPECT_FALSE(account.fits(MemoryUse::kPartialRequests, 31)) << "the total";
+  MemoryCharge partial(account, MemoryUse::kPartialRequests, 30);
+  EXPECT_FALSE(account.exceeded(MemoryUse::kPartialRequests));
+  partial.set(31);
+  EXPECT_TRUE(account.exceeded(MemoryUse::kPartialRequests));
+  EXPECT_TRUE(account.exceeded(MemoryUse::kOpenRequests)) << "all together are over their limit";
+  EXPECT_EQ(account.total(), 101U);
+}
+
+TEST(MemoryAccount, ReleasesAChargeOnceAndWithItsLastOwner) {
+  MemoryAccount account(limits());
+  {
+    MemoryCharge first(account, MemoryUse::kAnswers, 10);
+    const MemoryCharge second(std::move(first));
+    EXPECT_EQ(account.used(MemoryUse::kAnswers), 10U);
+  }
+  EXPECT_EQ(account.total(), 0U);
+  EXPECT_EQ(account.peak(), 10U);
+}
+
+TEST(MemoryAccount, DescribesAUseForTheLog) {
+  MemoryAccount account(limits());
+  const MemoryCharge charge(account, MemoryUse::kPartialRequests, 20);
+  EXPECT_EQ(account.describe(MemoryUse::kPartialRequests), "partial requests 0 of 0 KB, all 0 of 0 KB");
+  EXPECT_EQ(account.describe(MemoryUse::kAnswers), "answers 0 KB, all 0 of 0 KB");
+}
+
+}  // namespace
+}  // namespace trailcourse::memory
--- a/tests/mutation_test.cpp
+++ b/tests/mutation_test.cpp
@@ -82,8 +82,9 @@
       events_text += std::to_string(event.index()) + ' ';
       if (const auto* read = std::get_if<fastcgi::RequestReceived>(&event)) {
         events_text += std::to_string(read->request_id) + ' ' + read->body;
-        for (const auto& [name, value] : read->parameters.fields) {
-          events_text.append(" ").append(name).append("=").append(value);
+        fastcgi::PairReader parameters = read->parameters.read();
+        while (const auto pair = parameters.next()) {
+          events_text.append(" ").append(pair->name).append("=").append(pair->value);
         }
       } else if (const auto* bad = std::get_if<fastcgi::RequestRejected>(&event)) {
         events_text += std::to_string(bad->request_id) + ' ' + bad->reason;
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -68,8 +68,10 @@
   static Router::Bounds bounds() {
     Router::Bounds out;
     out.open = 3;
-    out.bytes = 10'000;
     out.request_bytes = 100;
+    memory::MemoryAccount::Limits limits;
+    limits[memory::MemoryUse::kOpenRequests] = 10'000;
+    out.memory = std::make_shared<memory::MemoryAccount>(limits);
     return out;
   }
   static Settings settings() {
@@ -101,9 +103,9 @@
     send.timeout = timeout;
     return send;
   }
-  RequestId accept(int request_class = 0, std::size_t body_bytes = 0) {
+  RequestId accept(int request_class = 0, std::size_t forwarded_bytes = 0) {
     ClientRequest request;
-    request.body_bytes = body_bytes;
+    request.forwarded_bytes = forwarded_bytes;
     request.arrival.request_class = request_class;
     request.patience = milliseconds(2000);
     return router_.accept(std::move(request), std::make_shared<RecordingReply>(replies_));
@@ -134,9 +136,9 @@
   Router router_;
 };
 
-// The bound counts bytes of bodies: a few large requests must not block many small ones beyond their own end.
+// The bound counts what is forwarded: a few large requests must not block many small ones beyond their own end.
 TEST_F(RouterTest, RejectsRequestsWhenOpenBodiesReachTheByteBound) {
-  const RequestId large = accept(0, 9'850);
+  const RequestId large = accept(0, 9'850 / 2);  // counted twice: the request and the command of its attempt
   ASSERT_NE(large, 0U);
   EXPECT_EQ(accept(), 0U) << "50 bytes are left";
   EXPECT_EQ(replies_->calls, std::vector<std::string>{"rejected 0"});
--- a/tests/stand_ins.cpp
+++ b/tests/stand_ins.cpp
@@ -445,6 +445,15 @@
   return answer;
 }
 
+void Client::shut_down_sending() const { ::shutdown(socket_.get(), SHUT_WR); }
+
+void Client::reset() {
+  const linger at_once{1, 0};
+  ::setsockopt(socket_.get(), SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+  socket_.reset();
+  closed_ = true;
+}
+
 bool Client::await_close() {
   const Clock::time_point until = Clock::now() + kTestTimeout;
   while (receive(until)) {
--- a/tests/stand_ins.h
+++ b/tests/stand_ins.h
@@ -164,6 +164,10 @@
   // Waits for the complete answer to a request; returns nothing if the time is up or the connection ends
   // before.
   std::optional<Answer> read(std::uint16_t key, std::chrono::milliseconds timeout = std::chrono::seconds(10));
+  // Closes the sending side; answers can still be read.
+  void shut_down_sending() const;
+  // Closes the connection with a reset, also where nothing is unread.
+  void reset();
   // Waits until the other side closes the connection; returns whether it did.
   bool await_close();
   // Sends a complete request and waits for its answer.
--- a/tests/transport_test.cpp
+++ b/tests/transport_test.cpp
@@ -8,6 +8,7 @@
 #include <array>
 #include <functional>
 #include <memory>
+#include <numeric>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -211,6 +212,37 @@
   EXPECT_NE(text.find("third (2 lines before this one were omitted)\n"), std::string::npos) << text;
 }
 
+// Yields to the background and uses the processor for `time` in each of its turns.
+Task<void> take_background_turns(Scheduler& scheduler, Clock::duration time, int& turns) {
+  for (;;) {
+    co_await scheduler.yield_background();
+    ++turns;
+    const Clock::time_point until = Clock::now() + time;
+    while (Clock::now() < until) {
+    }
+  }
+}
+
+TEST(Scheduler, BackgroundTurnsShareALimitedTimeOfEachIteration) {
+  Scheduler scheduler;
+  constexpr int kTasks = 20;
+  constexpr int kMaxTurns = 6;  // of 100 us in the 500 us of an iteration
+  std::vector<int> turns(kTasks, 0);
+  for (int& one : turns) {
+    scheduler.spawn(take_background_turns(scheduler, std::chrono::microseconds(100), one));
+  }
+  int before = 0;
+  for (int iteration = 0; iteration < 100; ++iteration) {
+    scheduler.run_iteration(Clock::duration::zero());
+    const int all = std::accumulate(turns.begin(), turns.end(), 0);
+    EXPECT_GE(all, before + 1);
+    EXPECT_LE(all, before + kMaxTurns);
+    before = all;
+  }
+  const auto [least, most] = std::minmax_element(turns.begin(), turns.end());
+  EXPECT_LE(*most - *least, 1) << "turns are taken in order";
+}
+
 // Records the events of a connection.
 class RecordingHandler : public Connection::Handler {
  public:
@@ -420,6 +452,50 @@
   EXPECT_EQ(events_.ends, std::vector<ConnectionEnd>{ConnectionEnd::kPeerClosed});
 }
 
+// Processes three bytes in each turn.
+class SlowHandler : public Connection::Handler {
+ public:
+  explicit SlowHandler(std::vector<std::string>& turns) : turns_(turns) {}
+  void on_bytes(std::string_view bytes) override {
+    backlog_ += bytes;
+    on_turn();
+  }
+  bool has_backlog() const override { return !backlog_.empty(); }
+  void on_turn() override {
+    turns_.push_back(backlog_.substr(0, 3));
+    backlog_.erase(0, 3);
+  }
+  void on_end(ConnectionEnd) override {}
+
+ private:
+  std::vector<std::string>& turns_;
+  std::string backlog_;
+};
+
+TEST_F(ConnectionTest, ReadsNothingWhileItsHandlerHasABacklog) {
+  Connection::Bounds bounds;
+  bounds.read_bytes = 8;
+  bounds.background = true;
+  std::vector<std::string> turns;
+  const auto connection = Connection::connect(scheduler_, address_, bounds);
+  connection->start(std::make_shared<SlowHandler>(turns));
+  const Descriptor peer = accept();
+  ASSERT_EQ(::send(peer.get(), "abcdefghijkl", 12, MSG_NOSIGNAL), 12);
+  run_until(scheduler_, [&] { return turns.size() >= 5; });
+  EXPECT_EQ(turns, (std::vector<std::string>{"abc", "def", "gh", "ijk", "l"}));
+}
+
+TEST_F(ConnectionTest, KnowsThatThePeerHasLeftWhileItsBytesAreUnread) {
+  const auto connection = connect();
+  Descriptor peer = accept();
+  run_until(scheduler_, [&] { return connection->connected(); });
+  EXPECT_FALSE(connection->peer_has_left());
+  ASSERT_EQ(::send(peer.get(), "unread", 6, MSG_NOSIGNAL), 6);
+  EXPECT_FALSE(connection->peer_has_left());
+  ASSERT_EQ(::shutdown(peer.get(), SHUT_WR), 0);
+  EXPECT_TRUE(connection->peer_has_left());
+}
+
 TEST_F(ConnectionTest, ReportsARefusedConnect) {
   listener_.descriptor.reset();
   const auto connection = connect();
