Begin no attempt for a client that has left, and execute a returning id once

Cause: the end of a connection was known from epoll only, which is asked once an iteration; what the same iteration read was begun. An id was free again as soon as its client had left, also where its attempt may have been executed.

Change: the system is asked (poll, POLLRDHUP) before each turn of a connection and just before the first byte of each attempt. An id that was refused, or a safe one that was aborted, may return.

--- a/src/routing/fastcgi_server.cpp
+++ b/src/routing/fastcgi_server.cpp
@@ -255,13 +255,20 @@
   }
 }
 
-RequestId FastCgiConnection::close_request(fastcgi::RequestId request_id, RequestEnd /*end*/) {
+// The id of a request that may have been executed must not return, except one of a safe class whose client
+// still was there at its end.
+RequestId FastCgiConnection::close_request(fastcgi::RequestId request_id, RequestEnd end) {
   const auto found = open_requests_.find(request_id);
   if (found == open_requests_.end()) {
     return 0;
   }
   const OpenRequest request = found->second;
-  server_.call_ids_.close(request.call_id);
+  const bool may_return = end == RequestEnd::kRefused || (request.is_safe && end != RequestEnd::kClientLeft);
+  if (request.has_begun && !may_return) {
+    server_.call_ids_.retire(request.call_id, server_.scheduler_.iteration_time());
+  } else {
+    server_.call_ids_.close(request.call_id);
+  }
   open_requests_.erase(found);
   return request.id;
 }
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -100,7 +100,7 @@
   OpenRequest* request = find(key.request);
   const bool wanted = request != nullptr && request->reply && request->streaming < 0 &&
                       find_open_attempt(*request, key.attempt);
-  const bool may_begin = wanted &&
+  const bool may_begin = wanted && request->reply->client_waits() &&
                          (!send_check_ || send_check_(now(), key.request, key.attempt));
   if (may_begin) {
     request->reply->attempt_begins();
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -153,7 +153,7 @@
   if (ended_) {
     return;  // lingering: read and discarded so that closing does not reset the connection
   }
-  if (bounds_.end_on_hang_up && watch_->hung_up()) {
+  if (bounds_.end_on_hang_up && (watch_->hung_up() || peer_has_left())) {
     finish(ConnectionEnd::kPeerClosed);
     return;
   }
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <csignal>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -218,6 +219,146 @@
   EXPECT_EQ(received[1].id, id_of(99));
 }
 
+enum class Leaving { kClose, kReset, kHalfClose };
+
+class LeavingClientTest : public CrossingsTest, public testing::WithParamInterface<Leaving> {
+ protected:
+  // A client that has received an answer, so that its connection is known to the router.
+  std::unique_ptr<Client> connected_client() {
+    auto client = std::make_unique<Client>(program_->port());
+    EXPECT_TRUE(client->ask(1, {{"SCRIPT_NAME", "/healthz"}}).has_value());
+    return client;
+  }
+  static void leave(Client& client) {
+    switch (GetParam()) {
+      case Leaving::kClose:
+        client.close();
+        break;
+      case Leaving::kReset:
+        client.reset();
+        break;
+      case Leaving::kHalfClose:
+        client.shut_down_sending();
+        break;
+    }
+  }
+  // Returns the ids of the requests that the cache has received, once it has answered a request of another
+  // client.
+  std::vector<std::string> forwarded_ids(Client& other, int number) {
+    EXPECT_TRUE(other.ask(100, read_fields(id_of(number))).has_value());
+    std::vector<std::string> ids;
+    for (const CacheRequest& request : cache_.seen()) {
+      if (request.command == "serve") {
+        ids.push_back(request.id);
+      }
+    }
+    return ids;
+  }
+  static std::string many_requests(int first, int count) {
+    std::string bytes;
+    for (int i = 0; i < count; ++i) {
+      bytes += request_bytes(static_cast<std::uint16_t>(1 + i % 60), read_fields(id_of(first + i)), "");
+    }
+    return bytes;
+  }
+};
+
+// The client leaves before anything is read; what it sent takes many turns.
+TEST_P(LeavingClientTest, ForwardsNoneOfTheRequestsThatAreUnreadWhenTheClientLeaves) {
+  list_cache(cache_);
+  start();
+  Client other(program_->port());
+  ASSERT_TRUE(other.ask(1, read_fields(id_of(98))).has_value());
+  const auto leaving = connected_client();
+  program_->suspend();
+  leaving->send(many_requests(1'000, 60));
+  leave(*leaving);
+  program_->signal(SIGCONT);
+  EXPECT_EQ(forwarded_ids(other, 99), (std::vector<std::string>{id_of(98), id_of(99)}));
+}
+
+// The client leaves between the reads: one of its requests waits for its answer, the others are unread.
+TEST_P(LeavingClientTest, ForwardsNoRequestBehindOneThatWaitsWhenTheClientLeaves) {
+  cache_.set_script([](const CacheRequest& request) -> std::optional<std::string> {
+    return request.id == id_of(1) ? std::nullopt
+                                  : std::optional(CacheStandIn::answer(request, "OK", "tell=warm", "body"));
+  });
+  list_cache(cache_);
+  start();
+  Client other(program_->port());
+  ASSERT_TRUE(other.ask(1, read_fields(id_of(98))).has_value());
+  const auto leaving = connected_client();
+  leaving->send(request_bytes(61, read_fields(id_of(1)), ""));
+  ASSERT_TRUE(cache_.await("serve", 2));
+  program_->suspend();
+  leaving->send(many_requests(1'000, 60));
+  leave(*leaving);
+  program_->signal(SIGCONT);
+  EXPECT_EQ(forwarded_ids(other, 99), (std::vector<std::string>{id_of(98), id_of(1), id_of(99)}));
+}
+
+// An id comes again on a new connection after its client has left while the request was open.
+TEST_P(LeavingClientTest, ExecutesAnIdOnceThatReturnsAfterItsClientHasLeft) {
+  cache_.set_script([](const CacheRequest&) { return std::nullopt; });
+  origin_.set_script([](const CacheRequest&) { return std::nullopt; });
+  list_cache(cache_);
+  start({{"router", {{"cache_connections", 16}}}});
+  int number = 0;
+  std::size_t serves = 0;
+  for (const std::string& request_class : std::vector<std::string>{"media", "entry", "once"}) {
+    const Fields fields = read_fields(id_of(++number), {{"SCRIPT_NAME", "/v1/" + request_class},
+                                                        {"HTTP_X_DEDUPE_KEY", "5c0f6e1a2b3d4c59"}});
+    CacheStandIn& executing = request_class == "media" ? cache_ : origin_;
+    serves = executing.count("serve");
+    const std::size_t cancels = executing.count("cancel");
+    const auto leaving = connected_client();
+    leaving->send(request_bytes(1, fields, ""));
+    ASSERT_TRUE(executing.await("serve", serves + 1));
+    leave(*leaving);
+    ASSERT_TRUE(executing.await("cancel", cancels + 1)) << "the router knows that the client has left";
+    const auto answer = Client(program_->port()).ask(1, fields);
+    ASSERT_TRUE(answer.has_value()) << request_class;
+    EXPECT_EQ(answer->status, 400) << request_class;
+    EXPECT_EQ(executing.count("serve"), serves + 1) << request_class;
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Ends, LeavingClientTest,
+                         testing::Values(Leaving::kClose, Leaving::kReset, Leaving::kHalfClose));
+
+TEST_F(CrossingsTest, ServesTheSecondOfTwoRequestsWithOneNumberWhoseFirstIsAbortedInTheSameRead) {
+  list_cache(cache_);
+  start();
+  Client client(program_->port());
+  ASSERT_TRUE(client.ask(9, read_fields(id_of(90))).has_value());
+  constexpr std::uint8_t kAbortRequest = 2;
+  client.send(request_bytes(1, read_fields(id_of(1)), "") + record(kAbortRequest, 1, "") +
+              request_bytes(1, read_fields(id_of(2)), ""));
+  const auto answer = client.read(1);
+  ASSERT_TRUE(answer.has_value());
+  EXPECT_EQ(answer->body, "from the cache");
+  ASSERT_TRUE(client.ask(3, read_fields(id_of(3))).has_value()) << "no second answer to request 1 came";
+}
+
+// A request that was refused before any attempt has not been executed: its id may return.
+TEST_F(CrossingsTest, ServesAnIdThatReturnsAfterARefusal) {
+  cache_.set_script(
+      [](const CacheRequest& request) { return CacheStandIn::answer(request, "BUSY", "tell=jammed"); });
+  origin_.set_script(
+      [](const CacheRequest& request) { return CacheStandIn::answer(request, "BUSY", "tell=jammed"); });
+  list_cache(cache_);
+  start();
+  Client client(program_->port());
+  const auto refused = client.ask(1, read_fields(id_of(1)));
+  ASSERT_TRUE(refused.has_value());
+  EXPECT_EQ(refused->status, 503);
+  cache_.set_script(CacheStandIn::serving("from the cache"));
+  origin_.set_script(CacheStandIn::serving("from origin"));
+  const auto again = client.ask(2, read_fields(id_of(1)));
+  ASSERT_TRUE(again.has_value());
+  EXPECT_NE(again->status, 400);
+}
+
 TEST_F(CrossingsTest, ReachesTheDiscoveryServiceAgainWhenIdleClientsUseAllDescriptors) {
   list_cache(cache_);
   start({{"limits", {{"sockets", 64}}}});
--- a/tests/stand_ins.cpp
+++ b/tests/stand_ins.cpp
@@ -445,6 +445,11 @@
   return answer;
 }
 
+void Client::close() {
+  socket_.reset();
+  closed_ = true;
+}
+
 void Client::shut_down_sending() const { ::shutdown(socket_.get(), SHUT_WR); }
 
 void Client::reset() {
--- a/tests/stand_ins.h
+++ b/tests/stand_ins.h
@@ -164,6 +164,8 @@
   // Waits for the complete answer to a request; returns nothing if the time is up or the connection ends
   // before.
   std::optional<Answer> read(std::uint16_t key, std::chrono::milliseconds timeout = std::chrono::seconds(10));
+  // Closes the connection.
+  void close();
   // Closes the sending side; answers can still be read.
   void shut_down_sending() const;
   // Closes the connection with a reset, also where nothing is unread.
--- a/tests/transport_test.cpp
+++ b/tests/transport_test.cpp
@@ -485,6 +485,21 @@
   EXPECT_EQ(turns, (std::vector<std::string>{"abc", "def", "gh", "ijk", "l"}));
 }
 
+// The peer leaves between two turns: what is left of its bytes is not processed.
+TEST_F(ConnectionTest, DiscardsTheBacklogOfAPeerThatHasClosed) {
+  Connection::Bounds bounds;
+  bounds.end_on_hang_up = true;
+  std::vector<std::string> turns;
+  const auto connection = Connection::connect(scheduler_, address_, bounds);
+  connection->start(std::make_shared<SlowHandler>(turns));
+  Descriptor peer = accept();
+  ASSERT_EQ(::send(peer.get(), "abcdef", 6, MSG_NOSIGNAL), 6);
+  run_until(scheduler_, [&] { return !turns.empty(); });
+  peer.reset();
+  run_until(scheduler_, [&] { return connection->ended(); });
+  EXPECT_EQ(turns, std::vector<std::string>{"abc"});
+}
+
 TEST_F(ConnectionTest, KnowsThatThePeerHasLeftWhileItsBytesAreUnread) {
   const auto connection = connect();
   Descriptor peer = accept();
