Discovery: a cache whose address a newer process has is gone

Cause: names were told apart, addresses were not: the list may tell of the new process first, or tell the old entry once more after it; until the removal arrived, attempts for the old name went to the new, cold process.

Change: an entry that started later (since_ms) at the address of another entry ends that one: its connections are retired, and the decision module is told that it is gone. An older entry at the address of a newer one is not taken in.

Evidence: the two new DiscoveryUpdateHandlerTest cases pass, with 887 of 887 tests; without the change there is no code that could pass them (entries are compared by name alone), so they were not run without it.

--- a/src/routing/discovery_update_handler.cpp
+++ b/src/routing/discovery_update_handler.cpp
@@ -52,6 +52,13 @@
   std::set<std::string> names;
   for (const protocol::ListedEndpoint& cache : update.endpoints) {
     names.insert(cache.endpoint.address);
+    for (const std::string& replaced : replaced_by(cache)) {
+      remove_replaced(replaced, list);
+    }
+    if (is_replaced(cache)) {
+      remove_replaced(cache.endpoint.address, list);
+      continue;
+    }
     if (!set_endpoint(cache)) {
       continue;
     }
@@ -108,6 +115,43 @@
   return true;
 }
 
+// An address belongs to one process. The list may tell of a new process before it tells that the old one has
+// gone, and attempts for the old one would reach the new one.
+std::vector<std::string> DiscoveryUpdateHandler::replaced_by(const protocol::ListedEndpoint& cache) const {
+  std::vector<std::string> out;
+  const std::optional<transport::Address> address = transport::parse_address(cache.network_address);
+  if (!address || cache.started_unix_ms <= 0 || cache.endpoint.state == NodeState::kGone) {
+    return out;
+  }
+  for (const auto& [name, state] : listed_endpoints_) {
+    const bool earlier = state.second < cache.started_unix_ms;
+    if (earlier && name != cache.endpoint.address && directory_.find(name) == address) {
+      out.push_back(name);
+    }
+  }
+  return out;
+}
+
+// An old entry may also be told once more after that of the new process.
+bool DiscoveryUpdateHandler::is_replaced(const protocol::ListedEndpoint& cache) const {
+  const std::optional<transport::Address> address = transport::parse_address(cache.network_address);
+  return address && cache.endpoint.state != NodeState::kGone &&
+         std::any_of(listed_endpoints_.begin(), listed_endpoints_.end(), [&](const auto& listed) {
+           const auto& [name, state] = listed;
+           return name != cache.endpoint.address && state.second > cache.started_unix_ms &&
+                  directory_.find(name) == address;
+         });
+}
+
+void DiscoveryUpdateHandler::remove_replaced(const std::string& name, EndpointListReceived& list) {
+  log_line(Level::kInfo) << "cache " << name << " is gone: another process has its address";
+  remove_endpoint(name);
+  Endpoint gone;
+  gone.address = name;
+  gone.state = NodeState::kGone;
+  list.entries.push_back(std::move(gone));
+}
+
 void DiscoveryUpdateHandler::remove_endpoint(const std::string& name) {
   listed_endpoints_.erase(name);
   ready_.erase(name);
--- a/src/routing/discovery_update_handler.h
+++ b/src/routing/discovery_update_handler.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "protocol/discovery_page.h"
 #include "routing/discovery_listener.h"
@@ -47,6 +48,12 @@
   // Stores the state and the address of a cache. Returns false if the entry is invalid.
   bool set_endpoint(const protocol::ListedEndpoint& cache);
   void remove_endpoint(const std::string& name);
+  // Returns the names whose process has gone because `cache`, which started later, has their address.
+  std::vector<std::string> replaced_by(const protocol::ListedEndpoint& cache) const;
+  // Returns whether a process that started later has the address of `cache`.
+  bool is_replaced(const protocol::ListedEndpoint& cache) const;
+  // Removes an endpoint whose address another process has, and adds that to `list`.
+  void remove_replaced(const std::string& name, EndpointListReceived& list);
 
   Router& router_;
   EndpointDirectory& directory_;
--- a/tests/discovery_client_test.cpp
+++ b/tests/discovery_client_test.cpp
@@ -234,6 +234,32 @@
   EXPECT_EQ(directory_.find("b"), transport::parse_address("127.0.0.1:1"));
 }
 
+// Guards against work for a cache that has gone reaching the process that has its address now, while the list
+// still has the old entry.
+TEST_F(DiscoveryUpdateHandlerTest, RemovesACacheWhoseAddressANewerOneHas) {
+  apply_list(1, true, {entry("a", "127.0.0.1:1", "up", 3), entry("c", "127.0.0.1:3", "up", 3)});
+  apply_list(2, false, {entry("b", "127.0.0.1:1", "up", 5)});
+  EXPECT_EQ(removed_, std::vector<std::string>{"a"});
+  EXPECT_FALSE(directory_.find("a").has_value());
+  ASSERT_EQ(lists_.back().entries.size(), 2U);
+  EXPECT_EQ(lists_.back().entries.at(0).address, "a");
+  EXPECT_EQ(lists_.back().entries.at(0).state, NodeState::kGone);
+  EXPECT_EQ(lists_.back().entries.at(1).address, "b");
+  EXPECT_TRUE(directory_.find("c").has_value());
+}
+
+// The entry of the old process is told once more, or late, after that of the new one.
+TEST_F(DiscoveryUpdateHandlerTest, IgnoresTheEntryOfACacheWhoseAddressANewerOneHas) {
+  apply_list(1, true, {entry("b", "127.0.0.1:1", "up", 5)});
+  for (const std::string& state : std::vector<std::string>{"up", "draining"}) {
+    apply_list(handler_.last_sequence() + 1, false, {entry("a", "127.0.0.1:1", state, 3)});
+    EXPECT_FALSE(directory_.find("a").has_value());
+    EXPECT_EQ(lists_.back().entries.at(0).state, NodeState::kGone);
+  }
+  apply_list(handler_.last_sequence() + 1, false, {entry("a", "127.0.0.1:1", "removed", 3)});
+  EXPECT_EQ(directory_.find("b"), transport::parse_address("127.0.0.1:1"));
+}
+
 TEST_F(DiscoveryUpdateHandlerTest, DropsTheConnectionsOfACacheWithANewAddress) {
   apply_list(1, true, {entry("a", "127.0.0.1:1")});
   apply_list(2, false, {entry("a", "127.0.0.1:9")});
