--- a/src/cache_node/command_server.cpp
+++ b/src/cache_node/command_server.cpp
@@ -150,7 +150,9 @@
 };
 
 CommandServer::CommandServer(transport::Scheduler& scheduler, CommandHandler& handler, const Bounds& bounds)
-    : scheduler_(scheduler), handler_(handler), bounds_(bounds) {}
+    : scheduler_(scheduler), handler_(handler), bounds_(bounds) {
+  bounds_.connection.end_on_hang_up = true;
+}
 
 CommandServer::~CommandServer() = default;
 
--- a/src/coordination/etcd_server.cpp
+++ b/src/coordination/etcd_server.cpp
@@ -242,7 +242,9 @@
     ++counts_.refused;
     return;  // the destructor closes the socket
   }
-  const auto connection = Connection::adopt(scheduler_, std::move(socket), {});
+  Connection::Bounds bounds;
+  bounds.end_on_hang_up = true;
+  const auto connection = Connection::adopt(scheduler_, std::move(socket), bounds);
   const auto session = std::make_shared<Session>(*this, connection);
   sessions_.insert(session);
   connection->start(session);
--- a/src/discovery/discovery_server.cpp
+++ b/src/discovery/discovery_server.cpp
@@ -183,7 +183,9 @@
       limits_(limits),
       handlers_(std::move(handlers)),
       long_polls_(options, seed),
-      timer_(scheduler, [this] { answer_due_polls(); }) {}
+      timer_(scheduler, [this] { answer_due_polls(); }) {
+  limits_.connection.end_on_hang_up = true;
+}
 
 DiscoveryServer::~DiscoveryServer() = default;
 
--- a/src/fleet/bad_clients.cpp
+++ b/src/fleet/bad_clients.cpp
@@ -334,6 +334,7 @@
 
 void BadClients::run(const transport::Address& router, const Options& options) {
   std::vector<std::unique_ptr<Client>> clients;
+  clients.reserve(options.connections);
   for (std::size_t i = 0; i < options.connections; ++i) {
     clients.push_back(std::make_unique<Client>(router, options, options.seed * 1'000'003 + i, progress_));
   }
--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -113,6 +113,21 @@
   return bounds;
 }
 
+// Returns the function that passes events to the decision module, those that are due at the start first. All
+// references have to outlive it.
+routing::Router::Handler decider_handler(Decider& decider, StartSupport& start,
+                                         memory::MemoryCharge& objects_charge) {
+  return [&decider, &start, &objects_charge](Micros now, const Event& event, std::vector<Action>& out) {
+    std::vector<Event> due;
+    start.collect_due_events(now, due);
+    for (const Event& due_event : due) {
+      decider.handle(now, due_event, out);
+    }
+    decider.handle(now, event, out);
+    objects_charge.set(decider.table_bytes());
+  };
+}
+
 // Serves until no more requests arrive and all are answered, closes all connections and stops the scheduler.
 transport::Task<void> drain(transport::Scheduler& scheduler, routing::FastCgiServer& server,
                             routing::Router& router, FleetWork& work, const Configuration& configuration) {
@@ -248,18 +263,9 @@
   const auto memory = std::make_shared<memory::MemoryAccount>(configuration.memory_limits());
   memory::MemoryCharge objects_charge(*memory, memory::MemoryUse::kObjects);
   StartSupport start(scheduler, configuration);
-  routing::Router router(
-      scheduler, clock, deployment.settings,
-      [&decider, &start, &objects_charge](Micros now, const Event& event, std::vector<Action>& out) {
-        std::vector<Event> due;
-        start.collect_due_events(now, due);
-        for (const Event& due_event : due) {
-          decider.handle(now, due_event, out);
-        }
-        decider.handle(now, event, out);
-        objects_charge.set(decider.table_bytes());
-      },
-      router_bounds(configuration, memory));
+  routing::Router router(scheduler, clock, deployment.settings,
+                         decider_handler(decider, start, objects_charge),
+                         router_bounds(configuration, memory));
   router.set_send_check([&decider](Micros now, RequestId request, int attempt) {
     return decider.may_begin(now, request, attempt);
   });
