--- a/src/fleet/bad_clients.cpp
+++ b/src/fleet/bad_clients.cpp
@@ -45,7 +45,7 @@
 constexpr milliseconds kReconnectPause{5};
 constexpr int kPollTimeoutMs = 5;
 
-constexpr std::array<std::pair<Misuse, std::string_view>, 11> kNames{{
+constexpr std::array<std::pair<Misuse, std::string_view>, 12> kNames{{
     {Misuse::kEmptyFields, "empty-fields"},
     {Misuse::kShortFields, "short-fields"},
     {Misuse::kStoppedBodies, "stopped-bodies"},
@@ -57,6 +57,7 @@
     {Misuse::kNewObjects, "new-objects"},
     {Misuse::kUnreadAnswers, "unread-answers"},
     {Misuse::kCloseUnread, "close-unread"},
+    {Misuse::kSilent, "silent"},
 }};
 
 // Returns parameters of short fields that no router knows.
@@ -247,6 +248,8 @@
         half_sent_ ? reset_connection(now) : add_requests();
         half_sent_ = true;
         break;
+      case Misuse::kSilent:
+        break;
     }
   }
 
--- a/src/fleet/bad_clients.h
+++ b/src/fleet/bad_clients.h
@@ -31,6 +31,7 @@
   kNewObjects,       // requests for ever new objects, again as soon as they are answered
   kUnreadAnswers,    // requests whose answers are not read
   kCloseUnread,      // requests at full speed, then a close with a reset
+  kSilent,           // connections without any request
 };
 
 // Returns the name of a misuse as in `empty-fields`, and the misuse with a name; nothing for an unknown one.
