Do not close idle clients because accept fails for a moment

Cause: each error of accept but ECONNABORTED and EINTR closed the client with the lowest rank to free a descriptor, also ENFILE and ENOBUFS, which pass by themselves and which a descriptor of this process does not help.

Change: only EMFILE, or twenty failures in a row (100 ms), close a client.

--- a/benchmarks/client_limits_bench.cpp
+++ b/benchmarks/client_limits_bench.cpp
@@ -2,7 +2,8 @@
 //
 //     client_limits_bench PROGRAM MISUSE CONNECTIONS MEMORY_MB SOCKETS SECONDS
 //
-// MISUSE is one of fleet::Misuse, or `none`. Prints one line.
+// MISUSE is one of fleet::Misuse, or `none`; `busy` is none with usual clients that do not pause between
+// requests. Prints one line.
 #include <algorithm>
 #include <array>
 #include <chrono>
@@ -40,6 +41,7 @@
 struct Arguments {
   std::string program;
   std::optional<fleet::Misuse> misuse;
+  milliseconds request_pause = kRequestPause;
   std::size_t connections = 0;
   int memory_mb = 0;
   int sockets = 0;
@@ -131,7 +133,7 @@
         for (UsualClient& client : usual) {
           if (client.load->open() == 0 && now >= client.next) {
             client.load->send(router, address, fleet::object_name(kFirstObject + ++object % kObjects));
-            client.next = now + kRequestPause;
+            client.next = now + arguments.request_pause;
           }
         }
         if (now >= sample_at) {
@@ -179,6 +181,9 @@
   trailcourse::bench::Arguments arguments;
   arguments.program = values[1];
   arguments.misuse = trailcourse::fleet::parse_misuse(values[2]);
+  if (std::string(values[2]) == "busy") {
+    arguments.request_pause = std::chrono::milliseconds(0);
+  }
   arguments.connections = static_cast<std::size_t>(std::atoi(values[3]));
   arguments.memory_mb = std::atoi(values[4]);
   arguments.sockets = std::atoi(values[5]);
--- a/src/fleet/load_generator.cpp
+++ b/src/fleet/load_generator.cpp
@@ -171,6 +171,7 @@
   if (!link || link->ended()) {
     const Connection::Bounds bounds;
     const auto connection = Connection::connect(scheduler_, address, bounds);
+    ++connections_;
     link = std::make_shared<Link>(*this, connection);
     connection->start(link);
   }
--- a/src/fleet/load_generator.h
+++ b/src/fleet/load_generator.h
@@ -51,7 +51,9 @@
   const std::vector<SentRequest>& requests() const { return requests_; }
   // Returns the number of requests without an answer on connections that are up.
   std::size_t open() const { return open_; }
-  // Returns the same number for one router.
+  // Returns the number of connections that were opened so far.
+  std::size_t connections() const { return connections_; }
+  // Returns the number of requests without an answer at one router.
   std::size_t open_at(const std::string& router) const;
 
  private:
@@ -63,6 +65,7 @@
   std::vector<SentRequest> requests_;
   std::map<std::string, std::shared_ptr<Link>> links_;
   std::size_t open_ = 0;
+  std::size_t connections_ = 0;
 };
 
 // Returns the name of an object: its number in sixteen hex digits.
--- a/src/routing/fastcgi_server.cpp
+++ b/src/routing/fastcgi_server.cpp
@@ -28,6 +28,7 @@
 // Application status of an answer that could not be completed.
 constexpr std::uint32_t kIncompleteAnswer = 1;
 constexpr Clock::duration kAcceptPause = std::chrono::milliseconds(5);  // when no descriptor is left
+constexpr int kAcceptFailuresBeforeClose = 20;                          // each followed by a pause
 constexpr int kAcceptsBeforeYield = 16;                                 // so that other coroutines can run
 
 // Work of one turn of a connection: a record costs 1, a request more.
@@ -461,6 +462,7 @@
 
 transport::Task<void> FastCgiServer::accept_loop() {
   int accepts = 0;
+  int failures = 0;  // since the last accept
   while (listener_.valid()) {
     // Clients have a fixed share of the descriptors, so that enough are left for caches.
     if (connections_.size() >= bounds_.max_clients && !close_one_client()) {
@@ -470,6 +472,7 @@
     transport::Opened opened = transport::accept_from(listener_.get());
     if (opened.descriptor.valid()) {
       add_connection(std::move(opened.descriptor));
+      failures = 0;
       if (++accepts % kAcceptsBeforeYield == 0) {
         co_await scheduler_.yield();
       }
@@ -481,8 +484,9 @@
       }
     } else if (opened.error != ECONNABORTED && opened.error != EINTR) {
       // The system has accepted the clients in the backlog already, so they have to be answered: a descriptor
-      // is freed, or becomes free soon.
-      if (!close_one_client() && !free_descriptor_()) {
+      // is freed where this process has none left. Other errors pass, unless they last.
+      const bool lasts = opened.error == EMFILE || ++failures % kAcceptFailuresBeforeClose == 0;
+      if (lasts && !close_one_client() && !free_descriptor_()) {
         log_line(Level::kWarning) << "cannot accept a client connection: "
                                   << std::generic_category().message(opened.error);
       }
--- a/tests/fleet/client_limits_test.cpp
+++ b/tests/fleet/client_limits_test.cpp
@@ -97,6 +97,32 @@
   check_limits(Misuse::kEmptyFields, 3, {32, 256});
 }
 
+// Guards against closing idle clients because accept fails for a moment.
+TEST(ClientLimitsTest, KeepsAnIdleClientWhileAcceptFailsForMoments) {
+  FleetFixture fixture{fleet::FleetSpec()};
+  const std::string router = fixture.routers().front();
+  fixture.layout().member(router).environment = {"LD_PRELOAD=" TRAILCOURSE_FAULT_SHIM, "FAULT_SHIM_SEED=1",
+                                                 "FAULT_SHIM_ONLY=accept4", "FAULT_SHIM_PER_10000=3000",
+                                                 "ASAN_OPTIONS=verify_asan_link_order=0"};
+  fixture.start_all();
+  ASSERT_FALSE(testing::Test::HasFatalFailure());
+  fixture.send(router, 1'000);
+  ASSERT_TRUE(fixture.await_answers());
+  const auto address = *transport::parse_address(fixture.layout().member(router).address);
+  const auto others =
+      std::make_unique<BadClients>(address, BadClients::Options{Misuse::kCloseUnread, 40, "media", 1});
+  constexpr milliseconds kIdleTime{300};  // longer than client_young_ms
+  for (int i = 0; i < 5; ++i) {
+    fixture.run_for(kIdleTime);
+    fixture.send(router, 1'000);
+    ASSERT_TRUE(fixture.await_answers());
+  }
+  for (const fleet::SentRequest& request : fixture.load().requests()) {
+    EXPECT_EQ(request.answers, 1) << "the connection of an idle client was closed";
+  }
+  EXPECT_EQ(fixture.load().connections(), 1U);
+}
+
 // As many connections as clients may hold, a third of the descriptors, under each misuse.
 class ClientMisuseTest : public testing::TestWithParam<std::tuple<Misuse, int>> {};
 
