Write each record of an answer with one copy, and ask for a leave once a turn

Cause: a batch copied each record of an answer once more, and the system was asked twice for each request whether its client has left. Change: the record is built in place and moved into an empty batch; a turn that follows the report of epoll at once relies on it, later ones and each attempt still ask.

--- a/src/protocol/fastcgi.cpp
+++ b/src/protocol/fastcgi.cpp
@@ -16,6 +16,7 @@
 constexpr std::size_t kMaxStoredBytes = 1'024;
 constexpr std::size_t kAllocationBytes = 16;  // of the allocator for each block, and of rounding
 constexpr std::size_t kMapNodeBytes = 32 + kAllocationBytes;
+constexpr std::size_t kEndBytes = 32;   // of the records that end an answer
 constexpr std::size_t kPartsKept = 16;  // written parts of an answer that are not removed yet
 
 enum RecordType : std::uint8_t {
@@ -505,12 +506,14 @@
   Answer& answer = found->second;
   answer.queued = false;
   answer.written = true;
-  const std::size_t max_bytes = std::min(record_bytes_, kMaxContentBytes);
-  std::string content;
-  while (answer.first < answer.parts.size() && content.size() < max_bytes) {
+  constexpr std::size_t kHeaderBytes = 8;
+  const std::size_t max_bytes = kHeaderBytes + std::min(record_bytes_, kMaxContentBytes);
+  std::string out(kHeaderBytes, '\0');
+  out.reserve(std::min(max_bytes, kHeaderBytes + waiting_bytes(answer)) + kEndBytes);
+  while (answer.first < answer.parts.size() && out.size() < max_bytes) {
     std::string& part = answer.parts[answer.first];
-    const std::size_t piece = std::min(part.size() - answer.offset, max_bytes - content.size());
-    content.append(part, answer.offset, piece);
+    const std::size_t piece = std::min(part.size() - answer.offset, max_bytes - out.size());
+    out.append(part, answer.offset, piece);
     answer.offset += piece;
     if (answer.offset == part.size()) {
       held_ -= heap_bytes(part);
@@ -519,8 +522,13 @@
       answer.offset = 0;
     }
   }
-  waiting_ -= content.size();
-  std::string out = content.empty() ? std::string() : header(kStdout, request_id, content.size()) + content;
+  const std::size_t content_bytes = out.size() - kHeaderBytes;
+  waiting_ -= content_bytes;
+  if (content_bytes > 0) {
+    out.replace(0, kHeaderBytes, header(kStdout, request_id, content_bytes));
+  } else {
+    out.clear();
+  }
   if (answer.first < answer.parts.size()) {
     queue(request_id, answer);
   } else if (answer.ended) {
--- a/src/routing/fastcgi_server.cpp
+++ b/src/routing/fastcgi_server.cpp
@@ -424,7 +424,8 @@
          connection_.unsent_bytes() + batch.size() < server_.bounds_.connection.low_mark) {
     fastcgi::RequestId request_id = 0;
     bool ended = false;
-    batch += answers_.next(request_id, ended);
+    std::string records = answers_.next(request_id, ended);
+    batch.empty() ? batch.swap(records) : void(batch += records);
     if (ended) {
       parser_.release(request_id);
     }
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -119,6 +119,11 @@
     } else if (busy) {
       co_await self->scheduler_.yield();
     }
+    // Since epoll was asked, other turns have passed.
+    if (busy && self->bounds_.end_on_hang_up && !self->ended_ && self->peer_has_left()) {
+      self->finish(ConnectionEnd::kPeerClosed);
+      continue;
+    }
     if (self->has_backlog()) {
       self->deliver({});
       busy = true;
@@ -153,7 +158,7 @@
   if (ended_) {
     return;  // lingering: read and discarded so that closing does not reset the connection
   }
-  if (bounds_.end_on_hang_up && (watch_->hung_up() || peer_has_left())) {
+  if (bounds_.end_on_hang_up && watch_->hung_up()) {
     finish(ConnectionEnd::kPeerClosed);
     return;
   }
