--- a/src/transport/scheduler.h
+++ b/src/transport/scheduler.h
@@ -87,8 +87,8 @@
   };
   Yield yield() { return Yield{*this}; }
 
-  // Awaitable that resumes in a later iteration, in the order of the calls. All such coroutines together get a
-  // limited time of each iteration, so that they never delay events and timers for longer.
+  // Awaitable that resumes in a later iteration, in the order of the calls. All such coroutines together get
+  // a limited time of each iteration, so that they never delay events and timers for longer.
   struct YieldBackground {
     Scheduler& scheduler;
     bool await_ready() const noexcept { return false; }
--- a/tests/fleet/fault_shim.cpp
+++ b/tests/fleet/fault_shim.cpp
@@ -1,7 +1,7 @@
-// A library for LD_PRELOAD that makes system calls of a process fail or end short, as Linux documents that they
-// may. FAULT_SHIM_PER_10000 of the calls are affected, drawn from FAULT_SHIM_SEED, once the process listens;
-// those of one name alone where FAULT_SHIM_ONLY is set.
-// Only connections that the process opened itself break. Files other than standard error count as disks.
+// A library for LD_PRELOAD that makes system calls of a process fail or end short, as Linux documents that
+// they may. FAULT_SHIM_PER_10000 of the calls are affected, drawn from FAULT_SHIM_SEED, once the process
+// listens; those of one name alone where FAULT_SHIM_ONLY is set. Only connections that the process opened
+// itself break. Files other than standard error count as disks.
 #include <dlfcn.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -136,7 +136,8 @@
   Router router_;
 };
 
-// The bound counts what is forwarded: a few large requests must not block many small ones beyond their own end.
+// The bound counts what is forwarded: a few large requests must not block many small ones beyond their own
+// end.
 TEST_F(RouterTest, RejectsRequestsWhenOpenBodiesReachTheByteBound) {
   const RequestId large = accept(0, 9'850 / 2);  // counted twice: the request and the command of its attempt
   ASSERT_NE(large, 0U);
