Close no connection for its backlog where other uses exceed the memory

Found by rereading: where the total of the account is exceeded by answers or tables, a connection whose requests wait in its backlog was closed although closing it frees next to nothing, and its open requests would be lost. Incomplete requests are still refused then; a connection is closed only where received bytes alone exceed their limit.

--- a/src/routing/fastcgi_server.cpp
+++ b/src/routing/fastcgi_server.cpp
@@ -229,7 +229,7 @@
   return failed;
 }
 
-void FastCgiConnection::shed_input() {
+bool FastCgiConnection::shed_input() {
   constexpr std::string_view kReason = "incomplete requests exceed the memory limit";
   const memory::MemoryAccount& memory = *server_.bounds_.memory;
   const std::string usage = memory.describe(MemoryUse::kPartialRequests) + ", " +
@@ -238,11 +238,17 @@
     rejected->reason += ", " + usage;
     handle(std::move(*rejected));
     update_charges();
-    return;
+    return true;
+  }
+  const bool other_uses_exceed =
+      memory.used(MemoryUse::kPartialRequests) <= memory.limits()[MemoryUse::kPartialRequests];
+  if (other_uses_exceed) {
+    return false;
   }
   log_line(Level::kWarning) << "connection from " << to_string(connection_.peer()) << " closed: " << kReason
                             << ", " << usage;
   close(ConnectionEnd::kOverflow);
+  return true;
 }
 
 void FastCgiConnection::on_end(ConnectionEnd end) {
@@ -425,7 +431,11 @@
     fastcgi::RequestId request_id = 0;
     bool ended = false;
     std::string records = answers_.next(request_id, ended);
-    batch.empty() ? batch.swap(records) : void(batch += records);
+    if (batch.empty()) {
+      batch = std::move(records);
+    } else {
+      batch += records;
+    }
     if (ended) {
       parser_.release(request_id);
     }
@@ -549,10 +559,9 @@
 void FastCgiServer::limit_partial_requests() {
   while (bounds_.memory->exceeded(MemoryUse::kPartialRequests)) {
     FastCgiConnection* const largest = find_largest(connections_, &FastCgiConnection::partial_bytes);
-    if (largest == nullptr) {
+    if (largest == nullptr || !largest->shed_input()) {
       return;
     }
-    largest->shed_input();
   }
 }
 
--- a/src/routing/fastcgi_server.h
+++ b/src/routing/fastcgi_server.h
@@ -50,8 +50,9 @@
   // Replaces the largest complete answer of which nothing is written by a short failure. Returns false where
   // there is none.
   bool fail_largest_answer();
-  // Rejects the largest incomplete request, or closes the connection where none holds any bytes.
-  void shed_input();
+  // Rejects the largest incomplete request. Where none holds any bytes, closes the connection if received
+  // bytes alone exceed their limit. Returns whether it freed any.
+  bool shed_input();
 
   // Returns whether the client has no open request and all its answers are written.
   bool idle() const {
