A memory charge keeps its account alive

Cause, by reading: the scheduler of serve() is destroyed last and with it connections that have not ended; their charges then released bytes of an account that was destroyed before. Without sanitizers the write went unnoticed.

Change: a charge shares the account.

--- a/src/memory/memory_account.h
+++ b/src/memory/memory_account.h
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <limits>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -71,8 +72,9 @@
 // A number of bytes that are charged to an account until this object is destroyed.
 class MemoryCharge {
  public:
-  // `account` has to outlive this object.
-  MemoryCharge(MemoryAccount& account, MemoryUse use, std::size_t bytes = 0) : account_(&account), use_(use) {
+  // Shares the account, since what is charged may be freed after all else that uses it.
+  MemoryCharge(std::shared_ptr<MemoryAccount> account, MemoryUse use, std::size_t bytes = 0)
+      : account_(std::move(account)), use_(use) {
     set(bytes);
   }
   MemoryCharge(MemoryCharge&& other) noexcept
@@ -90,7 +92,7 @@
   std::size_t bytes() const { return bytes_; }
 
  private:
-  MemoryAccount* account_;
+  std::shared_ptr<MemoryAccount> account_;
   MemoryUse use_;
   std::size_t bytes_ = 0;
 };
--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -261,7 +261,7 @@
   const routing::DeciderClock clock;
   Decider decider(deployment.settings, configuration.seed);
   const auto memory = std::make_shared<memory::MemoryAccount>(configuration.memory_limits());
-  memory::MemoryCharge objects_charge(*memory, memory::MemoryUse::kObjects);
+  memory::MemoryCharge objects_charge(memory, memory::MemoryUse::kObjects);
   StartSupport start(scheduler, configuration);
   routing::Router router(scheduler, clock, deployment.settings,
                          decider_handler(decider, start, objects_charge),
--- a/src/routing/cache_client.cpp
+++ b/src/routing/cache_client.cpp
@@ -44,8 +44,8 @@
     : client_(client),
       slot_(slot),
       parser_(client.bounds_.answers),
-      retired_ids_charge_(*client.bounds_.memory, memory::MemoryUse::kCallIds),
-      charge_(*client.bounds_.memory, memory::MemoryUse::kPartialResponses) {}
+      retired_ids_charge_(client.bounds_.memory, memory::MemoryUse::kCallIds),
+      charge_(client.bounds_.memory, memory::MemoryUse::kPartialResponses) {}
 
 void CacheConnection::send(const AttemptKey& key, const protocol::ForwardedRequest& request,
                            std::string command, bool streaming) {
--- a/src/routing/call_id_registry.h
+++ b/src/routing/call_id_registry.h
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <unordered_set>
 #include <utility>
 
@@ -22,8 +23,8 @@
   // Whether a request with an id may begin.
   enum class Admission { kAdmitted, kOpen, kReturned };
 
-  // `memory` has to outlive this object.
-  explicit CallIdRegistry(memory::MemoryAccount& memory) : charge_(memory, memory::MemoryUse::kCallIds) {}
+  explicit CallIdRegistry(const std::shared_ptr<memory::MemoryAccount>& memory)
+      : charge_(memory, memory::MemoryUse::kCallIds) {}
 
   // Opens an id if it may begin.
   Admission open(std::uint64_t id) {
--- a/src/routing/fastcgi_server.cpp
+++ b/src/routing/fastcgi_server.cpp
@@ -149,9 +149,9 @@
       connection_(connection),
       parser_(server.bounds_.requests),
       answers_(server.bounds_.record_bytes),
-      connection_charge_(*server.bounds_.memory, MemoryUse::kConnections, kConnectionBytes),
-      input_charge_(*server.bounds_.memory, MemoryUse::kPartialRequests),
-      answer_charge_(*server.bounds_.memory, MemoryUse::kAnswers) {}
+      connection_charge_(server.bounds_.memory, MemoryUse::kConnections, kConnectionBytes),
+      input_charge_(server.bounds_.memory, MemoryUse::kPartialRequests),
+      answer_charge_(server.bounds_.memory, MemoryUse::kAnswers) {}
 
 void FastCgiConnection::on_bytes(std::string_view bytes) {
   process(bytes);
@@ -460,7 +460,7 @@
       bounds_(bounds),
       ready_(std::move(ready)),
       free_descriptor_(std::move(free_descriptor)),
-      call_ids_(*bounds_.memory) {}
+      call_ids_(bounds_.memory) {}
 
 FastCgiServer::~FastCgiServer() = default;
 
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -37,7 +37,7 @@
   request.arrival.request_class = policy.request_class;
   open.request_class = policy.request_class;
   open.max_retry_after = policy.max_retry_after;
-  open.charge.emplace(*bounds_.memory, memory::MemoryUse::kOpenRequests, bytes);
+  open.charge.emplace(bounds_.memory, memory::MemoryUse::kOpenRequests, bytes);
   ++open_;
   request.arrival.id = id;
   request.arrival.deadline = now() + request.patience;
--- a/tests/memory_account_test.cpp
+++ b/tests/memory_account_test.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <memory>
 #include <utility>
 
 namespace trailcourse::memory {
@@ -16,12 +17,13 @@
 }
 
 TEST(MemoryAccount, KeepsTheLimitOfAUseAndThatOfAll) {
-  MemoryAccount account(limits());
+  const auto shared = std::make_shared<MemoryAccount>(limits());
+  MemoryAccount& account = *shared;
   EXPECT_TRUE(account.fits(MemoryUse::kPartialRequests, 40));
   EXPECT_FALSE(account.fits(MemoryUse::kPartialRequests, 41));
-  const MemoryCharge answers(account, MemoryUse::kAnswers, 70);
+  const MemoryCharge answers(shared, MemoryUse::kAnswers, 70);
   EXPECT_FALSE(account.fits(MemoryUse::kPartialRequests, 31)) << "the total";
-  MemoryCharge partial(account, MemoryUse::kPartialRequests, 30);
+  MemoryCharge partial(shared, MemoryUse::kPartialRequests, 30);
   EXPECT_FALSE(account.exceeded(MemoryUse::kPartialRequests));
   partial.set(31);
   EXPECT_TRUE(account.exceeded(MemoryUse::kPartialRequests));
@@ -30,9 +32,10 @@
 }
 
 TEST(MemoryAccount, ReleasesAChargeOnceAndWithItsLastOwner) {
-  MemoryAccount account(limits());
+  const auto shared = std::make_shared<MemoryAccount>(limits());
+  MemoryAccount& account = *shared;
   {
-    MemoryCharge first(account, MemoryUse::kAnswers, 10);
+    MemoryCharge first(shared, MemoryUse::kAnswers, 10);
     const MemoryCharge second(std::move(first));
     EXPECT_EQ(account.used(MemoryUse::kAnswers), 10U);
   }
@@ -40,9 +43,22 @@
   EXPECT_EQ(account.peak(), 10U);
 }
 
+// Guards against a connection that is freed by the scheduler after the server that charged it.
+TEST(MemoryAccount, LivesAsLongAsItsLastCharge) {
+  auto account = std::make_shared<MemoryAccount>(limits());
+  const std::weak_ptr<MemoryAccount> observed = account;
+  {
+    const MemoryCharge charge(account, MemoryUse::kAnswers, 10);
+    account.reset();
+    EXPECT_FALSE(observed.expired());
+  }
+  EXPECT_TRUE(observed.expired());
+}
+
 TEST(MemoryAccount, DescribesAUseForTheLog) {
-  MemoryAccount account(limits());
-  const MemoryCharge charge(account, MemoryUse::kPartialRequests, 20);
+  const auto shared = std::make_shared<MemoryAccount>(limits());
+  MemoryAccount& account = *shared;
+  const MemoryCharge charge(shared, MemoryUse::kPartialRequests, 20);
   EXPECT_EQ(account.describe(MemoryUse::kPartialRequests), "partial requests 0 of 0 KB, all 0 of 0 KB");
   EXPECT_EQ(account.describe(MemoryUse::kAnswers), "answers 0 KB, all 0 of 0 KB");
 }
