--- a/src/memory/memory_account.h
+++ b/src/memory/memory_account.h
@@ -78,11 +78,15 @@
     set(bytes);
   }
   MemoryCharge(MemoryCharge&& other) noexcept
-      : account_(other.account_), use_(other.use_), bytes_(std::exchange(other.bytes_, 0)) {}
+      : account_(std::move(other.account_)), use_(other.use_), bytes_(std::exchange(other.bytes_, 0)) {}
   MemoryCharge& operator=(MemoryCharge&&) = delete;
   MemoryCharge(const MemoryCharge&) = delete;
   MemoryCharge& operator=(const MemoryCharge&) = delete;
-  ~MemoryCharge() { set(0); }
+  ~MemoryCharge() {
+    if (account_) {
+      set(0);
+    }
+  }
 
   // Charges this many bytes in place of those before.
   void set(std::size_t bytes) {
