Client limits: count the time of a misuse from its first byte

Two cases failed under the sanitizers beside builds (six tests at a time): no byte had been sent in the two seconds of the misuse (stopped bodies at 341 connections, aborted requests at 192), since the bad clients were still building what they send. The test now waits for the first byte before the two seconds begin; its checks and bounds are as before, and the misuse lasts longer on a slow machine, not shorter.

--- a/tests/fleet/client_limits_test.cpp
+++ b/tests/fleet/client_limits_test.cpp
@@ -64,6 +64,8 @@
   const std::string router = fixture.routers().front();
   const auto address = *transport::parse_address(fixture.layout().member(router).address);
   auto bad = std::make_unique<BadClients>(address, BadClients::Options{misuse, connections, "media", 1});
+  // On a busy machine many clients need a while to build what they send.
+  ASSERT_TRUE(fixture.run_until([&] { return bad->counts().bytes_sent > 0; }));
   const Clock::time_point until = Clock::now() + kMisuseTime;
   Clock::time_point next = Clock::now();
   std::uint64_t object = 0;
