--- a/src/fleet/bad_clients.cpp
+++ b/src/fleet/bad_clients.cpp
@@ -351,6 +351,9 @@
     waiting.clear();
     const Clock::time_point now = Clock::now();
     for (const auto& client : clients) {
+      if (stopping_) {
+        return;
+      }
       client->step(now);
       const int events = (client->reads() ? POLLIN : 0) | (client->wants_write() ? POLLOUT : 0);
       waiting.push_back({client->descriptor(), static_cast<short>(events), 0});
