Log how many answers a closed client connection had not written

The debug line of a closed client connection had the number of open requests only, so a request that the router lost at its end could not be told from an answer that was queued and discarded.

--- a/src/routing/fastcgi_server.cpp
+++ b/src/routing/fastcgi_server.cpp
@@ -253,7 +253,8 @@
 
 void FastCgiConnection::on_end(ConnectionEnd end) {
   log_line(Level::kDebug) << "connection from " << to_string(connection_.peer()) << ": " << to_string(end)
-                          << ", " << open_requests_.size() << " open requests";
+                          << ", " << open_requests_.size() << " open requests, " << answers_.size()
+                          << " answers not written";
   ended_ = true;
   update_charges();
   server_.connections_.erase(this);
