--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -13,6 +13,7 @@
 
 #include "memory/memory_account.h"
 #include "program/descriptors.h"
+#include "program/drain.h"
 #include "program/fleet_work.h"
 #include "program/signals.h"
 #include "program/start_support.h"
@@ -29,18 +30,12 @@
 namespace trailcourse::program {
 
 using std::chrono::milliseconds;
-using transport::Clock;
 using transport::Level;
 using transport::log_line;
 
 namespace {
 
-constexpr milliseconds kDrainCheck{10};
-constexpr milliseconds kReleaseTimeout{800};  // for owned work and the policy lease
-constexpr milliseconds kFlushTimeout{300};    // for the last responses to slow clients
-constexpr milliseconds kPartialTimeout{500};  // for the rest of a partial request
-constexpr milliseconds kLinger{500};          // for the peer to close a connection that was closed here
-constexpr milliseconds kFinalLinger{200};     // the same, when the program ends
+constexpr milliseconds kLinger{500};  // for the peer to close a connection that was closed here
 constexpr milliseconds kDefaultConnectTimeout{1'000};  // if the settings have none
 constexpr milliseconds kDefaultIdleTime{15'000};
 constexpr int kDefaultStreams = 32;
@@ -128,46 +123,6 @@
   };
 }
 
-// Serves until no more requests arrive and all are answered, closes all connections and stops the scheduler.
-transport::Task<void> drain(transport::Scheduler& scheduler, routing::FastCgiServer& server,
-                            routing::Router& router, FleetWork& work, const Configuration& configuration) {
-  server.start_draining();
-  work.drain();
-  const Clock::time_point drain_start = Clock::now();
-  const milliseconds linger(configuration.tuning.drain_linger_ms);
-  const milliseconds idle_time(configuration.tuning.drain_quiet_ms);
-  const milliseconds timeout = configuration.drain_timeout();
-  for (;;) {
-    const Clock::duration elapsed = Clock::now() - drain_start;
-    if (elapsed >= timeout && router.open_requests() > 0) {
-      log_line(Level::kWarning) << router.open_requests()
-                                << " requests failed: the drain timeout has expired";
-      router.fail_open_requests();
-    }
-    const bool receiving = server.has_partial_request() && elapsed < linger + kPartialTimeout;
-    const bool arrivals_ended =
-        elapsed >= linger && Clock::now() - server.last_arrival() >= idle_time && !receiving;
-    const bool answered = router.open_requests() == 0 && server.idle();
-    // Owned work is released at the same time. The wait for a store that does not respond is limited.
-    if (arrivals_ended && answered) {
-      work.stop_policy();
-    }
-    const bool released = (work.drained() && work.policy_stopped()) || elapsed >= kReleaseTimeout;
-    if ((arrivals_ended && answered && released && server.accept_pending()) ||
-        elapsed >= timeout + kFlushTimeout) {
-      break;
-    }
-    co_await scheduler.sleep(kDrainCheck);
-  }
-  server.close_all();
-  const Clock::time_point closed = Clock::now();
-  while (server.has_lingering_connections() && Clock::now() - closed < kFinalLinger) {
-    co_await scheduler.sleep(kDrainCheck);
-  }
-  log_line(Level::kInfo) << "drained, ending";
-  scheduler.stop();
-}
-
 // Applies what a running router can change: the address of the discovery service, and events of `known` that
 // it does not have yet. Other changes are logged and need a restart; an invalid file changes nothing. A
 // reload fails no request.
