Write all answers before a drained router closes its connections

Cause: from the drain timeout on, each pass of drain() failed the open requests while new ones were still forwarded. The last pass closed all connections in the same turn, but answers are written by a later job of the iteration, and a close discards what is queued.

Change: the drain has two steps. It serves until arrivals have ceased or until the drain timeout. Then nothing more is forwarded: open requests fail once, later ones are rejected, and each connection is closed once nothing on it is open, unread or incomplete and its answers are written. What is left after 300 ms of this step is closed as before, with a warning. So no answer is queued in the turn of the close. A policy lease is now released also where the timeout ends a drain.

--- a/src/program/drain.cpp
+++ b/src/program/drain.cpp
@@ -10,6 +10,7 @@
 using transport::Clock;
 using transport::Level;
 using transport::log_line;
+using transport::Task;
 
 namespace {
 
@@ -17,47 +18,99 @@
 constexpr milliseconds kReleaseTimeout{800};  // for owned work and the policy lease
 constexpr milliseconds kFlushTimeout{300};    // for the last responses to slow clients
 constexpr milliseconds kPartialTimeout{500};  // for the rest of a partial request
-constexpr milliseconds kFinalLinger{200};     // for the peer to close a connection that was closed here
+constexpr milliseconds kFinalLinger{200};     // for clients to close the connections that were closed here
 
-}  // namespace
+class Drain {
+ public:
+  explicit Drain(const DrainedParts& parts) : parts_(parts) {}
 
-transport::Task<void> drain(transport::Scheduler& scheduler, routing::FastCgiServer& server,
-                            routing::Router& router, FleetWork& work, const Configuration& configuration) {
-  server.start_draining();
-  work.drain();
-  const Clock::time_point drain_start = Clock::now();
-  const milliseconds linger(configuration.tuning.drain_linger_ms);
-  const milliseconds idle_time(configuration.tuning.drain_quiet_ms);
-  const milliseconds timeout = configuration.drain_timeout();
-  for (;;) {
-    const Clock::duration elapsed = Clock::now() - drain_start;
-    if (elapsed >= timeout && router.open_requests() > 0) {
-      log_line(Level::kWarning) << router.open_requests()
-                                << " requests failed: the drain timeout has expired";
-      router.fail_open_requests();
+  Task<void> run() {
+    parts_.server.start_draining();
+    parts_.work.drain();
+    co_await serve_until_quiet();
+    co_await close_connections();
+    co_await await_clients();
+    log_line(Level::kInfo) << "drained, ending";
+    parts_.scheduler.stop();
+  }
+
+ private:
+  Clock::duration elapsed() const { return Clock::now() - start_; }
+
+  // Returns whether no request has arrived for some time and none is being received.
+  bool arrivals_ended() const {
+    const milliseconds linger(parts_.configuration.tuning.drain_linger_ms);
+    const milliseconds idle_time(parts_.configuration.tuning.drain_quiet_ms);
+    const bool receiving = parts_.server.has_partial_request() && elapsed() < linger + kPartialTimeout;
+    return elapsed() >= linger && Clock::now() - parts_.server.last_arrival() >= idle_time && !receiving;
+  }
+
+  bool answered() const { return parts_.router.open_requests() == 0 && parts_.server.idle(); }
+
+  // Owned work is released while requests are served. The wait for a store that does not respond is limited.
+  bool released() const {
+    return (parts_.work.drained() && parts_.work.policy_stopped()) || elapsed() >= kReleaseTimeout;
+  }
+
+  // Ends at the drain timeout if requests go on arriving.
+  Task<void> serve_until_quiet() {
+    const milliseconds timeout = parts_.configuration.drain_timeout();
+    while (elapsed() < timeout) {
+      const bool quiet = arrivals_ended() && answered();
+      if (quiet) {
+        parts_.work.stop_policy();
+      }
+      if (quiet && released() && parts_.server.accept_pending()) {
+        co_return;
+      }
+      co_await parts_.scheduler.sleep(kDrainCheck);
     }
-    const bool receiving = server.has_partial_request() && elapsed < linger + kPartialTimeout;
-    const bool arrivals_ended =
-        elapsed >= linger && Clock::now() - server.last_arrival() >= idle_time && !receiving;
-    const bool answered = router.open_requests() == 0 && server.idle();
-    // Owned work is released at the same time. The wait for a store that does not respond is limited.
-    if (arrivals_ended && answered) {
-      work.stop_policy();
+  }
+
+  // From here on the router sends nothing to caches for clients, so each answer can be written before its
+  // connection is closed. The time for this counts from now: the process may have been suspended.
+  Task<void> close_connections() {
+    const Clock::time_point start = Clock::now();
+    parts_.server.start_closing();
+    fail_open_requests();
+    parts_.work.stop_policy();
+    while (!(closed() && released()) && Clock::now() - start < kFlushTimeout) {
+      parts_.server.close_answered();
+      co_await parts_.scheduler.sleep(kDrainCheck);
     }
-    const bool released = (work.drained() && work.policy_stopped()) || elapsed >= kReleaseTimeout;
-    if ((arrivals_ended && answered && released && server.accept_pending()) ||
-        elapsed >= timeout + kFlushTimeout) {
-      break;
+    if (const std::size_t unanswered = parts_.server.unanswered_clients(); unanswered > 0) {
+      log_line(Level::kWarning) << unanswered
+                                << " client connections closed before all their answers were written";
     }
-    co_await scheduler.sleep(kDrainCheck);
+    parts_.server.close_all();
   }
-  server.close_all();
-  const Clock::time_point closed = Clock::now();
-  while (server.has_lingering_connections() && Clock::now() - closed < kFinalLinger) {
-    co_await scheduler.sleep(kDrainCheck);
+
+  void fail_open_requests() {
+    if (parts_.router.open_requests() > 0) {
+      log_line(Level::kWarning) << parts_.router.open_requests()
+                                << " requests failed: the drain timeout has expired";
+      parts_.router.fail_open_requests();
+    }
   }
-  log_line(Level::kInfo) << "drained, ending";
-  scheduler.stop();
+
+  bool closed() { return parts_.server.accept_pending() && parts_.server.client_count() == 0; }
+
+  Task<void> await_clients() {
+    const Clock::time_point start = Clock::now();
+    while (parts_.server.has_lingering_connections() && Clock::now() - start < kFinalLinger) {
+      co_await parts_.scheduler.sleep(kDrainCheck);
+    }
+  }
+
+  DrainedParts parts_;
+  Clock::time_point start_ = Clock::now();
+};
+
+}  // namespace
+
+Task<void> drain(DrainedParts parts) {
+  Drain drain(parts);
+  co_await drain.run();
 }
 
 }  // namespace trailcourse::program
--- a/src/program/drain.h
+++ b/src/program/drain.h
@@ -9,9 +9,18 @@
 
 namespace trailcourse::program {
 
-// Serves until no more requests arrive and all are answered, closes all connections and stops the scheduler.
-// All references have to outlive the coroutine.
-transport::Task<void> drain(transport::Scheduler& scheduler, routing::FastCgiServer& server,
-                            routing::Router& router, FleetWork& work, const Configuration& configuration);
+// What a drain ends. All references have to outlive the drain.
+struct DrainedParts {
+  transport::Scheduler& scheduler;
+  routing::FastCgiServer& server;
+  routing::Router& router;
+  FleetWork& work;
+  const Configuration& configuration;
+};
+
+// Serves until no more requests arrive and all are answered, or until the drain timeout. Then requests that
+// are still open fail, new ones are rejected without being forwarded, and each client connection is closed
+// once its answers are written. Stops the scheduler at the end.
+transport::Task<void> drain(DrainedParts parts);
 
 }  // namespace trailcourse::program
--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -158,7 +158,7 @@
     } else if (!std::exchange(draining, true)) {
       log_line(Level::kInfo) << "signal " << signal << ": draining, " << router.open_requests()
                              << " requests open";
-      scheduler.spawn(drain(scheduler, server, router, work, configuration));
+      scheduler.spawn(drain({scheduler, server, router, work, configuration}));
     }
   }
 }
--- a/src/routing/fastcgi_server.cpp
+++ b/src/routing/fastcgi_server.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <limits>
 #include <optional>
 #include <system_error>
 #include <utility>
@@ -282,7 +283,7 @@
 }
 
 void FastCgiConnection::answer_health_check(fastcgi::RequestId request_id, bool traced) {
-  const bool ready = server_.ready_() && !server_.draining_;
+  const bool ready = server_.ready_() && server_.stage_ == FastCgiServer::Stage::kServing;
   const std::string status = server_.status_ ? server_.status_(traced) : std::string();
   const std::string type = "Content-Type: text/plain\r\n\r\n";
   answer(request_id,
@@ -310,7 +311,9 @@
   request.request.patience -= std::min(server_.bounds_.client_lead, request.request.patience / 2);
   // Answers that clients do not read fill the memory that other answers need. Nothing was sent for this
   // request, so a retry is safe.
-  if (server_.bounds_.memory->used(MemoryUse::kAnswers) > server_.bounds_.max_unsent_bytes) {
+  const bool memory_is_short =
+      server_.bounds_.memory->used(MemoryUse::kAnswers) > server_.bounds_.max_unsent_bytes;
+  if (memory_is_short || server_.stage_ == FastCgiServer::Stage::kClosing) {
     FastCgiReply(weak_from_this(), request_id).rejected(Micros(0));
     return;
   }
@@ -449,6 +452,17 @@
   if (!keep_connection_ && !ended_ && open_requests_.empty() && answers_.empty()) {
     connection_.close_when_written();
   }
+  if (server_.stage_ == FastCgiServer::Stage::kClosing) {
+    close_if_answered();
+  }
+}
+
+void FastCgiConnection::close_if_answered() {
+  const bool awaits_first_request =
+      !sent_valid_request_ && Clock::now() - opened_at_ < server_.bounds_.client_young;
+  if (idle() && !awaits_first_request && !parser_.has_partial_message() && !connection_.ended()) {
+    connection_.close_if_nothing_unread(ConnectionEnd::kShutdown);
+  }
 }
 
 FastCgiServer::FastCgiServer(transport::Scheduler& scheduler, Router& router, const Settings& settings,
@@ -618,16 +632,28 @@
                      [](const FastCgiConnection* client) { return client->has_partial_request(); });
 }
 
-bool FastCgiServer::idle() const {
-  return std::all_of(connections_.begin(), connections_.end(),
-                     [](const FastCgiConnection* client) { return client->idle(); });
+std::size_t FastCgiServer::unanswered_clients() const {
+  const auto count = std::count_if(connections_.begin(), connections_.end(),
+                                   [](const FastCgiConnection* client) { return !client->idle(); });
+  return static_cast<std::size_t>(count);
 }
 
-void FastCgiServer::close_all() {
+void FastCgiServer::start_closing() {
+  stage_ = Stage::kClosing;
+  // What clients still send is read and discarded on all closed connections, since a TCP reset could destroy
+  // answers that clients have not read yet.
   if (bounds_.connection.lingering) {
-    bounds_.connection.lingering->max =
-        bounds_.connection.lingering->count + static_cast<int>(connections_.size());
+    bounds_.connection.lingering->max = std::numeric_limits<int>::max();
+  }
+}
+
+void FastCgiServer::close_answered() {
+  for (FastCgiConnection* client : connections_) {
+    client->close_if_answered();
   }
+}
+
+void FastCgiServer::close_all() {
   for (FastCgiConnection* client : connections_) {
     client->connection().close(ConnectionEnd::kShutdown);
   }
--- a/src/routing/fastcgi_server.h
+++ b/src/routing/fastcgi_server.h
@@ -66,6 +66,10 @@
     return idle() && (!sent_valid_request_ || !parser_.has_partial_message()) && !connection_.ended();
   }
 
+  // Closes the connection unless that could lose a request: one that is open or unread, whose answer is not
+  // written, or that is probably in flight on a new connection.
+  void close_if_answered();
+
   // Returns whether the connection is idle and has waited since before `cutoff` for its first valid request
   // or for the rest of a message.
   bool timed_out(transport::Clock::time_point cutoff) const {
@@ -178,11 +182,25 @@
   void listen(const transport::Address& address);
 
   // Answers health checks with status 503 from now on. Requests are still served.
-  void start_draining() { draining_ = true; }
+  void start_draining() { stage_ = Stage::kDraining; }
+
+  // Rejects requests from now on, without passing them to the router, and closes each connection as soon as
+  // its answers are written. Requests that the router has accepted before stay open.
+  void start_closing();
+
+  // Closes the connections on which no request is open, unread or incomplete and whose answers are written.
+  // After start_closing(), to be called from time to time: a connection may have been idle all the while.
+  void close_answered();
+
   void set_status_source(Status status) { status_ = std::move(status); }
 
   // Returns whether all connections are idle.
-  bool idle() const;
+  bool idle() const { return unanswered_clients() == 0; }
+
+  // Returns the number of connections that are not idle.
+  std::size_t unanswered_clients() const;
+
+  std::size_t client_count() const { return connections_.size(); }
 
   // Accepts all pending connections. Returns true if there were none and no open connection has received
   // bytes that were not read yet: then no request is waiting to be read.
@@ -194,8 +212,8 @@
   // Returns when the last request arrived. Health checks do not count.
   transport::Clock::time_point last_arrival() const { return last_arrival_; }
 
-  // Stops listening and closes every connection. What clients still send is read and discarded, since a TCP
-  // reset could destroy answers that clients have not read yet.
+  // Stops listening and closes every connection, also those that are not idle. To be called after
+  // start_closing().
   void close_all();
 
   // Returns whether any of the closed connections has not been closed by its client yet.
@@ -206,6 +224,8 @@
  private:
   friend class FastCgiConnection;
 
+  enum class Stage { kServing, kDraining, kClosing };
+
   void add_connection(transport::Descriptor socket);
   bool close_one_client();
   // Sheds incomplete requests while they exceed the memory account, those of the connection with the most
@@ -225,7 +245,7 @@
   Ready ready_;
   Status status_;
   FreeDescriptor free_descriptor_;
-  bool draining_ = false;
+  Stage stage_ = Stage::kServing;
   transport::Clock::time_point last_arrival_ = transport::Clock::now();
   transport::Descriptor listener_;
   std::unique_ptr<transport::Watch> watch_;
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -3,8 +3,10 @@
 
 #include <chrono>
 #include <csignal>
+#include <future>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -194,6 +196,94 @@
   EXPECT_EQ(program_->await_exit(), 0);
 }
 
+namespace {
+
+CacheStandIn::Script no_answer() {
+  return [](const CacheRequest&) { return std::nullopt; };
+}
+
+// Keeps `kOpen` requests open on one connection until the router closes it. Returns the ids of those that got
+// no answer. `number` is that of this client; no two clients have the same.
+std::vector<std::string> send_until_closed(std::uint16_t port, int number) {
+  constexpr int kOpen = 4;
+  constexpr int kMaxRequests = 10'000;
+  Client client(port);
+  const auto id = [number](int request) { return id_of(number * kMaxRequests + request); };
+  const auto send = [&](int request) {
+    const Fields fields = read_fields(id(request), {{"HTTP_X_ENTITY", id(request)}});
+    client.send(request_bytes(static_cast<std::uint16_t>(request), fields, ""));
+  };
+  int sent = 0;
+  while (sent < kOpen) {
+    send(++sent);
+  }
+  std::vector<std::string> unanswered;
+  for (int request = 1; request <= sent; ++request) {
+    if (!client.read(static_cast<std::uint16_t>(request))) {
+      unanswered.push_back(id(request));
+    } else if (sent < kMaxRequests) {
+      send(++sent);
+    }
+  }
+  return unanswered;
+}
+
+}  // namespace
+
+// Guards against requests that a draining router forwards and then closes the connection of without an
+// answer, where clients go on sending past its drain timeout.
+TEST_F(CrossingsTest, AnswersWhatItForwardedWhileClientsSendUntilTheEndOfADrain) {
+  cache_.set_script(no_answer());
+  origin_.set_script(no_answer());
+  list_cache(cache_);
+  start({{"router", {{"drain_answer_ms", 400}, {"drain_linger_ms", 200}, {"cache_connections", 16}}}});
+  constexpr int kClients = 8;
+  std::vector<std::future<std::vector<std::string>>> clients;
+  for (int i = 1; i <= kClients; ++i) {
+    clients.push_back(std::async(std::launch::async, send_until_closed, program_->port(), i));
+  }
+  ASSERT_TRUE(cache_.await("serve", kClients));
+  program_->signal(SIGTERM);
+  std::set<std::string> unanswered;
+  for (auto& client : clients) {
+    for (const std::string& id : client.get()) {
+      unanswered.insert(id);
+    }
+  }
+  EXPECT_EQ(program_->await_exit(), 0);
+  for (const CacheStandIn* cache : {&cache_, &origin_}) {
+    for (const CacheRequest& request : cache->seen()) {
+      EXPECT_FALSE(request.command == "serve" && unanswered.contains(request.id))
+          << request.id << " was forwarded and not answered\n"
+          << program_->log();
+    }
+  }
+}
+
+// Guards against answers that are discarded where the process stands still until its drain is overdue.
+TEST_F(CrossingsTest, AnswersOpenRequestsWhenItResumesAfterItsDrainTimeout) {
+  cache_.set_script(no_answer());
+  origin_.set_script(no_answer());
+  list_cache(cache_);
+  start({{"router", {{"drain_answer_ms", 2'000}, {"drain_late_ms", 0}}}});
+  Client client(program_->port());
+  client.send(request_bytes(1, read_fields(id_of(1)), ""));
+  ASSERT_TRUE(cache_.await("serve", 1));
+  program_->signal(SIGTERM);
+  ASSERT_TRUE(program_->await_health(503));
+  program_->suspend();
+  client.send(request_bytes(2, read_fields(id_of(2)), ""));
+  std::this_thread::sleep_for(milliseconds(2'500));  // the drain timeout and the time for the last answers
+  program_->signal(SIGCONT);
+  for (const std::uint16_t request : {1, 2}) {
+    const auto answer = client.read(request);
+    ASSERT_TRUE(answer.has_value()) << "request " << request << "\n" << program_->log();
+    EXPECT_NE(answer->status, 200) << request;
+  }
+  EXPECT_TRUE(client.await_close());
+  EXPECT_EQ(program_->await_exit(), 0);
+}
+
 // ---- Clients ----
 
 // The requests of a client and the close of its connection are both unread in the socket of the router. The
