Drain test: connect all clients before the first of them sends

On a busy machine a client's thread could have started after the router had stopped listening, and failed to connect. The nested unnamed namespace is gone.

--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -196,18 +196,15 @@
   EXPECT_EQ(program_->await_exit(), 0);
 }
 
-namespace {
-
 CacheStandIn::Script no_answer() {
   return [](const CacheRequest&) { return std::nullopt; };
 }
 
-// Keeps `kOpen` requests open on one connection until the router closes it. Returns the ids of those that got
-// no answer. `number` is that of this client; no two clients have the same.
-std::vector<std::string> send_until_closed(std::uint16_t port, int number) {
+// Keeps `kOpen` requests open on the connection of a client until the router closes it. Returns the ids of
+// those that got no answer. No two clients have the same `number`.
+std::vector<std::string> send_until_closed(Client& client, int number) {
   constexpr int kOpen = 4;
   constexpr int kMaxRequests = 10'000;
-  Client client(port);
   const auto id = [number](int request) { return id_of(number * kMaxRequests + request); };
   const auto send = [&](int request) {
     const Fields fields = read_fields(id(request), {{"HTTP_X_ENTITY", id(request)}});
@@ -228,27 +225,30 @@
   return unanswered;
 }
 
-}  // namespace
-
-// Guards against requests that a draining router forwards and then closes the connection of without an
-// answer, where clients go on sending past its drain timeout.
+// Guards against requests that a draining router forwards and does not answer, where clients go on sending
+// until it closes their connections.
 TEST_F(CrossingsTest, AnswersWhatItForwardedWhileClientsSendUntilTheEndOfADrain) {
   cache_.set_script(no_answer());
   origin_.set_script(no_answer());
   list_cache(cache_);
   start({{"router", {{"drain_answer_ms", 400}, {"drain_linger_ms", 200}, {"cache_connections", 16}}}});
   constexpr int kClients = 8;
-  std::vector<std::future<std::vector<std::string>>> clients;
-  for (int i = 1; i <= kClients; ++i) {
-    clients.push_back(std::async(std::launch::async, send_until_closed, program_->port(), i));
+  std::vector<std::unique_ptr<Client>> clients;
+  for (int i = 0; i < kClients; ++i) {
+    clients.push_back(std::make_unique<Client>(program_->port()));
+  }
+  std::vector<std::future<std::vector<std::string>>> unanswered_by_client;
+  for (int i = 0; i < kClients; ++i) {
+    Client& client = *clients[static_cast<std::size_t>(i)];
+    unanswered_by_client.push_back(
+        std::async(std::launch::async, [&client, i] { return send_until_closed(client, i + 1); }));
   }
   ASSERT_TRUE(cache_.await("serve", kClients));
   program_->signal(SIGTERM);
   std::set<std::string> unanswered;
-  for (auto& client : clients) {
-    for (const std::string& id : client.get()) {
-      unanswered.insert(id);
-    }
+  for (auto& of_client : unanswered_by_client) {
+    const std::vector<std::string> ids = of_client.get();
+    unanswered.insert(ids.begin(), ids.end());
   }
   EXPECT_EQ(program_->await_exit(), 0);
   for (const CacheStandIn* cache : {&cache_, &origin_}) {
