Answer what arrives while a router is suspended in the closing step of its drain

What callers saw: a router that is stopped (SIGSTOP) while it closes its connections after SIGTERM, for longer than the 300 ms that this step takes, discarded requests that had become complete meanwhile.

Cause: the step measured its time by the clock. When the process ran again, the time was over, and the connections were closed in the turn that had read the requests, before their answers were written.

Change: the step counts its checks instead, and the last close first writes what the sockets take.

--- a/src/program/drain.cpp
+++ b/src/program/drain.cpp
@@ -16,7 +16,7 @@
 
 constexpr milliseconds kDrainCheck{10};
 constexpr milliseconds kReleaseTimeout{800};  // for owned work and the policy lease
-constexpr milliseconds kFlushTimeout{300};    // for the last responses to slow clients
+constexpr int kFlushChecks = 30;              // for the last responses to slow clients, kDrainCheck apart
 constexpr milliseconds kPartialTimeout{500};  // for the rest of a partial request
 constexpr milliseconds kFinalLinger{200};     // for clients to close the connections that were closed here
 
@@ -68,13 +68,13 @@
   }
 
   // From here on the router sends nothing to caches for clients, so each answer can be written before its
-  // connection is closed. The time for this counts from now: the process may have been suspended.
+  // connection is closed. Checks are counted instead of time: while the process is suspended, it can neither
+  // read nor answer.
   Task<void> close_connections() {
-    const Clock::time_point start = Clock::now();
     parts_.server.start_closing();
     fail_open_requests();
     parts_.work.stop_policy();
-    while (!(closed() && released()) && Clock::now() - start < kFlushTimeout) {
+    for (int checks = 0; checks < kFlushChecks && !(closed() && released()); ++checks) {
       parts_.server.close_answered();
       co_await parts_.scheduler.sleep(kDrainCheck);
     }
--- a/src/routing/fastcgi_server.cpp
+++ b/src/routing/fastcgi_server.cpp
@@ -465,6 +465,11 @@
   }
 }
 
+void FastCgiConnection::write_and_close() {
+  write_answers();
+  connection_.close(ConnectionEnd::kShutdown);
+}
+
 FastCgiServer::FastCgiServer(transport::Scheduler& scheduler, Router& router, const Settings& settings,
                              const std::unordered_map<std::string, int>& class_index, const Bounds& bounds,
                              Ready ready, FreeDescriptor free_descriptor)
@@ -655,7 +660,7 @@
 
 void FastCgiServer::close_all() {
   for (FastCgiConnection* client : connections_) {
-    client->connection().close(ConnectionEnd::kShutdown);
+    client->write_and_close();
   }
   if (watch_) {
     watch_->close();
--- a/src/routing/fastcgi_server.h
+++ b/src/routing/fastcgi_server.h
@@ -70,6 +70,9 @@
   // written, or that is probably in flight on a new connection.
   void close_if_answered();
 
+  // Writes what the socket takes of the answers, and closes the connection.
+  void write_and_close();
+
   // Returns whether the connection is idle and has waited since before `cutoff` for its first valid request
   // or for the rest of a message.
   bool timed_out(transport::Clock::time_point cutoff) const {
@@ -212,8 +215,8 @@
   // Returns when the last request arrived. Health checks do not count.
   transport::Clock::time_point last_arrival() const { return last_arrival_; }
 
-  // Stops listening and closes every connection, also those that are not idle. To be called after
-  // start_closing().
+  // Stops listening and closes every connection, also those that are not idle, once as much as their sockets
+  // take is written. To be called after start_closing().
   void close_all();
 
   // Returns whether any of the closed connections has not been closed by its client yet.
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -284,6 +284,40 @@
   EXPECT_EQ(program_->await_exit(), 0);
 }
 
+// Guards against a request that is discarded where the process stands still while it closes its connections.
+// The incomplete request keeps its connection open for a moment; where that was too short for this test to
+// suspend the process, it is played again.
+TEST_F(CrossingsTest, AnswersARequestThatArrivesWhileItIsSuspendedInItsLastStep) {
+  cache_.set_script(no_answer());
+  origin_.set_script(no_answer());
+  list_cache(cache_);
+  constexpr int kPlays = 10;
+  for (int play = 0; play < kPlays; ++play) {
+    start({{"router", {{"drain_answer_ms", 700}, {"drain_late_ms", 0}}}});
+    Client failing(program_->port());
+    Client client(program_->port());
+    ASSERT_TRUE(client.ask(1, {{"SCRIPT_NAME", "/healthz"}}).has_value());
+    const std::string bytes = request_bytes(2, read_fields(id_of(2)), "");
+    failing.send(request_bytes(1, read_fields(id_of(1)), ""));
+    client.send(bytes.substr(0, bytes.size() / 2));
+    program_->signal(SIGTERM);
+    ASSERT_TRUE(failing.read(1).has_value()) << "open requests fail as the last step begins";
+    program_->suspend();
+    client.read(2, milliseconds(1));
+    if (client.closed()) {
+      continue;
+    }
+    client.send(bytes.substr(bytes.size() / 2));
+    std::this_thread::sleep_for(milliseconds(500));  // longer than the last step waits
+    program_->signal(SIGCONT);
+    const auto answer = client.read(2);
+    ASSERT_TRUE(answer.has_value()) << program_->log();
+    EXPECT_EQ(answer->status, 503);
+    return;
+  }
+  FAIL() << "the process was suspended too late in each play";
+}
+
 // ---- Clients ----
 
 // The requests of a client and the close of its connection are both unread in the socket of the router. The
--- a/tests/stand_ins.h
+++ b/tests/stand_ins.h
@@ -172,6 +172,8 @@
   void reset();
   // Waits until the other side closes the connection; returns whether it did.
   bool await_close();
+  // Returns whether the other side had closed the connection at the last read.
+  bool closed() const { return closed_; }
   // Sends a complete request and waits for its answer.
   std::optional<Answer> ask(std::uint16_t key, const Fields& fields, const std::string& body = "");
 
