Count unanswered clients where they are closed, once their sockets took what they could

The warning at the end of a drain counted connections before the last write, so it could name one whose answers were written then. write_and_close() says whether all were written, and close_all() counts. idle() is as it was before, and close_if_answered() asks may_close() in place of its conditions once more.

--- a/src/program/drain.cpp
+++ b/src/program/drain.cpp
@@ -78,10 +78,6 @@
       parts_.server.close_answered();
       co_await parts_.scheduler.sleep(kDrainCheck);
     }
-    if (const std::size_t unanswered = parts_.server.unanswered_clients(); unanswered > 0) {
-      log_line(Level::kWarning) << unanswered
-                                << " client connections closed before all their answers were written";
-    }
     parts_.server.close_all();
   }
 
--- a/src/routing/fastcgi_server.cpp
+++ b/src/routing/fastcgi_server.cpp
@@ -460,14 +460,16 @@
 void FastCgiConnection::close_if_answered() {
   const bool awaits_first_request =
       !sent_valid_request_ && Clock::now() - opened_at_ < server_.bounds_.client_young;
-  if (idle() && !awaits_first_request && !parser_.has_partial_message() && !connection_.ended()) {
+  if (may_close() && !parser_.has_partial_message() && !awaits_first_request) {
     connection_.close_if_nothing_unread(ConnectionEnd::kShutdown);
   }
 }
 
-void FastCgiConnection::write_and_close() {
+bool FastCgiConnection::write_and_close() {
   write_answers();
+  const bool answered = idle();
   connection_.close(ConnectionEnd::kShutdown);
+  return answered;
 }
 
 FastCgiServer::FastCgiServer(transport::Scheduler& scheduler, Router& router, const Settings& settings,
@@ -637,10 +639,9 @@
                      [](const FastCgiConnection* client) { return client->has_partial_request(); });
 }
 
-std::size_t FastCgiServer::unanswered_clients() const {
-  const auto count = std::count_if(connections_.begin(), connections_.end(),
-                                   [](const FastCgiConnection* client) { return !client->idle(); });
-  return static_cast<std::size_t>(count);
+bool FastCgiServer::idle() const {
+  return std::all_of(connections_.begin(), connections_.end(),
+                     [](const FastCgiConnection* client) { return client->idle(); });
 }
 
 void FastCgiServer::start_closing() {
@@ -659,8 +660,13 @@
 }
 
 void FastCgiServer::close_all() {
+  int unanswered = 0;
   for (FastCgiConnection* client : connections_) {
-    client->write_and_close();
+    unanswered += client->write_and_close() ? 0 : 1;
+  }
+  if (unanswered > 0) {
+    log_line(Level::kWarning) << unanswered
+                              << " client connections closed before all their answers were written";
   }
   if (watch_) {
     watch_->close();
--- a/src/routing/fastcgi_server.h
+++ b/src/routing/fastcgi_server.h
@@ -70,8 +70,8 @@
   // written, or that is probably in flight on a new connection.
   void close_if_answered();
 
-  // Writes what the socket takes of the answers, and closes the connection.
-  void write_and_close();
+  // Writes what the socket takes of the answers, and closes the connection. Returns whether all were written.
+  bool write_and_close();
 
   // Returns whether the connection is idle and has waited since before `cutoff` for its first valid request
   // or for the rest of a message.
@@ -198,10 +198,7 @@
   void set_status_source(Status status) { status_ = std::move(status); }
 
   // Returns whether all connections are idle.
-  bool idle() const { return unanswered_clients() == 0; }
-
-  // Returns the number of connections that are not idle.
-  std::size_t unanswered_clients() const;
+  bool idle() const;
 
   std::size_t client_count() const { return connections_.size(); }
 
