One script for caches that answer nothing, in the stand-ins

The tests of crossings wrote again what those of integration had; both and those of cache nodes use no_answer() of tests/stand_ins.h now. No assertion is changed.

--- a/tests/cache_node_test.cpp
+++ b/tests/cache_node_test.cpp
@@ -33,6 +33,7 @@
 using testing_support::CacheRequest;
 using testing_support::CacheStandIn;
 using testing_support::DiscoveryStandIn;
+using testing_support::no_answer;
 using SteadyClock = std::chrono::steady_clock;
 
 constexpr milliseconds kMaxWait{10'000};
@@ -702,7 +703,7 @@
 
 // With two open requests under one id, a peer could not tell which of them an answer belongs to.
 TEST_F(CacheNodeTest, ClosesAConnectionThatReusesAnOpenRequestId) {
-  origin_.set_script([](const CacheRequest&) { return std::nullopt; });
+  origin_.set_script(no_answer);
   NodeProgram node(config());
   Peer peer(node.port());
   ASSERT_TRUE(peer.serve("same", fields(item_of(1))));
@@ -743,7 +744,7 @@
 }
 
 TEST_F(CacheNodeTest, RejectsRequestsAtOnceWhenFillsAreExhausted) {
-  origin_.set_script([](const CacheRequest&) { return std::nullopt; });
+  origin_.set_script(no_answer);
   json config_of = config();
   config_of["cache"]["open_requests"] = 20;
   config_of["cache"]["fills"] = 5;
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -196,10 +196,6 @@
   EXPECT_EQ(program_->await_exit(), 0);
 }
 
-CacheStandIn::Script no_answer() {
-  return [](const CacheRequest&) { return std::nullopt; };
-}
-
 // Keeps `kOpen` requests open on the connection of a client until the router closes it. Returns the ids of
 // those that got no answer. No two clients have the same `number`.
 std::vector<std::string> send_until_closed(Client& client, int number) {
@@ -228,8 +224,8 @@
 // Guards against requests that a draining router forwards and does not answer, where clients go on sending
 // until it closes their connections.
 TEST_F(CrossingsTest, AnswersWhatItForwardedWhileClientsSendUntilTheEndOfADrain) {
-  cache_.set_script(no_answer());
-  origin_.set_script(no_answer());
+  cache_.set_script(no_answer);
+  origin_.set_script(no_answer);
   list_cache(cache_);
   start({{"router", {{"drain_answer_ms", 400}, {"drain_linger_ms", 200}, {"cache_connections", 16}}}});
   constexpr int kClients = 8;
@@ -262,8 +258,8 @@
 
 // Guards against answers that are discarded where the process stands still until its drain is overdue.
 TEST_F(CrossingsTest, AnswersOpenRequestsWhenItResumesAfterItsDrainTimeout) {
-  cache_.set_script(no_answer());
-  origin_.set_script(no_answer());
+  cache_.set_script(no_answer);
+  origin_.set_script(no_answer);
   list_cache(cache_);
   start({{"router", {{"drain_answer_ms", 2'000}, {"drain_late_ms", 0}}}});
   Client client(program_->port());
@@ -288,8 +284,8 @@
 // The incomplete request keeps its connection open for a moment; where that was too short for this test to
 // suspend the process, it is played again.
 TEST_F(CrossingsTest, AnswersARequestThatArrivesWhileItIsSuspendedInItsLastStep) {
-  cache_.set_script(no_answer());
-  origin_.set_script(no_answer());
+  cache_.set_script(no_answer);
+  origin_.set_script(no_answer);
   list_cache(cache_);
   constexpr int kPlays = 10;
   for (int play = 0; play < kPlays; ++play) {
@@ -423,8 +419,8 @@
 
 // An id comes again on a new connection after its client has left while the request was open.
 TEST_P(LeavingClientTest, ExecutesAnIdOnceThatReturnsAfterItsClientHasLeft) {
-  cache_.set_script([](const CacheRequest&) { return std::nullopt; });
-  origin_.set_script([](const CacheRequest&) { return std::nullopt; });
+  cache_.set_script(no_answer);
+  origin_.set_script(no_answer);
   list_cache(cache_);
   start({{"router", {{"cache_connections", 16}}}});
   int number = 0;
--- a/tests/integration_test.cpp
+++ b/tests/integration_test.cpp
@@ -18,7 +18,6 @@
 using nlohmann::json;
 using std::chrono::milliseconds;
 
-std::optional<std::string> no_answer(const CacheRequest&) { return std::nullopt; }
 std::optional<std::string> close_connection(const CacheRequest&) { return CacheStandIn::kThenClose; }
 
 class IntegrationTest : public testing::Test {
--- a/tests/stand_ins.h
+++ b/tests/stand_ins.h
@@ -70,6 +70,9 @@
   std::string body;
 };
 
+// The script of a cache that answers no request.
+inline std::optional<std::string> no_answer(const CacheRequest&) { return std::nullopt; }
+
 // A cache whose answers the test scripts.
 class CacheStandIn : public Server {
  public:
