Cache nodes report their last discovery event and its age

The report (log, SIGHUP) has `event`, the last event, and `event_age_ms`, the time since the node is known to have had all events, by its monotonic clock.

--- a/src/cache_node/node.cpp
+++ b/src/cache_node/node.cpp
@@ -80,7 +80,12 @@
     bounds.polling.max_backoff = milliseconds(400);
     bounds.reset_detection_delay = Micros(0);  // receiving all events again changes no state
     bounds.response_bounds.body_bytes = 64U << 20U;
-    discovery_.emplace(scheduler, *address, *this, deployment_, seed, bounds);
+    routing::DiscoveryClient::Hooks hooks;
+    hooks.on_page = [this](const nlohmann::json&, Micros known_at, const std::string&) {
+      events_known_at_ = std::max(events_known_at_.value_or(known_at), known_at);
+    };
+    discovery_.emplace(scheduler, *address, *this, deployment_, seed, bounds, std::move(hooks),
+                       routing::DiscoveryClient::Relays());
   }
 }
 
@@ -353,6 +358,12 @@
   add("written_bytes", stats.written_bytes);
   add("writes_shed", stats.writes_shed);
   add("read_failures", stats.read_failures);
+  if (events_known_at_) {
+    const Micros now = std::chrono::duration_cast<Micros>(Clock::now().time_since_epoch());
+    const auto age = std::chrono::duration_cast<milliseconds>(std::max(Micros(0), now - *events_known_at_));
+    add("event", last_sequence_);
+    add("event_age_ms", static_cast<std::uint64_t>(age.count()));
+  }
   if (token_store_ != nullptr) {
     add("fenced_admitted", token_store_->counts().admitted);
     add("fenced_refused", token_store_->counts().rejected + token_store_->counts().other_store);
--- a/src/cache_node/node.h
+++ b/src/cache_node/node.h
@@ -88,6 +88,8 @@
   protocol::DeploymentSettings deployment_;  // default values: a node does not distinguish kinds of endpoints
   std::optional<routing::DiscoveryClient> discovery_;
   std::uint64_t last_sequence_ = 0;
+  // The latest steady time at which this node is known to have had all events of the discovery service.
+  std::optional<Micros> events_known_at_;
   bool discovery_received_ = false;
   bool stopping_ = false;
   transport::Timer timer_;
