--- a/src/discovery/event_log.cpp
+++ b/src/discovery/event_log.cpp
@@ -127,7 +127,20 @@
   return pages_[sequence] = std::make_shared<const std::string>(page.dump());
 }
 
-EventLog::Events EventLog::compacted_events(UnixTime purges_since) const {
+// Returns the sequence number from which on the log has `count` purge events, or fewer if it has no more.
+std::uint64_t EventLog::first_of_latest_purges(std::size_t count) const {
+  std::uint64_t first = last_sequence_ + 1;
+  for (auto event = events_.rbegin(); event != events_.rend() && count > 0; ++event) {
+    if (!is_list(event->second)) {
+      first = event->first;
+      --count;
+    }
+  }
+  return first;
+}
+
+EventLog::Events EventLog::compacted_events(UnixTime purges_since, std::size_t latest_purges) const {
+  const std::uint64_t first_kept = first_of_latest_purges(latest_purges);
   EndpointsByName endpoints;
   json index;
   std::uint64_t list_sequence = 0;
@@ -138,7 +151,7 @@
       list_sequence = sequence;
       index = pool.contains("index") ? pool["index"] : json();
       apply_list(endpoints, pool);
-    } else if (purge_time(event) >= purges_since) {
+    } else if (sequence >= first_kept || purge_time(event) >= purges_since) {
       out[sequence] = event;
     }
   }
@@ -148,16 +161,16 @@
   return out;
 }
 
-json EventLog::compacted_page(UnixTime purges_since) const {
-  const Events compacted = compacted_events(purges_since);
+json EventLog::compacted_page(UnixTime purges_since, std::size_t latest_purges) const {
+  const Events compacted = compacted_events(purges_since, latest_purges);
   return page_of(compacted.begin(), compacted.end());
 }
 
-void EventLog::compact(std::size_t max_events, UnixTime purges_since) {
+void EventLog::compact(std::size_t max_events, UnixTime purges_since, std::size_t latest_purges) {
   if (events_.size() <= max_events) {
     return;
   }
-  events_ = compacted_events(purges_since);
+  events_ = compacted_events(purges_since, latest_purges);
   pages_.clear();
 }
 
--- a/src/discovery/event_log.h
+++ b/src/discovery/event_log.h
@@ -3,9 +3,10 @@
 // rendered once for all clients that poll from the same sequence number.
 //
 // Compaction replaces all changes of the endpoint list by one full list with the sequence number of the last
-// change. It drops purge events from before a given time: they no longer have to be applied, since no cache
-// has a copy purged by them any more. A client that polls from an older sequence number gets the full list
-// and all remaining purge events, which has the same effect as the original events.
+// change. It drops purge events from before a given time, by which connected caches have dropped the copies
+// purged by them, but keeps a number of the latest: a cache that is cut off may still have such copies, and
+// routers that know of the purge do not accept them. A client that polls from an older sequence number gets
+// the full list and all remaining purge events.
 //
 // Library `discovery`. Not thread-safe.
 #pragma once
@@ -62,16 +63,18 @@
   std::uint64_t rendered_pages() const { return rendered_pages_; }
   std::uint64_t requested_pages() const { return requested_pages_; }
 
-  // Compacts the log if it has more than `max_events` events. Drops purge events from before `purges_since`.
-  void compact(std::size_t max_events, UnixTime purges_since);
+  // Compacts the log if it has more than `max_events` events. Keeps the purge events since `purges_since`, and
+  // of the earlier ones those that are among the `latest_purges` last.
+  void compact(std::size_t max_events, UnixTime purges_since, std::size_t latest_purges = 0);
 
-  // Returns the log as one compacted page: a full list, and the purge events since `purges_since`.
-  nlohmann::json compacted_page(UnixTime purges_since) const;
+  // Returns the log as one compacted page: a full list, and the purge events that compact() keeps.
+  nlohmann::json compacted_page(UnixTime purges_since, std::size_t latest_purges = 0) const;
 
  private:
   using Events = std::map<std::uint64_t, nlohmann::json>;  // by sequence number
 
-  Events compacted_events(UnixTime purges_since) const;
+  Events compacted_events(UnixTime purges_since, std::size_t latest_purges) const;
+  std::uint64_t first_of_latest_purges(std::size_t count) const;
   nlohmann::json page_of(Events::const_iterator first, Events::const_iterator last) const;
 
   std::string source_id_;
--- a/src/program/start_support.cpp
+++ b/src/program/start_support.cpp
@@ -23,6 +23,8 @@
 // discovery service.
 constexpr Micros kResetDetectionDelay = std::chrono::seconds(5);
 constexpr milliseconds kPurgeMargin{2'000};
+// Of the purges that connected caches have applied, how many a snapshot keeps for caches that are cut off.
+constexpr std::size_t kSnapshotPurges = 512;
 // XORed with the seed of the router, so that each part has independent random numbers.
 constexpr std::uint64_t kEndpointViewSeed = 0x9e3779b97f4a7c15ULL;
 constexpr std::uint64_t kRelaySelectorSeed = 0xc2b2ae3d27d4eb4fULL;
@@ -42,7 +44,7 @@
 
 std::string peer_name(const std::string& peer) { return peer.substr(0, peer.find('=')); }
 
-// Returns how long a purge is relayed and stored: until the caches have applied it, and a margin.
+// Returns how long a purge is always relayed and stored: until connected caches have applied it, and a margin.
 milliseconds purge_retention(const Configuration& configuration) {
   return std::chrono::duration_cast<milliseconds>(configuration.deployment.settings.purge_done) +
          kPurgeMargin;
@@ -357,7 +359,7 @@
   snapshot.saved_at = unix_now();
   snapshot.confirmed_at =
       snapshot.saved_at - std::chrono::duration_cast<milliseconds>(steady_now() - confirmed_at_);
-  snapshot.page = log_.compacted_page(purges_from);
+  snapshot.page = log_.compacted_page(purges_from, kSnapshotPurges);
   write_scheduler_->on_write_started();
   const auto error = std::make_shared<std::string>();
   const auto bytes = std::make_shared<const std::string>(snapshot::encode_snapshot(snapshot));
--- a/src/routing/relay.cpp
+++ b/src/routing/relay.cpp
@@ -45,7 +45,7 @@
   const std::uint64_t before = log_.last_sequence();
   log_.append(page);
   log_.set_source_id(page.value("board", ""));
-  log_.compact(options_.max_events, unix_now() - options_.purge_retention);
+  log_.compact(options_.max_events, unix_now() - options_.purge_retention, options_.latest_purges);
   current_at_ = current_at_ ? std::max(*current_at_, current_at) : current_at;
   path_ = path;
   if (log_.last_sequence() != before) {
--- a/src/routing/relay.h
+++ b/src/routing/relay.h
@@ -29,8 +29,10 @@
     Micros max_age{1'000'000};  // of a page that may be served
     discovery::LongPollOptions long_poll;
     discovery::DiscoveryServer::Limits server;
-    std::chrono::milliseconds purge_retention{10'000};  // older purges are dropped when the log is compacted
-    std::size_t max_events = 4'096;                     // in the log before it is compacted
+    // When the log is compacted, purges are dropped that are older and not among the latest.
+    std::chrono::milliseconds purge_retention{10'000};
+    std::size_t latest_purges = 1'024;
+    std::size_t max_events = 4'096;  // in the log before it is compacted
   };
 
   // `log` contains the events that are served. The log and the scheduler have to outlive the relay.
--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -198,6 +198,24 @@
   }
 }
 
+// Guards against routers that start from a snapshot or behind a relay and do not know of a purge that a cache
+// without the discovery service has missed.
+TEST(EventLogTest, ACompactedLogKeepsItsLatestPurges) {
+  EventLog log("b");
+  std::vector<json> events{list_event(1, true, {{"n0", "up"}})};
+  for (std::uint64_t sequence = 2; sequence <= 9; ++sequence) {
+    events.push_back(sequence % 2 == 0 ? purge_event(sequence, static_cast<std::int64_t>(sequence))
+                                       : list_event(sequence, false, {{"n1", "up"}}));
+  }
+  log.replace(page_of(9, events));
+  const UnixTime now(1'000ms);
+  EXPECT_EQ(content_of(log.compacted_page(now, 3)).purges, (std::set<std::int64_t>{4, 6, 8}));
+  EXPECT_EQ(content_of(log.compacted_page(now, 99)).purges, (std::set<std::int64_t>{2, 4, 6, 8}));
+  EXPECT_EQ(content_of(log.compacted_page(now)).purges, std::set<std::int64_t>{});
+  log.compact(0, now, 1);
+  EXPECT_EQ(content_of(json::parse(*log.page_after(0))), (PageContent{{"n0", "n1"}, {8}}));
+}
+
 TEST(EventLogTest, AnInvalidPageLeavesTheLogUnchanged) {
   EventLog log("b");
   log.replace(page_of(1, {list_event(1, true, {{"a", "up"}})}));
