Routers limit the age of purged objects also after caches should have dropped them

Cause: PurgeFloors forgot a purge purge_done + 1 s after it, on the assumption that every cache has dropped its copies by then. A node that hears nothing has not, and nothing shows that. The purge is not on the node, and the limit is what ends at 7 s.

Change: a router remembers reported purges. The limit excludes nothing but copies from before the purge, so a cache that is connected loses no hit by it. The fill window still counts on connected caches alone. Purges that a router only supposes while it hears nothing (startup.unsure guard) apply as long as before: Purged::reported tells them apart. A restarted node that has not heard takes only a limit of at most 7 s, as routers sent so far, for knowledge of its missed purges; a longer one no longer shows that.

--- a/include/trailcourse/decider.h
+++ b/include/trailcourse/decider.h
@@ -242,6 +242,8 @@
   ObjectId object = 0;
   std::uint64_t group = 0;
   Micros age{0};  // time since the purge
+  // False: no purge was reported, but one may have been missed. It applies for Settings::purge_done only.
+  bool reported = true;
 };
 
 // The result of another router's health check of a cache or parent. It supplements this router's own
--- a/src/cache_node/node_core.cpp
+++ b/src/cache_node/node_core.cpp
@@ -85,11 +85,13 @@
 }
 
 // Routers always send the lifetime of the class as the limit, so only a shorter one shows that the sender
-// knows of a purge.
+// knows of a purge. A limit that goes back to an earlier purge does not exclude a later one that the sender
+// has missed as well.
 bool NodeCore::purges_known(const Request& request, const Copy& copy) const {
   const std::int64_t limit_ms = request.fields.age_limit_ms;
   const bool limited_by_purge = limit_ms > 0 && limit_ms < or_unlimited(request.rule.fresh_ms);
-  return limited_by_purge || copy.origin_time_ms > distrusted_before_ms_;
+  const bool recent = limit_ms <= options_.recent_purge_ms;
+  return (limited_by_purge && recent) || copy.origin_time_ms > distrusted_before_ms_;
 }
 
 bool NodeCore::servable(const EventContext& now, const Request& request, const Copy& copy) const {
--- a/src/cache_node/node_core.h
+++ b/src/cache_node/node_core.h
@@ -45,6 +45,7 @@
   std::size_t max_answer_bytes = protocol::kMaxObjectBytes;  // a larger object is answered with ERR
   std::size_t expected_fill_bytes = 64U << 10U;  // counted for a fill, whose size is not known yet
   std::int64_t lookup_timeout_ms = 150;          // after which a disk read counts as a miss
+  std::int64_t recent_purge_ms = 7'000;  // age up to which a purge shows that its sender is up to date
 };
 
 // The answer of a source, or how the fetch failed.
@@ -172,9 +173,10 @@
   // Returns the steady time at which tick() is needed next; nothing if nothing is pending.
   std::optional<std::int64_t> next_deadline_ms() const;
 
-  // Serves copies from before `started_unix_ms` only to requests with an age limit below the lifetime of
-  // their class, until trust_all_copies(). Needed after a start until purge events arrive: this node may have
-  // missed a purge while it was down, and a router that knows of the purge sends such a limit.
+  // Serves copies from before `started_unix_ms` only to requests with an age limit that is below the lifetime
+  // of their class and at most `recent_purge_ms`, until trust_all_copies(). Needed after a start until purge
+  // events arrive: this node may have missed a purge while it was down, and a router that knows of the purge
+  // sends such a limit.
   void distrust_copies_before(std::int64_t started_unix_ms) { distrusted_before_ms_ = started_unix_ms; }
   void trust_all_copies() { distrusted_before_ms_ = INT64_MIN; }
 
--- a/src/cache_node/node_options.cpp
+++ b/src/cache_node/node_options.cpp
@@ -50,7 +50,7 @@
             "board_wait_ms", &NodeOptions::board_wait_ms, "ms", IntegerRange{0, 600'000},
             "time after a start without a response of the discovery service after which an unknown source is "
             "an error instead of a miss, and a warning is logged; until the service responds, copies from "
-            "before the start are served only to requests that limit their age because of a purge")
+            "before the start are served only to requests that limit their age because of a recent purge")
         .integer("report_s", &NodeOptions::report_s, "s", IntegerRange{1, 86'400},
                  "interval between two log lines of counters")
         .string("fence_folder", &NodeOptions::fence_folder, "path", StringRule{},
--- a/src/decision/fill_window.cpp
+++ b/src/decision/fill_window.cpp
@@ -29,7 +29,7 @@
 
 bool FillWindow::probable_miss(const Request& request, int cache) const {
   const ObjectEntry* entry = objects_.find(request.object_key);
-  const Micros age = purges_.max_age(request, false);
+  const Micros age = purges_.max_age_at_connected_caches(request);
   return context_.cacheable(request) && (entry == nullptr || entry->cached_at != cache ||
                                          (age.count() > 0 && context_.now - entry->cached_since > age));
 }
--- a/src/fleet/layout.cpp
+++ b/src/fleet/layout.cpp
@@ -211,7 +211,7 @@
       {"Name": "media", "Effect": "safe", "ObjectiveS": 2, "AimStretch": 2, "GiveUpS": 6, "Worth": 1}],
     "Extra": {"MidKind": 1, "OriginKind": 2, "StreamKbPerS": 5000, "LifetimeByClassS": [0],
       "ClassGraceS": [0],
-      "Uncached": [false], "NoteLevel": "all", "Collapses": true, "Siblings": "none", "ClearedWithinS": 6,
+      "Uncached": [false], "NoteLevel": "all", "Collapses": true, "Siblings": "none",
       "ParentFloor": 0.3, "ParentRampS": 10, "ParentBreaksAt": 4},
     "Limits": {"AttemptsCap": 6, "Cancel": true, "ParallelTries": true, "ConnIdleS": 15,
       "ConnectTimeoutS": 0.4,
@@ -226,6 +226,7 @@
   out["Extra"]["ZoneLinkKbPerS"] = links;
   out["Extra"]["Direct"] = spec_.may_use_origin;
   out["Extra"]["HeedWithinS"] = spec_.purge_grace_s;
+  out["Extra"]["ClearedWithinS"] = spec_.purge_done_s;
   out["Extra"]["ParentFloor"] = spec_.slow_start_from;
   out["Extra"]["ParentRampS"] = spec_.slow_start_s;
   out["Rules"]["ColdFrom"] = spec_.slow_start_from;
--- a/src/fleet/layout.h
+++ b/src/fleet/layout.h
@@ -38,6 +38,7 @@
   bool disk = false;                 // caches and parents store copies on disk
   bool may_use_origin = true;        // routers may send requests to the origin
   double purge_grace_s = 0.3;        // latest time after a purge event at which a purged copy may be served
+  double purge_done_s = 6.0;         // time after a purge event by which caches have dropped purged copies
   double slow_start_s = 10.0;        // length of the slow start of caches and parents
   double slow_start_from = 0.3;      // their capacity share at the start of the slow start, 0 to 1
   std::int64_t started_unix_ms = 0;  // listed start time of caches and parents; 0: long ago
--- a/src/startup/endpoint_view.cpp
+++ b/src/startup/endpoint_view.cpp
@@ -132,6 +132,7 @@
     purged.whole_group = true;
     purged.group = group;
     purged.age = max_copy_age - renewal;
+    purged.reported = false;
     events.emplace_back(purged);
   }
 }
--- a/tests/fleet/fleet_fixture.cpp
+++ b/tests/fleet/fleet_fixture.cpp
@@ -3,6 +3,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <iterator>
@@ -169,6 +170,33 @@
   return out;
 }
 
+std::size_t served(FleetFixture& fixture, std::size_t from) {
+  const auto& all = fixture.load().requests();
+  return static_cast<std::size_t>(
+      std::count_if(all.begin() + static_cast<std::ptrdiff_t>(from), all.end(),
+                    [](const fleet::SentRequest& one) { return one.status == 200; }));
+}
+
+std::uint64_t edit_and_purge(FleetFixture& fixture) {
+  fixture.supervisor().signal("origin", SIGHUP);
+  EXPECT_TRUE(fixture.supervisor().await_log("origin", "generated objects have a new version", kTestTimeout));
+  const auto now =
+      std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch());
+  std::uint64_t sequence = 0;
+  for (std::uint64_t object = 1'000; object < 1'030; ++object) {
+    sequence =
+        fixture.append_event({{"flush", {{"asset", fleet::object_name(object)}, {"ms", now.count()}}}});
+  }
+  return sequence;
+}
+
+std::size_t stale_answers(FleetFixture& fixture, Clock::time_point from, int version) {
+  const auto& all = fixture.load().requests();
+  return static_cast<std::size_t>(std::count_if(all.begin(), all.end(), [&](const fleet::SentRequest& one) {
+    return one.sent >= from && one.status == 200 && one.version < version;
+  }));
+}
+
 fleet::FleetSpec spread_spec(int routers, double calls_per_s) {
   fleet::FleetSpec spec;
   spec.routers = routers;
--- a/tests/fleet/fleet_fixture.h
+++ b/tests/fleet/fleet_fixture.h
@@ -96,6 +96,16 @@
 // The expected result of checks that return violations.
 inline const std::vector<std::string> kNoViolations;
 
+// Returns the number of requests from index `from` on that were answered with status 200.
+std::size_t served(FleetFixture& fixture, std::size_t from);
+
+// Gives all objects at the origin a new version, and purges the objects that send_to_all() requests. Returns
+// the sequence number of the last purge event.
+std::uint64_t edit_and_purge(FleetFixture& fixture);
+
+// Returns the number of answers with a version below `version` to requests that were sent after `from`.
+std::size_t stale_answers(FleetFixture& fixture, transport::Clock::time_point from, int version);
+
 // Returns a fleet whose routers spread their polls over windows that are short enough for a test.
 fleet::FleetSpec spread_spec(int routers, double calls_per_s = 40.0);
 
--- a/tests/integration_test.cpp
+++ b/tests/integration_test.cpp
@@ -268,6 +268,31 @@
   }
 }
 
+// Guards against purged copies of a cache that is cut off from the discovery service (review/8): the router has
+// to limit their age also once connected caches have dropped theirs, and after a restart.
+TEST_F(IntegrationTest, AppliesAPurgeThatCachesShouldHaveAppliedLongAgo) {
+  constexpr milliseconds kSincePurge{60'000};
+  list_all();
+  start();
+  const auto unix_now = [] {
+    return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch());
+  };
+  const milliseconds purge = unix_now() - kSincePurge;
+  board_.post({{"flush", {{"asset", "7f3a9c21e0b4d655"}, {"ms", purge.count()}}}});
+  ASSERT_TRUE(board_.await_caught_up());
+  ASSERT_TRUE(connect().ask(1, read_fields(id_of(1))).has_value());
+  start();
+  ASSERT_TRUE(connect().ask(1, read_fields(id_of(2))).has_value());
+  const milliseconds after = unix_now() - purge;
+  const std::vector<CacheRequest> requests = all_requests();
+  EXPECT_EQ(requests.size(), 2U);
+  for (const CacheRequest& request : requests) {
+    ASSERT_TRUE(request.fields.contains("agelim")) << request.id;
+    EXPECT_GE(std::stoll(request.fields.at("agelim")), kSincePurge.count() - 2);
+    EXPECT_LE(std::stoll(request.fields.at("agelim")), after.count());
+  }
+}
+
 TEST_F(IntegrationTest, SendsNoNewRequestsToADrainingCache) {
   list_all();
   start();
