A router that remembers too many purges of one time forgets half of them, not all

Found by rereading: a release purges many objects in one millisecond. Where they were over 20,000 and no longer in progress, the median time was that of all, and all were forgotten at once, so that a cache without the discovery service could answer from copies before the release.

Of purges at the median time only as many are forgotten as make half. The two look-ups of purges share one.

PurgeFloors.ForgetNoMoreThanHalfOfManyPurgesAtOneTime fails with the comparison of before and passes now; PurgeFloors, FillWindow, Decider and CutOffCacheTest, 28 tests, pass.

--- a/src/decision/purge_history.h
+++ b/src/decision/purge_history.h
@@ -52,14 +52,19 @@
     for (const auto& [key, time] : purged_at_) {
       times.push_back(time);
     }
-    const auto median = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
-    std::nth_element(times.begin(), median, times.end());
-    if (within_retention(*median, now)) {
+    const auto middle = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
+    std::nth_element(times.begin(), middle, times.end());
+    const Micros median = *middle;
+    if (within_retention(median, now)) {
       all_purged_at_ = now;
       purged_at_.clear();
       return;
     }
-    std::erase_if(purged_at_, [&](const auto& entry) { return entry.second <= *median; });
+    // Of many purges at one time, such as those of a release, no more than needed.
+    auto ties = std::count(times.begin(), middle, median);
+    std::erase_if(purged_at_, [&](const auto& entry) {
+      return entry.second < median || (entry.second == median && ties-- > 0);
+    });
   }
 
   std::size_t capacity_;
--- a/tests/decision/purge_floors_test.cpp
+++ b/tests/decision/purge_floors_test.cpp
@@ -46,6 +46,24 @@
   EXPECT_EQ(router.serve(2, kVideo, 7).max_age, Micros(0));
 }
 
+// Guards against all purges of a release being forgotten at once, since they have the same time.
+TEST(PurgeFloors, ForgetNoMoreThanHalfOfManyPurgesAtOneTime) {
+  TestRouter router;
+  router.receive_list(default_endpoints());
+  constexpr ObjectId kFirst = 1000;
+  for (ObjectId object = kFirst; object <= kFirst + 20'000; ++object) {
+    router.handle(Purged{false, object, 1, std::chrono::hours(1)});
+  }
+  int limited = 0;
+  constexpr int kSamples = 200;
+  for (int sample = 0; sample < kSamples; ++sample) {
+    router.now += milliseconds(20);
+    const ObjectId object = kFirst + static_cast<ObjectId>(sample) * 100;
+    limited += router.serve(static_cast<RequestId>(sample) + 1, kVideo, object).max_age > Micros(0) ? 1 : 0;
+  }
+  EXPECT_GT(limited, kSamples / 4);
+}
+
 TEST(PurgeFloors, ForgetTheEarliestPurgesFirst) {
   TestRouter router;
   router.receive_list(default_endpoints());
