--- a/benchmarks/discovery_outage_bench.cpp
+++ b/benchmarks/discovery_outage_bench.cpp
@@ -169,7 +169,8 @@
     return static_cast<std::uint64_t>(uniform * uniform * static_cast<double>(kObjects));
   }
 
-  // Gives all objects of the origin a new version and then purges one of them; copies of the others stay valid.
+  // Gives all objects of the origin a new version and then purges one of them. Copies of the others stay
+  // valid.
   void purge_due(Clock::time_point now) {
     if (now < next_purge_) {
       return;
--- a/src/decision/purge_history.h
+++ b/src/decision/purge_history.h
@@ -11,9 +11,9 @@
 
 namespace trailcourse {
 
-// Stores the latest purge of each key. A purge within the retention period is never forgotten; an older one is
-// only where the capacity is exceeded, the earliest first. If most purges are within the period then, a single
-// purge of all keys replaces them for that long. Not thread-safe.
+// Stores the latest purge of each key. A purge within the retention period is never forgotten; an older one
+// is only where the capacity is exceeded, the earliest first. If most purges are within the period then, a
+// single purge of all keys replaces them for that long. Not thread-safe.
 class PurgeHistory {
  public:
   // Less than any time of a purge.
--- a/src/discovery/event_log.h
+++ b/src/discovery/event_log.h
@@ -63,8 +63,8 @@
   std::uint64_t rendered_pages() const { return rendered_pages_; }
   std::uint64_t requested_pages() const { return requested_pages_; }
 
-  // Compacts the log if it has more than `max_events` events. Keeps the purge events since `purges_since`, and
-  // of the earlier ones those that are among the `latest_purges` last.
+  // Compacts the log if it has more than `max_events` events. Keeps the purge events since `purges_since`,
+  // and of the earlier ones those that are among the `latest_purges` last.
   void compact(std::size_t max_events, UnixTime purges_since, std::size_t latest_purges = 0);
 
   // Returns the log as one compacted page: a full list, and the purge events that compact() keeps.
--- a/src/program/start_support.cpp
+++ b/src/program/start_support.cpp
@@ -44,7 +44,8 @@
 
 std::string peer_name(const std::string& peer) { return peer.substr(0, peer.find('=')); }
 
-// Returns how long a purge is always relayed and stored: until connected caches have applied it, and a margin.
+// Returns how long a purge is always relayed and stored: until connected caches have applied it, and a
+// margin.
 milliseconds purge_retention(const Configuration& configuration) {
   return std::chrono::duration_cast<milliseconds>(configuration.deployment.settings.purge_done) +
          kPurgeMargin;
--- a/tests/integration_test.cpp
+++ b/tests/integration_test.cpp
@@ -268,8 +268,8 @@
   }
 }
 
-// Guards against purged copies of a cache that is cut off from the discovery service (review/8): the router has
-// to limit their age also once connected caches have dropped theirs, and after a restart.
+// Guards against purged copies of a cache that is cut off from the discovery service (review/8): the router
+// has to limit their age also once connected caches have dropped theirs, and after a restart.
 TEST_F(IntegrationTest, AppliesAPurgeThatCachesShouldHaveAppliedLongAgo) {
   constexpr milliseconds kSincePurge{60'000};
   list_all();
--- a/tests/node_core_test.cpp
+++ b/tests/node_core_test.cpp
@@ -391,8 +391,8 @@
   EXPECT_EQ(answer_to(number).code, AnswerCode::kOk);
 }
 
-// Guards against copies from before a purge that a restarted node and the router have both missed: the limit of
-// an earlier purge, which routers go on sending, does not exclude them.
+// Guards against copies from before a purge that a restarted node and the router have both missed: the limit
+// of an earlier purge, which routers go on sending, does not exclude them.
 TEST_F(NodeCoreTest, DoesNotTakeTheLimitOfAnEarlierPurgeForKnowledgeOfALaterOne) {
   core_.distrust_copies_before(kStartUnixMs + steady_ms_);
   const Copy copy{"t", kStartUnixMs, 1, bytes("from before the start")};
