Look each purge up once for an age limit

Both now share what alone is the same, the purges that were not reported. One line of the benchmark's format is joined.

--- a/benchmarks/discovery_outage_bench.cpp
+++ b/benchmarks/discovery_outage_bench.cpp
@@ -228,9 +228,8 @@
     const double seconds = std::chrono::duration<double>(window.until - window.from).count();
     const double requests = static_cast<double>(std::max<std::size_t>(1, figures.requests));
     std::printf(
-        "%-5s %2lld s %-6s: %6zu requests, hits %5.1f%%, origin calls %5zu (%5.1f/s), refused %zu, failed "
-        "%zu, "
-        "from purged copies %zu\n",
+        "%-5s %2lld s %-6s: %6zu requests, hits %5.1f%%, origin calls %5zu (%5.1f/s), refused %zu, "
+        "failed %zu, from purged copies %zu\n",
         arguments_.one_cache ? "cache" : "all",
         static_cast<long long>(std::chrono::duration_cast<std::chrono::seconds>(arguments_.outage).count()),
         name, figures.requests, 100.0 * static_cast<double>(figures.hits) / requests, figures.origin_calls,
--- a/src/decision/purge_floors.cpp
+++ b/src/decision/purge_floors.cpp
@@ -33,8 +33,8 @@
 Micros PurgeFloors::last_purge(const Request& request) const {
   const std::uint64_t group = group_key(request.arrival.purge_group);
   const std::uint64_t object = object_key(request.arrival.object);
-  return std::max({last_purge_in_progress(request), purges_.latest(group, context_.now),
-                   purges_.latest(object, context_.now)});
+  return std::max({purges_.latest(group, context_.now), purges_.latest(object, context_.now),
+                   last_possible_purge(request)});
 }
 
 // The same for purges whose copies connected caches may not have dropped yet.
@@ -42,9 +42,15 @@
   const std::uint64_t group = group_key(request.arrival.purge_group);
   const std::uint64_t object = object_key(request.arrival.object);
   return std::max({purges_.latest_within_retention(group, context_.now),
-                   purges_.latest_within_retention(object, context_.now),
-                   possible_purges_.latest_within_retention(group, context_.now),
-                   possible_purges_.latest_within_retention(object, context_.now)});
+                   purges_.latest_within_retention(object, context_.now), last_possible_purge(request)});
+}
+
+// The same for purges that were not reported.
+Micros PurgeFloors::last_possible_purge(const Request& request) const {
+  const std::uint64_t group = group_key(request.arrival.purge_group);
+  const std::uint64_t object = object_key(request.arrival.object);
+  return std::max(possible_purges_.latest_within_retention(group, context_.now),
+                  possible_purges_.latest_within_retention(object, context_.now));
 }
 
 // Returns the maximum age `age`, 0 being any, reduced so that it excludes copies from before the purge.
--- a/src/decision/purge_floors.h
+++ b/src/decision/purge_floors.h
@@ -33,6 +33,7 @@
  private:
   Micros last_purge(const Request& request) const;
   Micros last_purge_in_progress(const Request& request) const;
+  Micros last_possible_purge(const Request& request) const;
   Micros limited_by(Micros age, Micros purge) const;
 
   const DecisionContext& context_;
