Names of parameterized tests that KNOWN-RED.txt can hold

ctest named the cases of ClientMisuseTest and CutOffCacheTest by the bytes of their parameters, with spaces, and by addresses in the latter, so scripts/known-red could list none of them.

The cases, their order, limits and checks are the same: 15 and 6 of ClientMisuseTest, 4 of CutOffCacheTest, and `Memory/ClientMisuseTest.*/8` is still the same one.

--- a/tests/fleet/client_limits_test.cpp
+++ b/tests/fleet/client_limits_test.cpp
@@ -3,12 +3,12 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
-#include <array>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <ostream>
 #include <string>
 #include <string_view>
-#include <tuple>
+#include <vector>
 
 #include "fleet/bad_clients.h"
 #include "fleet/fleet_fixture.h"
@@ -127,26 +127,46 @@
   EXPECT_EQ(fixture.load().connections(), 1U);
 }
 
+// One misuse under one pair of limits.
+struct MisuseCase {
+  Misuse misuse;
+  Limits limits;
+};
+
+// Prints a case as in "stopped-bodies_192_MB", without spaces, so that KNOWN-RED.txt can name its test.
+void PrintTo(const MisuseCase& one, std::ostream* out) {
+  *out << to_string(one.misuse) << '_' << one.limits.memory_mb << "_MB";
+}
+
+// Returns each misuse under each of the limits.
+std::vector<MisuseCase> cases_of(const std::vector<Misuse>& misuses, const std::vector<Limits>& all_limits) {
+  std::vector<MisuseCase> out;
+  for (const Misuse misuse : misuses) {
+    for (const Limits& limits : all_limits) {
+      out.push_back({misuse, limits});
+    }
+  }
+  return out;
+}
+
 // As many connections as clients may hold, a third of the descriptors, under each misuse.
-class ClientMisuseTest : public testing::TestWithParam<std::tuple<Misuse, int>> {};
+class ClientMisuseTest : public testing::TestWithParam<MisuseCase> {};
 
 TEST_P(ClientMisuseTest, KeepsTheLimitsAndServesUsualClients) {
-  constexpr std::array<Limits, 3> kLimits{{{32, 256}, {48, 576}, {192, 1'024}}};
-  const auto [misuse, size] = GetParam();
-  const Limits& limits = kLimits.at(static_cast<std::size_t>(size));
+  const auto& [misuse, limits] = GetParam();
   check_limits(misuse, static_cast<std::size_t>(limits.sockets / 3), limits);
 }
 
 INSTANTIATE_TEST_SUITE_P(Memory, ClientMisuseTest,
-                         testing::Combine(testing::Values(Misuse::kEmptyFields, Misuse::kShortFields,
-                                                          Misuse::kStoppedBodies, Misuse::kSlowWriters,
-                                                          Misuse::kUnreadAnswers),
-                                          testing::Values(0, 1, 2)));
+                         testing::ValuesIn(cases_of({Misuse::kEmptyFields, Misuse::kShortFields,
+                                                     Misuse::kStoppedBodies, Misuse::kSlowWriters,
+                                                     Misuse::kUnreadAnswers},
+                                                    {{32, 256}, {48, 576}, {192, 1'024}})));
 INSTANTIATE_TEST_SUITE_P(Floods, ClientMisuseTest,
-                         testing::Combine(testing::Values(Misuse::kLongHeads, Misuse::kManagement,
-                                                          Misuse::kGetValues, Misuse::kAbortedRequests,
-                                                          Misuse::kNewObjects, Misuse::kCloseUnread),
-                                          testing::Values(1)));
+                         testing::ValuesIn(cases_of({Misuse::kLongHeads, Misuse::kManagement,
+                                                     Misuse::kGetValues, Misuse::kAbortedRequests,
+                                                     Misuse::kNewObjects, Misuse::kCloseUnread},
+                                                    {{48, 576}})));
 
 }  // namespace
 }  // namespace trailcourse::testing_support
--- a/tests/fleet/cut_off_cache_test.cpp
+++ b/tests/fleet/cut_off_cache_test.cpp
@@ -9,6 +9,7 @@
 #include <fstream>
 #include <iterator>
 #include <nlohmann/json.hpp>
+#include <ostream>
 #include <string>
 
 #include "fleet/fleet_fixture.h"
@@ -37,6 +38,8 @@
   bool starts_from_snapshot;  // the routers; else from all events so far
 };
 
+void PrintTo(const World& world, std::ostream* out) { *out << world.name; }
+
 class CutOffCacheTest : public testing::TestWithParam<World> {};
 
 // Returns the number of requests from index `from` on that were answered with status 200 by the cache.
@@ -130,8 +133,7 @@
 INSTANTIATE_TEST_SUITE_P(Fleets, CutOffCacheTest,
                          testing::Values(World{"memory", false, 0, false}, World{"disk", true, 0, false},
                                          World{"relays", false, 2, false},
-                                         World{"snapshots", false, 0, true}),
-                         [](const auto& instance) { return std::string(instance.param.name); });
+                                         World{"snapshots", false, 0, true}));
 
 }  // namespace
 }  // namespace trailcourse::testing_support
